--- a/crates/fireflyhead-core/src/types.rs
+++ b/crates/fireflyhead-core/src/types.rs
@@ -305,3 +305,61 @@
         }
     }
 }
+
+/// State of a node as its peers see it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub enum MemberState {
+    /// Answers probes.
+    Alive,
+    /// Did not answer probes and may be dead.
+    Suspect,
+    /// Stops as planned and takes no new work.
+    Leaving,
+    /// Declared dead; this incarnation never comes back.
+    Dead,
+}
+
+/// Node as its peers see it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Member {
+    /// Node and its incarnation.
+    pub node: NodeRef,
+    /// Availability zone of its host.
+    pub zone: Name,
+    /// Address for callers, as `ip:port`.
+    pub caller_address: Name,
+    /// Address for other nodes, TCP and UDP, as `ip:port`.
+    pub peer_address: Name,
+    /// State.
+    pub state: MemberState,
+}
+
+/// Record of an upstream's owner in the key-value service.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct OwnerRecord {
+    /// Owner and its incarnation.
+    pub owner: NodeRef,
+    /// Fencing number; rises with each change of the owner.
+    pub fencing: u64,
+    /// Id of the write, by which its author recognises it after a lost reply.
+    pub operation: Name,
+}
+
+/// What a node may do with an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Dispatches to it.
+    Owner {
+        /// Fencing number for orders.
+        fencing: u64,
+        /// Whether load and unload orders are allowed now.
+        orders_allowed: bool,
+        /// Until then adapters found on an engine without fencing stay loaded.
+        pinned_until: Time,
+    },
+    /// Dispatches to adapters already loaded while the owner is dead and the
+    /// key-value service is down; gives no orders.
+    Caretaker,
+    /// Sends its requests to the owner.
+    None,
+}
--- /dev/null
+++ b/crates/fireflyhead-node/src/owners.rs
@@ -0,0 +1,1 @@
+//! To be written.
