--- a/crates/fireflyhead-core/src/wire.rs
+++ b/crates/fireflyhead-core/src/wire.rs
@@ -144,22 +144,33 @@
     }
 }
 
-/// Wire form of the load figures of the upstream `name`.
-pub fn advert_to_wire(name: &Name, advert: &UpstreamAdvert) -> messages::UpstreamAdvert {
-    messages::UpstreamAdvert {
-        upstream: name.to_string(),
-        queue_delay_ms: advert.queue_delay_ms.to_vec(),
-        in_flight: advert.in_flight,
-        queued: advert.queued,
-        load_delay_ms: advert.load_delay_ms,
-        full: advert.full,
+/// Load figures together with the upstream that they belong to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedAdvert {
+    /// Name of the upstream.
+    pub upstream: Name,
+    /// Its load figures.
+    pub advert: UpstreamAdvert,
+}
+
+impl From<&NamedAdvert> for messages::UpstreamAdvert {
+    fn from(named: &NamedAdvert) -> messages::UpstreamAdvert {
+        let advert = &named.advert;
+        messages::UpstreamAdvert {
+            upstream: named.upstream.to_string(),
+            queue_delay_ms: advert.queue_delay_ms.to_vec(),
+            in_flight: advert.in_flight,
+            queued: advert.queued,
+            load_delay_ms: advert.load_delay_ms,
+            full: advert.full,
+        }
     }
 }
 
-impl TryFrom<messages::UpstreamAdvert> for (Name, UpstreamAdvert) {
+impl TryFrom<messages::UpstreamAdvert> for NamedAdvert {
     type Error = WireError;
 
-    fn try_from(wire: messages::UpstreamAdvert) -> Result<(Name, UpstreamAdvert), WireError> {
+    fn try_from(wire: messages::UpstreamAdvert) -> Result<NamedAdvert, WireError> {
         let queue_delay_ms = wire
             .queue_delay_ms
             .try_into()
@@ -171,7 +182,7 @@
             load_delay_ms: wire.load_delay_ms,
             full: wire.full,
         };
-        Ok((name(wire.upstream, "advert.upstream")?, advert))
+        Ok(NamedAdvert { upstream: name(wire.upstream, "advert.upstream")?, advert })
     }
 }
 
--- a/crates/fireflyhead-core/src/wire/tests.rs
+++ b/crates/fireflyhead-core/src/wire/tests.rs
@@ -11,6 +11,7 @@
 use crate::types::OwnerRecord;
 use crate::types::UpstreamAdvert;
 use crate::wire;
+use crate::wire::NamedAdvert;
 use crate::wire::WireError;
 
 fn member() -> Member {
@@ -37,9 +38,8 @@
         load_delay_ms: 6,
         full: true,
     };
-    let name = Name::from("u");
-    let back = <(Name, UpstreamAdvert)>::try_from(wire::advert_to_wire(&name, &advert));
-    assert_eq!(back, Ok((name, advert)));
+    let named = NamedAdvert { upstream: Name::from("u"), advert };
+    assert_eq!(NamedAdvert::try_from(messages::UpstreamAdvert::from(&named)), Ok(named));
     for outcome in [Outcome::Answered, Outcome::NotRun, Outcome::OutcomeUnknown] {
         assert_eq!(Outcome::try_from(messages::Outcome::from(outcome)), Ok(outcome));
     }
@@ -57,7 +57,7 @@
     let empty = messages::AdapterKey::default();
     assert_eq!(AdapterKey::try_from(empty), Err(WireError::Missing("adapter.name")));
     let short = messages::UpstreamAdvert { upstream: "u".to_owned(), ..Default::default() };
-    let short = <(Name, UpstreamAdvert)>::try_from(short);
+    let short = NamedAdvert::try_from(short);
     assert_eq!(short, Err(WireError::Invalid("advert.queue_delay_ms")));
     assert_eq!(wire::rank_from_wire(3), Err(WireError::Invalid("rank")));
     assert_eq!(
