--- a/crates/fireflyhead-schema/src/settings.rs
+++ b/crates/fireflyhead-schema/src/settings.rs
@@ -13,6 +13,9 @@
 use crate::NodeSettings;
 use crate::SPECS;
 
+#[cfg(test)]
+mod tests;
+
 /// Prefix of the environment variables.
 const ENV_PREFIX: &str = "FIREFLYHEAD_";
 
