--- a/crates/fireflyhead-node/src/operators.rs
+++ b/crates/fireflyhead-node/src/operators.rs
@@ -1,1 +1,3 @@
-//! To be written.
+//! Listener for operators.
+
+pub mod api;
