--- /dev/null
+++ b/src/bin/fireflyhead/commands.rs
@@ -0,0 +1,46 @@
+//! Commands, one file each with `cli()` and `exec()`.
+
+use std::process::ExitCode;
+
+use anyhow::Result;
+use clap::ArgMatches;
+use clap::Command;
+
+mod call;
+mod completions;
+mod drain;
+mod nodes;
+mod resolve;
+mod status;
+mod table;
+mod upstreams;
+
+/// All commands.
+pub(crate) fn all() -> Vec<Command> {
+    vec![
+        table::cli(),
+        status::cli(),
+        nodes::cli(),
+        upstreams::cli(),
+        drain::cli(),
+        resolve::cli(),
+        call::cli(),
+        completions::cli(),
+    ]
+}
+
+/// Runs the command that `matches` names.
+pub(crate) async fn exec(matches: &ArgMatches) -> Result<ExitCode> {
+    let (name, matches) = matches.subcommand().expect("the parser requires a command");
+    match name {
+        "table" => table::exec(matches).await,
+        "status" => status::exec(matches).await,
+        "nodes" => nodes::exec(matches).await,
+        "upstreams" => upstreams::exec(matches).await,
+        "drain" => drain::exec(matches).await,
+        "resolve" => resolve::exec(matches).await,
+        "call" => call::exec(matches).await,
+        "completions" => completions::exec(matches),
+        name => unreachable!("the parser accepts no command `{name}`"),
+    }
+}
--- a/src/ops/table.rs
+++ b/src/ops/table.rs
@@ -48,6 +48,55 @@
     EditBody { id, summary, changes: base.diff(new) }
 }
 
+/// Reason for which cells of a row can't be changed.
+#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+pub enum CellChangeError {
+    /// the table has no {kind} `{name}`
+    NoRow {
+        /// Kind of the row.
+        kind: String,
+        /// Name of the row.
+        name: String,
+    },
+    /// `{0}` is not of the form column=value
+    NoAssignment(String),
+    /// the table has no column `{0}`
+    NoColumn(String),
+    /// the column `{0}` identifies the row and can't be changed
+    KeyColumn(String),
+}
+
+impl std::error::Error for CellChangeError {}
+
+/// Change of the row `name` by `assignments` of the form `column=value`.
+///
+/// # Errors
+/// A row or column that the table does not have, or a malformed assignment.
+pub fn change_cells(
+    base: &Table,
+    kind: &str,
+    name: &str,
+    assignments: &[&str],
+) -> Result<RowChange, CellChangeError> {
+    let row = base.rows().find(|row| row.kind.as_str() == kind && row.name.as_str() == name);
+    let Some(row) = row else {
+        return Err(CellChangeError::NoRow { kind: kind.to_owned(), name: name.to_owned() });
+    };
+    let mut after = row.cells().to_vec();
+    for assignment in assignments {
+        let (column, value) = assignment
+            .split_once('=')
+            .ok_or_else(|| CellChangeError::NoAssignment((*assignment).to_owned()))?;
+        match COLUMNS.iter().position(|found| *found == column) {
+            None => return Err(CellChangeError::NoColumn(column.to_owned())),
+            Some(0 | 1) => return Err(CellChangeError::KeyColumn(column.to_owned())),
+            Some(at) => after[at] = value.to_owned(),
+        }
+    }
+    let before = Some(row.cells().to_vec());
+    Ok(RowChange { kind: kind.to_owned(), name: name.to_owned(), before, after: Some(after) })
+}
+
 /// Applies an edit.
 ///
 /// # Errors
