--- a/crates/fireflyhead-core/src/loads.rs
+++ b/crates/fireflyhead-core/src/loads.rs
@@ -25,6 +25,12 @@
 /// Largest exponent of the backoff after failed loads.
 const MAX_BACKOFF_DOUBLINGS: u32 = 16;
 
+/// Grants that a rank can be owed; two, because another rank may be owed one at the same time.
+const MAX_CREDIT: f64 = 2.0;
+
+/// Tolerance for the sum of many small floors.
+const CREDIT_ROUNDING: f64 = 1e-9;
+
 /// Settings of a [`LoadScheduler`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadConfig {
@@ -325,9 +331,9 @@
             let i = rank.index();
             let waits = self.pending.values().any(|req| req.rank == rank);
             let credit = if waits { self.credits[i] + self.cfg.floors[i] } else { 0.0 };
-            self.credits[i] = credit.clamp(0.0, 1.0);
+            self.credits[i] = credit.clamp(0.0, MAX_CREDIT);
         }
-        Rank::ALL.into_iter().find(|rank| self.credits[rank.index()] >= 1.0)
+        Rank::ALL.into_iter().find(|rank| self.credits[rank.index()] >= 1.0 - CREDIT_ROUNDING)
     }
 }
 
