--- a/crates/fireflyhead-core/src/table/csv_text.rs
+++ b/crates/fireflyhead-core/src/table/csv_text.rs
@@ -47,6 +47,15 @@
     pub reason: String,
 }
 
+impl std::fmt::Display for RowError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.column.as_str() {
+            "" => write!(f, "line {}: {}", self.line, self.reason),
+            column => write!(f, "line {}, column `{column}`: {}", self.line, self.reason),
+        }
+    }
+}
+
 impl std::error::Error for RowError {}
 
 /// Cells of one line.
