--- a/crates/fireflyhead-core/src/dispatch/api.rs
+++ b/crates/fireflyhead-core/src/dispatch/api.rs
@@ -84,7 +84,8 @@
 }
 
 /// Load figures that an upstream reports, some time after the fact.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadReport {
     /// Number that differs for every start of the upstream.
     pub boot_id: u64,
--- a/crates/fireflyhead-core/src/placement.rs
+++ b/crates/fireflyhead-core/src/placement.rs
@@ -28,6 +28,7 @@
 use rand_chacha::ChaCha8Rng;
 use siphasher::sip::SipHasher13;
 
+use crate::placement::replicas::Replicas;
 use crate::types::AdapterKey;
 use crate::types::Name;
 use crate::types::Rank;
@@ -35,8 +36,6 @@
 use crate::types::UpstreamAdvert;
 use crate::types::UpstreamInfo;
 
-use replicas::Replicas;
-
 /// Candidate of a rendezvous choice.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
--- a/crates/fireflyhead-core/src/table.rs
+++ b/crates/fireflyhead-core/src/table.rs
@@ -163,7 +163,8 @@
 }
 
 /// Reason for which no policy governs a request.
-#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum LookupError {
     /// the table has no adapter `{0}`
     UnknownAdapter(String),
--- a/crates/fireflyhead-core/src/table/csv_text.rs
+++ b/crates/fireflyhead-core/src/table/csv_text.rs
@@ -36,8 +36,8 @@
 /// Longest deadline or target: one day, in milliseconds.
 const MAX_SPAN_MS: u64 = 24 * 60 * 60 * 1_000;
 
-/// line {line}, column `{column}`: {reason}
-#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+/// Invalid cell or line of the text.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RowError {
     /// Line of the text, the header being line 1.
     pub line: u64,
--- a/crates/fireflyhead-core/src/table/edit.rs
+++ b/crates/fireflyhead-core/src/table/edit.rs
@@ -15,7 +15,8 @@
 use crate::table::csv_text;
 
 /// Change of one row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RowChange {
     /// Kind cell of the row.
     pub kind: String,
@@ -28,7 +29,8 @@
 }
 
 /// {kind} `{name}` was changed by someone else: you read {before:?}, the table now has {current:?}, you want {after:?}
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize, displaydoc::Display)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize, displaydoc::Display)]
 pub struct Conflict {
     /// Kind cell of the row.
     pub kind: String,
--- a/crates/fireflyhead-core/src/types.rs
+++ b/crates/fireflyhead-core/src/types.rs
@@ -10,7 +10,8 @@
 use serde::Serialize;
 
 /// Shared immutable string for the name of an adapter, upstream, service or zone.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Name(Arc<str>);
 
 impl Name {
@@ -102,9 +103,8 @@
 }
 
 /// Urgency of a request, most urgent first.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub enum Rank {
     /// Served first, with head-room kept for it.
     Urgent,
@@ -140,7 +140,8 @@
 }
 
 /// Adapter and the version of it that a caller asked for.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct AdapterKey {
     /// Name of the adapter.
     pub name: Name,
@@ -174,17 +175,18 @@
 /// Table row, as a stable hash of its kind and name.
 ///
 /// The same row has the same id at every node and in every table version.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct RowId(pub u64);
 
 /// Job at one dispatcher; unique within the process that created it.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct JobId(pub u64);
 
 /// One incarnation of a node: a restarted process is another incarnation.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct NodeRef {
     /// Name of the node, stable over restarts.
     pub id: Name,
@@ -193,7 +195,8 @@
 }
 
 /// Kind of an upstream.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum UpstreamKind {
     /// Model engine with a number of adapter slots.
     Engine {
@@ -205,7 +208,8 @@
 }
 
 /// Upstream as listed by the platform.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UpstreamInfo {
     /// Name of the instance.
     pub name: Name,
@@ -224,7 +228,8 @@
 }
 
 /// Load figures of one upstream, advertised by its owner to entries.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UpstreamAdvert {
     /// Expected wait of new work by rank, in milliseconds.
     pub queue_delay_ms: [u32; 3],
@@ -239,7 +244,8 @@
 }
 
 /// Request as a dispatcher sees it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Job {
     /// Identifier at the dispatcher.
     pub id: JobId,
@@ -262,7 +268,8 @@
 }
 
 /// Final outcome of an accepted request.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Outcome {
     /// The upstream's answer was passed on.
     Answered,
@@ -273,7 +280,8 @@
 }
 
 /// Reason for which a dispatcher or an entry refuses a request.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum RefuseReason {
     /// The predicted wait passes the deadline, or the deadline passed in the queue.
     Deadline,
@@ -307,7 +315,8 @@
 }
 
 /// State of a node as its peers see it.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum MemberState {
     /// Answers probes.
     Alive,
@@ -320,7 +329,8 @@
 }
 
 /// Node as its peers see it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Member {
     /// Node and its incarnation.
     pub node: NodeRef,
@@ -335,7 +345,8 @@
 }
 
 /// Record of an upstream's owner in the key-value service.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OwnerRecord {
     /// Owner and its incarnation.
     pub owner: NodeRef,
--- a/crates/fireflyhead-core/src/wire.rs
+++ b/crates/fireflyhead-core/src/wire.rs
@@ -19,7 +19,8 @@
 mod tests;
 
 /// Reason for which a message of another node is malformed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum WireError {
     /// the field `{0}` is missing
     Missing(&'static str),
--- a/crates/fireflyhead-node/src/kv.rs
+++ b/crates/fireflyhead-node/src/kv.rs
@@ -46,7 +46,8 @@
 }
 
 /// Failure of a call to the key-value service.
-#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum StoreError {
     /// the key-value service gave no answer in time; the call may have taken effect: {0}
     NoAnswer(String),
--- a/crates/fireflyhead-node/src/operators/api.rs
+++ b/crates/fireflyhead-node/src/operators/api.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// Table in force at a node.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TableBody {
     /// Version.
     pub version: u64,
@@ -15,7 +16,8 @@
 }
 
 /// Edit of the table.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EditBody {
     /// Id chosen by the author; an edit sent twice takes effect once.
     pub id: String,
@@ -26,14 +28,16 @@
 }
 
 /// Answer to an accepted edit.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EditAccepted {
     /// Version that contains the edit.
     pub version: u64,
 }
 
 /// Invalid cell of an edited table.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CellError {
     /// Line of the text.
     pub line: u64,
@@ -44,7 +48,8 @@
 }
 
 /// Answer to a refused edit; nothing was changed.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EditRefused {
     /// Stable code: `conflict`, `invalid_table`, `store_unavailable` or `outcome_unknown`.
     pub code: String,
@@ -59,7 +64,8 @@
 }
 
 /// Accepted edit in the history.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EditEntry {
     /// Id chosen by the author.
     pub id: String,
@@ -70,7 +76,8 @@
 }
 
 /// Node as listed by another node.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct NodeEntry {
     /// Name.
     pub id: String,
@@ -87,7 +94,8 @@
 }
 
 /// Upstream with its owner and load.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UpstreamEntry {
     /// Name.
     pub name: String,
@@ -123,7 +131,8 @@
 }
 
 /// State of the node that answers.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct StatusBody {
     /// Name.
     pub id: String,
--- a/crates/fireflyhead-schema/src/codec.rs
+++ b/crates/fireflyhead-schema/src/codec.rs
@@ -7,7 +7,8 @@
 pub const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
 /// Reason for which a message can't be encoded or decoded.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum CodecError {
     /// cannot encode the message: {0}
     Encode(bincode::error::EncodeError),
--- a/crates/fireflyhead-schema/src/settings.rs
+++ b/crates/fireflyhead-schema/src/settings.rs
@@ -67,7 +67,8 @@
 }
 
 /// setting `{name}` has the invalid value `{value}`: {reason}
-#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub struct SettingError {
     /// Name of the setting.
     pub name: &'static str,
--- a/src/ops/call.rs
+++ b/src/ops/call.rs
@@ -13,7 +13,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Address that a node gives to callers.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Address {
     /// URL of the node.
     pub url: String,
@@ -24,7 +25,8 @@
 }
 
 /// Addresses that a caller may use for a while.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Resolved {
     /// Addresses, the preferred one first.
     pub addresses: Vec<Address>,
@@ -46,7 +48,8 @@
 }
 
 /// Answer to a call.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct CallAnswer {
     /// Request id that was sent.
     pub request_id: String,
--- a/src/ops/client.rs
+++ b/src/ops/client.rs
@@ -21,7 +21,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Failure of a call to a node.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum ClientError {
     /// no answer from {url}: {source}
     Transport {
--- a/src/ops/table.rs
+++ b/src/ops/table.rs
@@ -20,7 +20,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of nodes with a version in force.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct InForce {
     /// Live nodes with the version or a higher one.
     pub nodes: usize,
@@ -49,7 +50,8 @@
 }
 
 /// Reason for which cells of a row can't be changed.
-#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum CellChangeError {
     /// the table has no {kind} `{name}`
     NoRow {
