--- /dev/null
+++ b/crates/fireflyhead-core/src/once/tests.rs
@@ -0,0 +1,1 @@
+//! Property tests of at-most-once execution.
