--- a/crates/fireflyhead-core/src/types.rs
+++ b/crates/fireflyhead-core/src/types.rs
@@ -102,9 +102,7 @@
 }
 
 /// Urgency of a request, most urgent first.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub enum Rank {
     /// Served first, with head-room kept for it.
     Urgent,
@@ -174,9 +172,7 @@
 /// Table row, as a stable hash of its kind and name.
 ///
 /// The same row has the same id at every node and in every table version.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct RowId(pub u64);
 
 /// Job at one dispatcher; unique within the process that created it.
