--- a/crates/fireflyhead-standin/src/engine.rs
+++ b/crates/fireflyhead-standin/src/engine.rs
@@ -74,7 +74,8 @@
 }
 
 /// Fault switches of an engine.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// Fraction of loads that fail.
@@ -96,7 +97,8 @@
 }
 
 /// What an engine counted since it was started by the handle, restarts included.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineCounters {
     /// Requests that ran to their end.
     pub finished: u64,
@@ -127,7 +129,8 @@
 }
 
 /// Load report, as `GET /load` shows it.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadReport {
     /// Id of the process's start.
     pub boot_id: String,
--- a/crates/fireflyhead-standin/src/hosts.rs
+++ b/crates/fireflyhead-standin/src/hosts.rs
@@ -28,7 +28,8 @@
 use crate::net::serve;
 
 /// Kind of a host's process.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum HostKind {
     /// Node of the serving layer.
@@ -40,7 +41,8 @@
 }
 
 /// State of a host as the platform shows it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum HostState {
     /// In service.
@@ -50,7 +52,8 @@
 }
 
 /// Entry of the host list.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Host {
     /// Name, unique in the list.
     pub name: String,
@@ -76,7 +79,8 @@
 }
 
 /// Fault switches of a host list.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostListFaults {
     /// Age of the state shown, in milliseconds.
@@ -86,7 +90,8 @@
 }
 
 /// What a host list counted.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct HostListCounters {
     /// Reads of the list.
     pub reads: u64,
--- a/crates/fireflyhead-standin/src/kv.rs
+++ b/crates/fireflyhead-standin/src/kv.rs
@@ -55,7 +55,8 @@
 }
 
 /// Fault switches of a key-value service.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct KvFaults {
     /// Closes all connections. Leases do not lapse meanwhile and are extended afterwards.
@@ -75,7 +76,8 @@
 }
 
 /// What a key-value service counted.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KvCounters {
     /// Reads, new watches included.
     pub reads: u64,
--- a/crates/fireflyhead-standin/src/kv/wire.rs
+++ b/crates/fireflyhead-standin/src/kv/wire.rs
@@ -64,12 +64,14 @@
     }
 }
 
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(super) struct Header {
     pub(super) revision: Int64,
 }
 
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(super) struct KeyValue {
     pub(super) key: Base64,
     #[serde(skip_serializing_if = "Int64::is_zero")]
@@ -83,7 +85,8 @@
     pub(super) lease: Int64,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct RangeRequest {
     pub(super) key: Base64,
@@ -91,7 +94,8 @@
     pub(super) limit: Int64,
 }
 
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(super) struct RangeResponse {
     pub(super) header: Header,
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -102,7 +106,8 @@
     pub(super) more: bool,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct PutRequest {
     pub(super) key: Base64,
@@ -110,14 +115,16 @@
     pub(super) lease: Int64,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct DeleteRequest {
     pub(super) key: Base64,
     pub(super) range_end: Base64,
 }
 
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub(super) enum CompareResult {
     #[default]
@@ -128,7 +135,8 @@
     NotEqual,
 }
 
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub(super) enum CompareTarget {
     #[default]
@@ -139,7 +147,8 @@
     Lease,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct Compare {
     pub(super) result: CompareResult,
@@ -148,7 +157,8 @@
     pub(super) mod_revision: Int64,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct RequestOp {
     pub(super) request_range: Option<RangeRequest>,
@@ -156,7 +166,8 @@
     pub(super) request_delete_range: Option<DeleteRequest>,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct TxnRequest {
     pub(super) compare: Vec<Compare>,
@@ -164,7 +175,8 @@
     pub(super) failure: Vec<RequestOp>,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct LeaseRequest {
     #[serde(rename = "ID")]
@@ -173,13 +185,15 @@
     pub(super) ttl: Int64,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct WatchRequest {
     pub(super) create_request: WatchCreate,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct WatchCreate {
     pub(super) key: Base64,
--- a/crates/fireflyhead-standin/src/service.rs
+++ b/crates/fireflyhead-standin/src/service.rs
@@ -92,7 +92,8 @@
 }
 
 /// Fault switches of an instance.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
     /// Delay between the effect and the response, in milliseconds.
@@ -108,7 +109,8 @@
 }
 
 /// What an instance counted.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ServiceCounters {
     /// Calls that ran, of every method.
     pub calls: u64,
--- a/crates/fireflyhead-standin/src/weights.rs
+++ b/crates/fireflyhead-standin/src/weights.rs
@@ -52,7 +52,8 @@
 }
 
 /// Fault switches of a weight store.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WeightsFaults {
     /// Fraction of loads that fail.
@@ -60,7 +61,8 @@
 }
 
 /// What a weight store counted.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct WeightsCounters {
     /// Loads served.
     pub loads: u64,
