--- a/crates/fireflyhead-node/src/kv.rs
+++ b/crates/fireflyhead-node/src/kv.rs
@@ -3,12 +3,19 @@
 //! [`Store`] is the edge of the process: what the actors need of the service.
 //! A failed call may have taken effect; callers read back before they decide.
 
+pub mod http;
+mod watch;
+mod wire;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use tokio::sync::mpsc;
 
+pub use http::HttpStore;
+pub use http::HttpStoreConfig;
+
 /// Identifier of a lease.
 pub type LeaseId = i64;
 
--- a/crates/fireflyhead-node/src/tables.rs
+++ b/crates/fireflyhead-node/src/tables.rs
@@ -1,1 +1,1 @@
-//! To be written.
+//! Placeholder.
