--- a/crates/fireflyhead-core/src/membership.rs
+++ b/crates/fireflyhead-core/src/membership.rs
@@ -28,6 +28,8 @@
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
+use crate::membership::gossip::Gossip;
+use crate::membership::roster::Roster;
 use crate::types::Member;
 use crate::types::MemberState;
 use crate::types::Name;
@@ -35,9 +37,6 @@
 use crate::types::Time;
 use crate::types::UpstreamAdvert;
 
-use gossip::Gossip;
-use roster::Roster;
-
 /// Intervals without a tick after which the node assumes that it was paused.
 const PAUSE_INTERVALS: u32 = 3;
 /// Suspects probed in addition to the regular target of an interval.
--- a/crates/fireflyhead-core/src/once.rs
+++ b/crates/fireflyhead-core/src/once.rs
@@ -22,14 +22,13 @@
 
 use bytes::Bytes;
 
+use crate::once::home::Home;
+use crate::once::witness::Witness;
 use crate::types::Name;
 use crate::types::NodeRef;
 use crate::types::Outcome;
 use crate::types::Time;
 
-use home::Home;
-use witness::Witness;
-
 pub use token::IdError;
 pub use token::PlacementToken;
 pub use token::RequestId;
