--- a/src/ops/call.rs
+++ b/src/ops/call.rs
@@ -59,13 +59,18 @@
     pub body: String,
 }
 
+fn http() -> Result<reqwest::Client> {
+    reqwest::Client::builder().no_proxy().build().context("cannot set up the HTTP client")
+}
+
 /// Asks the node at `url` for addresses.
 ///
 /// # Errors
 /// No answer, an error status, or a malformed answer.
 pub async fn resolve(url: &str) -> Result<Resolved> {
     let url = format!("{}/v1/resolve", url.trim_end_matches('/'));
-    let answer = reqwest::get(&url).await.with_context(|| format!("no answer from {url}"))?;
+    let request = http()?.get(&url).timeout(CALL_TIMEOUT);
+    let answer = request.send().await.with_context(|| format!("no answer from {url}"))?;
     let answer = answer.error_for_status().context("the node refused the call")?;
     answer.json().await.with_context(|| format!("malformed answer from {url}"))
 }
@@ -81,7 +86,7 @@
     };
     let request_id = format!("{}.{}", address.placement, call.suffix);
     let target = format!("{}{}", address.url.trim_end_matches('/'), call.path);
-    let request = reqwest::Client::new()
+    let request = http()?
         .request(call.method.clone(), &target)
         .timeout(CALL_TIMEOUT)
         .header("x-request-id", &request_id)
--- a/src/ops/client.rs
+++ b/src/ops/client.rs
@@ -65,6 +65,7 @@
     /// Client of the node whose operator listener is at `url`.
     pub fn new(url: &str, token: Secret) -> OperatorClient {
         let http = reqwest::Client::builder()
+            .no_proxy()
             .timeout(CALL_TIMEOUT)
             .build()
             .expect("a client without TLS needs nothing of the host");
