Fetch announced tables page by page from the key-value service

The service sends the head and the changed page only. Peers are asked when the service does not answer. The head keeps 64 edits in place of 256, because every node reads it after every edit.

--- a/crates/fireflyhead-node/src/tables.rs
+++ b/crates/fireflyhead-node/src/tables.rs
@@ -27,6 +27,7 @@
 use kameo::reply::DelegatedReply;
 
 use crate::context::NodeContext;
+use crate::context::StoreState;
 use crate::kv::Store;
 use crate::kv::WatchEvent;
 use crate::tables::service::Stored;
@@ -74,7 +75,15 @@
     store: Arc<dyn Store>,
     peers: Arc<dyn TablePeers>,
 ) -> ActorRef<Tables> {
-    Tables::spawn(Tables { cx, store, peers, stored: None, reading: false, read_again: false })
+    Tables::spawn(Tables {
+        cx,
+        store,
+        peers,
+        stored: None,
+        announced: 0,
+        reading: false,
+        read_again: false,
+    })
 }
 
 /// Actor of the table.
@@ -84,6 +93,8 @@
     peers: Arc<dyn TablePeers>,
     /// Newest state read from or written to the service.
     stored: Option<Arc<Stored>>,
+    /// Highest version that a peer announced.
+    announced: u64,
     reading: bool,
     read_again: bool,
 }
@@ -203,7 +214,12 @@
         self.reading = false;
         match result {
             Ok(stored) => self.accept_stored(stored),
-            Err(error) => tracing::warn!(%error, "the table was not read"),
+            Err(error) => {
+                tracing::warn!(%error, "the table was not read");
+                if self.announced > self.version() {
+                    self.read_peers(cx.actor_ref());
+                }
+            }
         }
         if std::mem::take(&mut self.read_again) {
             self.read_service(cx.actor_ref());
@@ -215,8 +231,14 @@
     type Reply = ();
 
     async fn handle(&mut self, announced: Announced, cx: &mut Context<Self, ()>) {
-        if announced.version > self.version() {
-            self.read_peers(cx.actor_ref());
+        self.announced = self.announced.max(announced.version);
+        match self.stored {
+            _ if announced.version <= self.version() => {}
+            // The service sends the changed pages only, a peer the whole table.
+            Some(_) if *self.cx.store.borrow() == StoreState::Reachable => {
+                self.read_service(cx.actor_ref());
+            }
+            _ => self.read_peers(cx.actor_ref()),
         }
     }
 }
--- a/crates/fireflyhead-node/src/tables/service.rs
+++ b/crates/fireflyhead-node/src/tables/service.rs
@@ -25,7 +25,9 @@
 /// Key of the head.
 pub const HEAD_KEY: &str = "/fireflyhead/table/head";
 /// Edits that the head keeps to resolve lost replies and to show the history.
-const MAX_EDITS: usize = 256;
+///
+/// Every node reads the head after every edit, so a long history costs bandwidth.
+const MAX_EDITS: usize = 64;
 /// Attempts to read pages whose head was replaced meanwhile.
 const READ_ATTEMPTS: usize = 5;
 /// Time for which an edit is tried.
