--- a/crates/fireflyhead-measure/src/control.rs
+++ b/crates/fireflyhead-measure/src/control.rs
@@ -8,6 +8,8 @@
 //! monotonic clock.
 
 mod dispatchers;
+mod members;
+mod once;
 mod placements;
 mod report;
 mod tables;
@@ -22,7 +24,7 @@
 use crate::control::report::Report;
 
 /// Names of the sections, in the order of the report.
-const SECTIONS: [&str; 3] = ["table", "placement", "dispatch"];
+const SECTIONS: [&str; 5] = ["table", "placement", "dispatch", "membership", "once"];
 
 /// Arguments of the command.
 pub(crate) fn cli() -> Command {
@@ -53,6 +55,8 @@
             "table" => tables::measure(&mut report),
             "placement" => placements::measure(&mut report),
             "dispatch" => dispatchers::measure(&mut report),
+            "membership" => members::measure(&mut report),
+            "once" => once::measure(&mut report),
             name => unreachable!("the parser accepts no section `{name}`"),
         }
     }
