Dispatch by rank, floors, fair shares and demand for adapters

Now lower ranks keep their floors by deficit counters, rows share by weight, deadlines and fresh work decide within a row, only jobs that can run are looked at, and slots are given to the adapters that are requested most.

--- a/crates/fireflyhead-core/src/dispatch.rs
+++ b/crates/fireflyhead-core/src/dispatch.rs
@@ -1,22 +1,43 @@
 //! Scheduling of one upstream: what it runs next, and which adapters it holds.
 //!
 //! A `Dispatcher` is a state machine without sockets or clocks. Its owner
-//! feeds it inputs with the current time and carries out its effects.
+//! feeds it inputs with the current time and carries out its effects. After
+//! each input it ends what has expired, starts jobs while there is capacity
+//! (`jobs`), and requests or orders loads (`residency`). Jobs that can't run
+//! because their adapter is not loaded take no part in the choice of the next
+//! job; they only count as demand for the adapter.
 
+mod adapters;
 mod api;
-
-use std::collections::BTreeMap;
+mod concurrency;
+mod estimate;
+mod floors;
+mod jobs;
+mod queue;
+mod residency;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::adapters::Adapters;
+use self::adapters::SlotConfig;
+use self::concurrency::Concurrency;
+use self::floors::Floors;
+use self::floors::floor_shares;
+use self::jobs::JobState;
+use self::queue::RankQueue;
 use crate::table::Table;
-use crate::types::AdapterKey;
-use crate::types::Job;
 use crate::types::JobId;
 use crate::types::Rank;
-use crate::types::RefuseReason;
 use crate::types::Role;
+use crate::types::RowId;
 use crate::types::Time;
 use crate::types::UpstreamAdvert;
 use crate::types::UpstreamKind;
@@ -27,55 +48,94 @@
 pub use api::LoadReport;
 pub use api::RunResult;
 
-/// Time after which a refused caller may try again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Slot {
-    Requested,
-    Loading,
-    Loaded,
-    Unloading,
-}
+/// Weight of a row that the table does not name, or names without a usable weight.
+const DEFAULT_WEIGHT: f64 = 1.0;
 
-#[derive(Clone, Debug)]
-struct Queued {
-    job: Job,
-    deadline: Time,
-    running: bool,
-}
+/// Smallest weight, so that one job can't move a row's tag without bound.
+const MIN_WEIGHT: f64 = 1e-3;
 
 /// Scheduler of one upstream.
 pub struct Dispatcher {
     cfg: DispatcherConfig,
+    table: Arc<Table>,
+    rng: ChaCha8Rng,
     orders_allowed: bool,
     draining: bool,
+    /// Boot id in the last report.
+    boot_id: Option<u64>,
+    started_at: Time,
+    /// Time of the last input.
+    now: Time,
     seq: u64,
-    queue: BTreeMap<(Rank, u64), JobId>,
-    jobs: HashMap<JobId, Queued>,
-    in_flight: usize,
-    slots: HashMap<AdapterKey, (Slot, usize)>,
+    jobs: HashMap<JobId, JobState>,
+    queues: [RankQueue; 3],
+    /// Queued jobs by deadline.
+    deadlines: BTreeSet<(Time, JobId)>,
+    /// Jobs without an answer to their permit request, by timeout.
+    permits: BTreeSet<(Time, JobId)>,
+    floors: Floors,
+    /// Ranks for which the table has a class of the service.
+    has_class: [bool; 3],
+    last_seen: [Option<Time>; 3],
+    concurrency: Concurrency,
+    service: estimate::Service,
+    loads: estimate::Loads,
+    adapters: Adapters,
 }
 
 impl Dispatcher {
-    /// Dispatcher without jobs whose upstream holds nothing; `seed` is for jitter.
-    pub fn new(cfg: DispatcherConfig, _table: Arc<Table>, _seed: u64) -> Dispatcher {
-        Dispatcher {
+    /// Dispatcher without jobs; `seed` is for jitter.
+    pub fn new(cfg: DispatcherConfig, table: Arc<Table>, seed: u64) -> Dispatcher {
+        let slots = match cfg.kind {
+            UpstreamKind::Engine { slots } => slots,
+            UpstreamKind::Service => 0,
+        };
+        let slot_cfg = SlotConfig {
+            slots,
+            probation: cfg.probation_slots,
+            half_life: cfg.frequency_half_life.max(Duration::from_millis(1)),
+            waiter_value: cfg.waiter_value,
+        };
+        let mut dispatcher = Dispatcher {
+            concurrency: Concurrency::new(cfg.max_in_flight, cfg.latency_target, cfg.report_lag),
+            adapters: Adapters::new(slot_cfg),
+            floors: Floors::new([0.0; 3]),
+            rng: ChaCha8Rng::seed_from_u64(seed),
             cfg,
+            table: Arc::clone(&table),
             orders_allowed: true,
             draining: false,
+            boot_id: None,
+            started_at: Time::default(),
+            now: Time::default(),
             seq: 0,
-            queue: BTreeMap::new(),
             jobs: HashMap::new(),
-            in_flight: 0,
-            slots: HashMap::new(),
-        }
+            queues: Default::default(),
+            deadlines: BTreeSet::new(),
+            permits: BTreeSet::new(),
+            has_class: [false; 3],
+            last_seen: [None; 3],
+            service: estimate::Service::default(),
+            loads: estimate::Loads::default(),
+        };
+        dispatcher.set_table(table);
+        dispatcher
     }
 
     /// Puts another version of the table in force.
-    pub fn set_table(&mut self, _table: Arc<Table>) {}
+    pub fn set_table(&mut self, table: Arc<Table>) {
+        self.floors.set_shares(floor_shares(&table, &self.cfg.service, self.cfg.min_floor));
+        self.has_class = [false; 3];
+        for row in table.classes().filter(|row| row.service == self.cfg.service) {
+            self.has_class[row.terms.rank.index()] = true;
+        }
+        for queue in &mut self.queues {
+            queue.reweigh(|row| weight_in(&table, row));
+        }
+        self.table = table;
+    }
 
-    /// Changes what the node may do with the upstream.
+    /// Changes what the node may do with the upstream. Follow it with a `Tick`.
     pub fn set_role(&mut self, role: &Role) {
         match role {
             Role::Owner { orders_allowed, pinned_until, .. } => {
@@ -90,158 +150,86 @@
 
     /// Reacts to one input; appends what is to be done to `effects`.
     pub fn handle(&mut self, now: Time, input: DispatchInput, effects: &mut Vec<DispatchEffect>) {
+        if self.now == Time::default() {
+            self.started_at = now;
+        }
+        self.now = self.now.max(now);
         match input {
-            DispatchInput::Submit(job) => self.submit(now, job, effects),
-            DispatchInput::Cancel(job) => self.cancel(job, effects),
-            DispatchInput::Permit { job, granted: true } => {
-                effects.push(DispatchEffect::Run { job })
-            }
-            DispatchInput::Permit { job, granted: false } | DispatchInput::Finished { job, .. } => {
-                self.release(job)
-            }
-            DispatchInput::LoadGranted { adapter } => effects.push(self.load(adapter)),
-            DispatchInput::LoadDenied { adapter, .. } => {
-                self.slots.remove(&adapter);
+            DispatchInput::Submit(job) => self.submit(now, &job, effects),
+            DispatchInput::Cancel(job) => self.cancel(now, job, effects),
+            DispatchInput::Permit { job, granted } => self.permit(now, job, granted, effects),
+            DispatchInput::Started { job } | DispatchInput::Progress { job, .. } => {
+                self.started(now, job);
             }
-            DispatchInput::LoadDone { adapter, ok: true } => {
-                self.slots.insert(adapter, (Slot::Loaded, 0));
-            }
-            DispatchInput::LoadDone { adapter, ok: false }
-            | DispatchInput::UnloadDone { adapter, .. } => {
-                self.slots.remove(&adapter);
+            DispatchInput::Finished { job, result } => self.finished(now, job, result, effects),
+            DispatchInput::LoadGranted { adapter } => self.load_granted(now, adapter, effects),
+            DispatchInput::LoadDenied { adapter, retry_after } => {
+                self.load_denied(now, &adapter, retry_after);
             }
+            DispatchInput::LoadDone { adapter, ok } => self.load_done(now, &adapter, ok, effects),
+            DispatchInput::UnloadDone { adapter, ok } => self.unload_done(now, &adapter, ok),
+            DispatchInput::Report(report) => self.report(now, &report, effects),
             DispatchInput::OrdersAllowed(allowed) => self.orders_allowed = allowed,
-            DispatchInput::Drain => self.drain(effects),
-            DispatchInput::Report(_)
-            | DispatchInput::Started { .. }
-            | DispatchInput::Progress { .. }
-            | DispatchInput::Tick => {}
+            DispatchInput::Drain => self.draining = true,
+            DispatchInput::Tick => self.shed(now, effects),
+        }
+        if self.draining {
+            self.shed(now, effects);
         }
         self.expire(now, effects);
-        self.dispatch(effects);
+        self.adapters.end_backoffs(now);
+        self.dispatch(now, effects);
+        self.manage_slots(now, effects);
     }
 
     /// Load figures that the owner advertises to entries.
     pub fn advert(&self, _now: Time) -> UpstreamAdvert {
+        let wait = |rank| self.predicted_queue_wait(rank, |q| q.ready_cost() as f64);
+        let queued: usize = self.queues.iter().map(RankQueue::len).sum();
+        let limit = (self.cfg.max_queue / Rank::ALL.len()).max(1);
+        let ahead = self.adapters.candidates_ahead(Rank::Background);
         UpstreamAdvert {
-            in_flight: u32::try_from(self.in_flight).unwrap_or(u32::MAX),
-            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            full: self.queue.len() >= self.cfg.max_queue,
-            ..UpstreamAdvert::default()
+            queue_delay_ms: Rank::ALL.map(|rank| millis(wait(rank))),
+            in_flight: count(self.concurrency.in_flight()),
+            queued: count(queued),
+            load_delay_ms: millis(self.loads.wait_behind(ahead)),
+            full: self.draining || self.queues.iter().any(|queue| queue.len() >= limit),
         }
     }
 
     /// Earliest time at which `Tick` must be delivered.
     pub fn next_tick(&self) -> Option<Time> {
-        self.queue.values().map(|id| self.jobs[id].deadline).min()
+        let first = |set: &BTreeSet<(Time, JobId)>| set.first().map(|(at, _)| *at);
+        let times = [first(&self.deadlines), first(&self.permits), self.next_load_tick()];
+        times.into_iter().flatten().min()
     }
 
-    fn submit(&mut self, now: Time, job: Job, effects: &mut Vec<DispatchEffect>) {
+    /// Redirects the jobs that this dispatcher will not run, once it leaves or may not load.
+    fn shed(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
         if self.draining {
-            return effects.push(DispatchEffect::Redirect { job: job.id });
+            self.redirect_where(now, |_, _| true, effects);
+        } else if self.cfg.caretaker {
+            self.redirect_where(now, |d, state| d.is_out_of_reach(state.ticket.lane), effects);
         }
-        if self.queue.len() >= self.cfg.max_queue {
-            let reason = RefuseReason::Overloaded;
-            let retry_after = RETRY_AFTER;
-            return effects.push(DispatchEffect::Refuse { job: job.id, reason, retry_after });
-        }
-        self.seq += 1;
-        self.queue.insert((job.rank, self.seq), job.id);
-        let deadline = now + job.deadline;
-        self.jobs.insert(job.id, Queued { job, deadline, running: false });
     }
 
-    fn cancel(&mut self, job: JobId, effects: &mut Vec<DispatchEffect>) {
-        match self.jobs.get(&job) {
-            Some(queued) if queued.running => effects.push(DispatchEffect::CancelRun { job }),
-            Some(_) => {
-                self.queue.retain(|_, id| *id != job);
-                self.jobs.remove(&job);
-            }
-            None => {}
-        }
-    }
-
-    fn release(&mut self, job: JobId) {
-        let Some(queued) = self.jobs.remove(&job) else { return };
-        self.in_flight -= 1;
-        if let Some((_, used)) = queued.job.adapter.and_then(|key| self.slots.get_mut(&key)) {
-            *used -= 1;
-        }
-    }
-
-    fn load(&mut self, adapter: AdapterKey) -> DispatchEffect {
-        self.slots.insert(adapter.clone(), (Slot::Loading, 0));
-        DispatchEffect::Load { adapter }
-    }
-
-    fn drain(&mut self, effects: &mut Vec<DispatchEffect>) {
-        self.draining = true;
-        for (_, job) in std::mem::take(&mut self.queue) {
-            self.jobs.remove(&job);
-            effects.push(DispatchEffect::Redirect { job });
-        }
-    }
-
-    fn expire(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
-        let expired = |id: &JobId| self.jobs[id].deadline <= now;
-        let keys: Vec<_> =
-            self.queue.iter().filter(|(_, id)| expired(id)).map(|(key, _)| *key).collect();
-        for key in keys {
-            let Some(job) = self.queue.remove(&key) else { continue };
-            self.jobs.remove(&job);
-            let reason = RefuseReason::Deadline;
-            effects.push(DispatchEffect::Refuse { job, reason, retry_after: RETRY_AFTER });
-        }
+    /// Weight of a row in fair queueing.
+    fn weight_of(&self, row: RowId) -> f64 {
+        weight_in(&self.table, row)
     }
+}
 
-    fn dispatch(&mut self, effects: &mut Vec<DispatchEffect>) {
-        let keys: Vec<_> = self.queue.keys().copied().collect();
-        for key in keys {
-            if self.in_flight >= self.cfg.max_in_flight {
-                return;
-            }
-            let id = self.queue[&key];
-            let job = self.jobs[&id].job.clone();
-            match job.adapter.as_ref().map(|adapter| self.slots.get(adapter).copied()) {
-                None => self.start(key, &job, effects),
-                Some(Some((Slot::Loaded, _))) => self.start(key, &job, effects),
-                Some(Some(_)) => {}
-                Some(None) => self.want(&job, effects),
-            }
-        }
+fn weight_in(table: &Table, row: RowId) -> f64 {
+    match table.row(row) {
+        Some(row) if row.terms.weight > 0.0 => row.terms.weight.max(MIN_WEIGHT),
+        _ => DEFAULT_WEIGHT,
     }
+}
 
-    fn start(&mut self, key: (Rank, u64), job: &Job, effects: &mut Vec<DispatchEffect>) {
-        self.queue.remove(&key);
-        self.in_flight += 1;
-        if let Some((_, used)) = job.adapter.as_ref().and_then(|key| self.slots.get_mut(key)) {
-            *used += 1;
-        }
-        if let Some(queued) = self.jobs.get_mut(&job.id) {
-            queued.running = true;
-        }
-        effects.push(match job.idempotent {
-            true => DispatchEffect::Run { job: job.id },
-            false => DispatchEffect::RequestPermit { job: job.id },
-        });
-    }
+fn count(value: usize) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
 
-    fn want(&mut self, job: &Job, effects: &mut Vec<DispatchEffect>) {
-        let (UpstreamKind::Engine { slots }, Some(adapter), true) =
-            (self.cfg.kind, &job.adapter, self.orders_allowed && !self.cfg.caretaker)
-        else {
-            return;
-        };
-        if self.slots.len() < slots {
-            self.slots.insert(adapter.clone(), (Slot::Requested, 0));
-            let (adapter, rank) = (adapter.clone(), job.rank);
-            return effects.push(DispatchEffect::RequestLoad { adapter, rank, waiting: 1 });
-        }
-        let idle = self.slots.iter().find(|(_, slot)| **slot == (Slot::Loaded, 0));
-        if let Some(adapter) = idle.map(|(key, _)| key.clone()) {
-            self.slots.insert(adapter.clone(), (Slot::Unloading, 0));
-            effects.push(DispatchEffect::Unload { adapter });
-        }
-    }
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -0,0 +1,99 @@
+//! Choice of the adapter that gives up its slot.
+//!
+//! Adapters are ranked by request frequency with ageing; all loads cost the
+//! same, so that the cost of a load does not change the order. The least
+//! frequent slots are the probationary ones: a cold adapter that is requested
+//! less often than the others may replace only these.
+
+use std::time::Duration;
+
+use crate::types::Time;
+
+use super::Adapter;
+use super::Adapters;
+use super::State;
+
+/// Ratio by which a cold adapter must be requested more often to replace an idle one.
+const REPLACE_RATIO: f64 = 1.1;
+
+/// Ratio by which a cold adapter must be requested more often to close a slot in use.
+const CLOSE_RATIO: f64 = 1.5;
+
+/// Conditions of the choice.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::dispatch) struct Eviction {
+    /// Current time.
+    pub(in crate::dispatch) now: Time,
+    /// Until then found adapters stay.
+    pub(in crate::dispatch) pinned_until: Time,
+    /// Time that a load takes; slack shorter than this is used up.
+    pub(in crate::dispatch) lead: Duration,
+}
+
+impl Adapters {
+    /// Idle adapters that may be unloaded for `candidate`, least frequent first.
+    pub(in crate::dispatch) fn victims(&self, cx: &Eviction, candidate: u32) -> Vec<u32> {
+        let wanted = self.frequency_of(cx, candidate);
+        let overdue = self.get(candidate).is_overdue(cx.now, cx.lead);
+        let order = self.by_frequency(cx);
+        let replaces = |place: usize, frequency: f64| {
+            place < self.cfg.probation || overdue || wanted > frequency * REPLACE_RATIO
+        };
+        let may_go = |adapter: &Adapter| {
+            adapter.in_use == 0
+                && (adapter.closing || adapter.due.is_empty())
+                && is_evictable(adapter, cx)
+        };
+        order
+            .iter()
+            .enumerate()
+            .filter(|(place, (frequency, idx))| {
+                let adapter = self.get(*idx);
+                may_go(adapter) && (adapter.closing || replaces(*place, *frequency))
+            })
+            .map(|(_, (_, idx))| *idx)
+            .collect()
+    }
+
+    /// Adapter in use that should take no more jobs, so that `candidate` gets its slot.
+    pub(in crate::dispatch) fn closable(&self, cx: &Eviction, candidate: u32) -> Option<u32> {
+        let wanted = self.frequency_of(cx, candidate);
+        let overdue = self.get(candidate).is_overdue(cx.now, cx.lead);
+        let order = self.by_frequency(cx);
+        let open = || {
+            order.iter().filter(|(frequency, idx)| {
+                is_evictable(self.get(*idx), cx) && (overdue || wanted > frequency * CLOSE_RATIO)
+            })
+        };
+        let without_waiters = open().find(|(_, idx)| self.get(*idx).due.is_empty());
+        without_waiters.or_else(|| open().next()).map(|(_, idx)| *idx)
+    }
+
+    /// Adapter that is being closed.
+    pub(in crate::dispatch) fn closing(&self) -> Option<u32> {
+        self.resident.iter().copied().find(|idx| self.get(*idx).closing)
+    }
+
+    /// Resident adapters that are being unloaded.
+    pub(in crate::dispatch) fn unloading(&self) -> usize {
+        self.resident.iter().filter(|idx| self.get(**idx).state == State::Unloading).count()
+    }
+
+    fn frequency_of(&self, cx: &Eviction, idx: u32) -> f64 {
+        self.get(idx).frequency(cx.now, self.cfg.half_life)
+    }
+
+    fn by_frequency(&self, cx: &Eviction) -> Vec<(f64, u32)> {
+        let mut order: Vec<_> =
+            self.resident.iter().map(|idx| (self.frequency_of(cx, *idx), *idx)).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        order
+    }
+}
+
+/// Whether an adapter may leave once no job uses it.
+fn is_evictable(adapter: &Adapter, cx: &Eviction) -> bool {
+    adapter.state == State::Loaded
+        && adapter.hold_until <= cx.now
+        && !(adapter.found && cx.now < cx.pinned_until)
+}
--- a/crates/fireflyhead-core/src/dispatch/api.rs
+++ b/crates/fireflyhead-core/src/dispatch/api.rs
@@ -208,7 +208,8 @@
     },
     /// Stop the run of a job; `Finished` must follow. Without a preceding `Cancel` the upstream has
     /// restarted: nothing is reported to the entry, and after `Finished` with
-    /// [`RunResult::Cancelled`] the job is queued again.
+    /// [`RunResult::Cancelled`] the job is queued again. If output has been passed on in the
+    /// meantime, the run ends with [`RunResult::Failed`] instead.
     CancelRun {
         /// Running job.
         job: JobId,
--- /dev/null
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -0,0 +1,461 @@
+//! Which adapters the engine holds: load requests, orders, reports, restarts.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::types::AdapterKey;
+use crate::types::JobId;
+use crate::types::Rank;
+use crate::types::RefuseReason;
+use crate::types::Time;
+use crate::types::UpstreamKind;
+
+use super::DispatchEffect;
+use super::Dispatcher;
+use super::LoadReport;
+use super::adapters::Eviction;
+use super::adapters::State;
+use super::jobs::Phase;
+
+/// Candidates of one rank that are examined for a slot in one decision.
+const CANDIDATES_EXAMINED: usize = 4;
+
+/// Period after which an unanswered load request is repeated.
+const REQUEST_REFRESH: Duration = Duration::from_secs(2);
+
+/// Time after which loads start without a first report of the upstream.
+const REPORT_GRACE: Duration = Duration::from_secs(1);
+
+/// Shortest time between a denied load and the next request for it.
+const MIN_DENIAL: Duration = Duration::from_millis(50);
+
+/// Time in which an adapter stays after a failed unload order.
+const UNLOAD_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest backoff after failed loads.
+const MAX_LOAD_BACKOFF: Duration = Duration::from_secs(30);
+
+/// Wait for a grant below which a slot in use is closed before the grant arrives.
+const PROMPT_GRANT: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    /// Requests, orders and withdraws loads as the waiting jobs demand.
+    pub(super) fn manage_slots(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
+        if !matches!(self.cfg.kind, UpstreamKind::Engine { .. }) {
+            return;
+        }
+        self.withdraw_loads(now, effects);
+        if self.may_order(now) {
+            self.use_grants(now, effects);
+            self.request_loads(now, effects);
+            self.refresh_requests(now, effects);
+        }
+        if let Some(idx) = self.adapters.closing()
+            && self.adapters.requested.is_empty()
+            && self.adapters.granted.is_empty()
+        {
+            self.adapters.get_mut(idx).closing = false;
+            self.update_lanes(idx);
+        }
+    }
+
+    /// Whether load and unload orders may be given.
+    pub(super) fn may_order(&self, now: Time) -> bool {
+        let known = self.boot_id.is_some() || now >= self.started_at + REPORT_GRACE;
+        known && self.orders_allowed && !self.cfg.caretaker && !self.draining
+    }
+
+    /// Time at which a load may be requested again or a slot may have to be closed.
+    pub(super) fn next_load_tick(&self) -> Option<Time> {
+        let refresh = |idx: &u32| self.adapters.get(*idx).announced_at + REQUEST_REFRESH;
+        let refresh = self.adapters.requested.iter().map(refresh).min();
+        let grace = self.boot_id.is_none().then_some(self.started_at + REPORT_GRACE);
+        let lead = self.loads.wait();
+        let due = Rank::ALL.into_iter().filter_map(|rank| {
+            let idx = self.adapters.candidates(rank).next()?;
+            self.adapters.get(idx).due.first_key_value().map(|((at, _), _)| *at - lead)
+        });
+        let times = [self.adapters.next_backoff(), refresh, grace];
+        times.into_iter().flatten().chain(due).filter(|at| *at > self.now).min()
+    }
+
+    /// Expected time until jobs of an adapter that is not ready can start.
+    pub(super) fn predicted_load_wait(&self, now: Time, idx: u32, rank: Rank) -> Duration {
+        let adapter = self.adapters.get(idx);
+        match adapter.state {
+            State::Requested | State::Granted | State::Loading => self.loads.wait(),
+            _ if adapter.waiting_total() > 0 => self.loads.wait(),
+            _ => {
+                let ahead = self.adapters.candidates_ahead(rank);
+                self.loads.wait_behind(ahead).max(adapter.not_before.since(now))
+            }
+        }
+    }
+
+    /// The weight store allows a load.
+    pub(super) fn load_granted(
+        &mut self,
+        now: Time,
+        key: AdapterKey,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let usable = |idx: &u32| {
+            let adapter = self.adapters.get(*idx);
+            let wanted = adapter.waiting_total() > 0 && !adapter.stale_load;
+            wanted && matches!(adapter.state, State::Absent | State::Requested)
+        };
+        match self.adapters.find(&key).filter(usable) {
+            Some(idx) if self.may_order(now) => {
+                self.adapters.set_state(now, idx, State::Granted);
+            }
+            Some(idx) => {
+                self.adapters.set_state(now, idx, State::Absent);
+                effects.push(DispatchEffect::CancelLoadRequest { adapter: key });
+            }
+            // A repeated grant of a load that is under way needs no answer.
+            None if self.is_loading(&key) => {}
+            None => effects.push(DispatchEffect::CancelLoadRequest { adapter: key }),
+        }
+    }
+
+    fn is_loading(&self, key: &AdapterKey) -> bool {
+        let state = self.adapters.find(key).map(|idx| self.adapters.get(idx).state);
+        matches!(state, Some(State::Granted | State::Loading))
+    }
+
+    /// The weight store does not allow a load now.
+    pub(super) fn load_denied(&mut self, now: Time, key: &AdapterKey, retry_after: Duration) {
+        let Some(idx) = self.adapters.find(key) else { return };
+        let adapter = self.adapters.get_mut(idx);
+        if adapter.state == State::Requested {
+            adapter.not_before = now + retry_after.max(MIN_DENIAL);
+            self.adapters.set_state(now, idx, State::Absent);
+        }
+    }
+
+    /// The upstream answered a load order.
+    pub(super) fn load_done(
+        &mut self,
+        now: Time,
+        key: &AdapterKey,
+        ok: bool,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let Some(idx) = self.adapters.find(key) else { return };
+        if self.adapters.get(idx).stale_load {
+            self.adapters.get_mut(idx).stale_load = false;
+            return self.adapters.reposition(now, idx);
+        }
+        if self.adapters.get(idx).state != State::Loading {
+            return;
+        }
+        if !ok {
+            return self.load_failed(now, idx, effects);
+        }
+        let adapter = self.adapters.get_mut(idx);
+        adapter.failures = 0;
+        adapter.loaded_at = now;
+        let requested = adapter.requested_at;
+        self.adapters.set_state(now, idx, State::Loaded);
+        self.update_lanes(idx);
+        let more =
+            self.adapters.candidate_ranks().contains(&true) || !self.adapters.requested.is_empty();
+        self.loads.on_done(now, requested, more);
+    }
+
+    /// Starts the backoff of one adapter and refuses the jobs that can't wait for its end.
+    fn load_failed(&mut self, now: Time, idx: u32, effects: &mut Vec<DispatchEffect>) {
+        let doublings = self.adapters.get(idx).failures.min(10);
+        let full = (self.cfg.load_backoff * (1 << doublings)).min(MAX_LOAD_BACKOFF);
+        let backoff = full.mul_f64(self.rng.random_range(0.5..1.0));
+        let adapter = self.adapters.get_mut(idx);
+        adapter.failures += 1;
+        adapter.not_before = now + backoff;
+        let again = adapter.not_before + self.loads.wait();
+        let waiting: Vec<JobId> = adapter.due.values().copied().collect();
+        self.adapters.set_state(now, idx, State::Absent);
+        for job in waiting {
+            if self.jobs.get(&job).is_some_and(|state| state.ticket.key.deadline < again) {
+                self.forget(now, job);
+                self.refuse(job, RefuseReason::LoadFailed, backoff, effects);
+            }
+        }
+    }
+
+    /// The upstream answered an unload order.
+    pub(super) fn unload_done(&mut self, now: Time, key: &AdapterKey, ok: bool) {
+        let Some(idx) = self.adapters.find(key) else { return };
+        let adapter = self.adapters.get_mut(idx);
+        if adapter.state != State::Unloading {
+            return;
+        }
+        if ok {
+            adapter.unloaded_at = Some(now);
+            return self.adapters.set_state(now, idx, State::Absent);
+        }
+        adapter.hold_until = now + UNLOAD_RETRY;
+        self.adapters.set_state(now, idx, State::Loaded);
+        self.update_lanes(idx);
+    }
+
+    /// Figures of the upstream arrived; they are older than the dispatcher's own counts.
+    pub(super) fn report(
+        &mut self,
+        now: Time,
+        report: &LoadReport,
+        effects: &mut Vec<DispatchEffect>,
+    ) {
+        let restarted = self.boot_id.is_some_and(|boot_id| boot_id != report.boot_id);
+        let first = self.boot_id.replace(report.boot_id).is_none();
+        if restarted {
+            self.restart(now, effects);
+        }
+        self.concurrency.on_report(now, report.running, report.waiting);
+        if !matches!(self.cfg.kind, UpstreamKind::Engine { .. }) {
+            return;
+        }
+        for key in &report.loaded {
+            self.adopt(now, key, effects);
+        }
+        self.drop_missing(now, report);
+        if first && self.cfg.caretaker {
+            self.redirect_where(now, |d, state| d.is_out_of_reach(state.ticket.lane), effects);
+        }
+    }
+
+    /// Takes over an adapter that the engine holds unless this is news from before its unload.
+    fn adopt(&mut self, now: Time, key: &AdapterKey, effects: &mut Vec<DispatchEffect>) {
+        let idx = self.adapters.intern(now, key);
+        let adapter = self.adapters.get(idx);
+        let lag = self.cfg.report_lag;
+        if adapter.unloaded_at.is_some_and(|at| now.since(at) <= lag) {
+            return;
+        }
+        match adapter.state {
+            State::Absent => {}
+            State::Requested | State::Granted => {
+                effects.push(DispatchEffect::CancelLoadRequest { adapter: key.clone() });
+            }
+            State::Loading | State::Loaded | State::Unloading => return,
+        }
+        self.adapters.set_state(now, idx, State::Loaded);
+        let adapter = self.adapters.get_mut(idx);
+        adapter.found = true;
+        adapter.loaded_at = now;
+        self.update_lanes(idx);
+    }
+
+    /// Gives up adapters that the engine no longer reports, long after they were loaded.
+    fn drop_missing(&mut self, now: Time, report: &LoadReport) {
+        let lag = self.cfg.report_lag;
+        let missing = |idx: &u32| {
+            let adapter = self.adapters.get(*idx);
+            adapter.state == State::Loaded
+                && adapter.in_use == 0
+                && now.since(adapter.loaded_at) > lag
+                && !report.loaded.contains(&adapter.key)
+        };
+        let gone: Vec<u32> = self.adapters.resident.iter().copied().filter(missing).collect();
+        for idx in gone {
+            self.adapters.set_state(now, idx, State::Absent);
+            self.update_lanes(idx);
+        }
+    }
+
+    /// The upstream restarted: it holds nothing, and what ran on it is lost.
+    fn restart(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
+        let in_flight: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|state| state.phase != Phase::Queued && !state.orphaned)
+            .map(|state| state.ticket.id)
+            .collect();
+        for job in in_flight {
+            self.orphan(now, job, effects);
+        }
+        for idx in std::mem::take(&mut self.adapters.resident) {
+            let adapter = self.adapters.get_mut(idx);
+            adapter.stale_load = adapter.state == State::Loading;
+            adapter.unloaded_at = None;
+            self.adapters.set_state(now, idx, State::Absent);
+            self.update_lanes(idx);
+        }
+        self.concurrency.on_restart();
+    }
+
+    /// Queues a job without a permit again, and stops a run that may be repeated.
+    fn orphan(&mut self, now: Time, job: JobId, effects: &mut Vec<DispatchEffect>) {
+        let Some(mut state) = self.forget(now, job) else { return };
+        if state.phase == Phase::Granting {
+            return self.enqueue(now, state);
+        }
+        state.orphaned = true;
+        if state.idempotent && !state.started && !state.cancelled {
+            effects.push(DispatchEffect::CancelRun { job });
+        }
+        self.jobs.insert(job, state);
+    }
+
+    /// Tells the queues whether the jobs of an adapter can run.
+    pub(super) fn update_lanes(&mut self, idx: u32) {
+        let adapter = self.adapters.get(idx);
+        let ready = adapter.is_ready();
+        for (rank, row, _) in &adapter.lanes {
+            self.queues[rank.index()].set_ready(*row, Some(idx), ready);
+        }
+    }
+
+    /// Withdraws requests and returns grants that no job waits for any more.
+    fn withdraw_loads(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
+        let stop = !self.orders_allowed || self.cfg.caretaker || self.draining;
+        let pending = self.adapters.requested.iter().chain(&self.adapters.granted);
+        let unwanted = |idx: &u32| stop || self.adapters.get(*idx).due.is_empty();
+        for idx in pending.copied().filter(unwanted).collect::<Vec<_>>() {
+            self.withdraw(now, idx, effects);
+        }
+    }
+
+    fn withdraw(&mut self, now: Time, idx: u32, effects: &mut Vec<DispatchEffect>) {
+        self.adapters.set_state(now, idx, State::Absent);
+        let adapter = self.adapters.get(idx).key.clone();
+        effects.push(DispatchEffect::CancelLoadRequest { adapter });
+    }
+
+    fn eviction(&self, now: Time) -> Eviction {
+        Eviction { now, pinned_until: self.cfg.pinned_until, lead: self.loads.wait() }
+    }
+
+    /// Orders granted loads into free slots, and frees slots for the others.
+    fn use_grants(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
+        for idx in self.adapters.granted.clone() {
+            if self.adapters.resident.len() < self.adapters.cfg.slots {
+                self.adapters.set_state(now, idx, State::Loading);
+                let adapter = self.adapters.get(idx).key.clone();
+                effects.push(DispatchEffect::Load { adapter });
+                continue;
+            }
+            if self.adapters.unloading() >= self.adapters.granted.len() {
+                return;
+            }
+            match self.adapters.victims(&self.eviction(now), idx).first() {
+                Some(&victim) => self.unload(now, victim, effects),
+                None => self.close_for(now, idx),
+            }
+        }
+    }
+
+    fn unload(&mut self, now: Time, idx: u32, effects: &mut Vec<DispatchEffect>) {
+        self.adapters.set_state(now, idx, State::Unloading);
+        self.update_lanes(idx);
+        let adapter = self.adapters.get(idx).key.clone();
+        effects.push(DispatchEffect::Unload { adapter });
+    }
+
+    /// Stops new jobs on a slot in use, so that it becomes free for `idx`.
+    fn close_for(&mut self, now: Time, idx: u32) {
+        if self.adapters.closing().is_some() {
+            return;
+        }
+        if let Some(victim) = self.adapters.closable(&self.eviction(now), idx) {
+            self.adapters.get_mut(victim).closing = true;
+            self.update_lanes(victim);
+        }
+    }
+
+    /// Requests loads for the best candidates that have a slot in prospect.
+    fn request_loads(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
+        while self.adapters.candidate_ranks().contains(&true) {
+            let Some(idx) = self.next_candidate(now) else { return };
+            let full = self.adapters.requested.len() >= self.cfg.max_load_requests;
+            match self.displaced_by(idx) {
+                Some(other) if full => self.withdraw(now, other, effects),
+                None if full => return,
+                _ => {}
+            }
+            if self.loads.wait() < PROMPT_GRANT && !self.has_slot(now, idx) {
+                self.close_for(now, idx);
+            }
+            self.adapters.set_state(now, idx, State::Requested);
+            self.adapters.get_mut(idx).requested_at = now;
+            self.loads.on_request(now);
+            self.announce(now, idx, effects);
+        }
+    }
+
+    /// Best candidate with a slot in prospect. One request is kept for ranks below the first.
+    fn next_candidate(&self, now: Time) -> Option<u32> {
+        let max = self.cfg.max_load_requests;
+        let ranks = self.adapters.candidate_ranks();
+        for rank in Rank::ALL.into_iter().filter(|rank| ranks[rank.index()]) {
+            let rank_of = |idx: &u32| self.adapters.get(*idx).waiting_rank();
+            let own = |idx: &&u32| rank_of(idx).is_some_and(|other| other <= rank);
+            let used = self.adapters.requested.iter().filter(own).count();
+            let lower = ranks[rank.index() + 1..].contains(&true);
+            if used + usize::from(lower && max > 1) >= max {
+                continue;
+            }
+            let examined = self.adapters.candidates(rank).take(CANDIDATES_EXAMINED);
+            if let Some(idx) = examined.into_iter().find(|idx| self.has_prospect(now, *idx)) {
+                return Some(idx);
+            }
+        }
+        None
+    }
+
+    /// Requested adapter that gives way to a more urgent candidate.
+    fn displaced_by(&self, idx: u32) -> Option<u32> {
+        let rank_of = |idx: u32| self.adapters.get(idx).waiting_rank();
+        let last = self.adapters.requested.iter().copied().max_by_key(|idx| rank_of(*idx))?;
+        let same = self.adapters.requested.iter().filter(|i| rank_of(**i) == rank_of(last));
+        (rank_of(last) > rank_of(idx) && same.count() > 1).then_some(last)
+    }
+
+    /// Whether a slot is free or idle for a candidate beside the loads already requested.
+    fn has_slot(&self, now: Time, idx: u32) -> bool {
+        let outstanding = self.outstanding(idx);
+        let free = self.adapters.cfg.slots.saturating_sub(self.adapters.resident.len());
+        let soon = free + self.adapters.unloading();
+        soon > outstanding
+            || soon + self.adapters.victims(&self.eviction(now), idx).len() > outstanding
+    }
+
+    /// Granted loads and requests that are at least as urgent as a candidate.
+    fn outstanding(&self, idx: u32) -> usize {
+        let rank_of = |idx: u32| self.adapters.get(idx).waiting_rank();
+        let ahead = |other: &&u32| rank_of(**other) <= rank_of(idx);
+        self.adapters.granted.len() + self.adapters.requested.iter().filter(ahead).count()
+    }
+
+    /// Whether a slot is or can be made free for a candidate.
+    fn has_prospect(&self, now: Time, idx: u32) -> bool {
+        if self.has_slot(now, idx) {
+            return true;
+        }
+        self.outstanding(idx) == 0 && self.adapters.closable(&self.eviction(now), idx).is_some()
+    }
+
+    /// Repeats requests whose demand has doubled or that have waited for long.
+    fn refresh_requests(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
+        let stale = |idx: &u32| {
+            let adapter = self.adapters.get(*idx);
+            adapter.waiting_total() >= adapter.announced.saturating_mul(2)
+                || adapter.waiting_rank().is_some_and(|rank| rank < adapter.request_rank)
+                || now.since(adapter.announced_at) >= REQUEST_REFRESH
+        };
+        for idx in self.adapters.requested.iter().copied().filter(stale).collect::<Vec<_>>() {
+            self.announce(now, idx, effects);
+        }
+    }
+
+    fn announce(&mut self, now: Time, idx: u32, effects: &mut Vec<DispatchEffect>) {
+        let adapter = self.adapters.get_mut(idx);
+        let Some(rank) = adapter.waiting_rank() else { return };
+        adapter.announced = adapter.waiting_total();
+        adapter.request_rank = rank;
+        adapter.announced_at = now;
+        let waiting = adapter.announced;
+        let adapter = adapter.key.clone();
+        effects.push(DispatchEffect::RequestLoad { adapter, rank, waiting });
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-core/src/dispatch/tests.rs
@@ -0,0 +1,5 @@
+//! Tests of the dispatcher.
+
+mod faults;
+mod model;
+mod properties;
