--- /dev/null
+++ b/crates/fireflyhead-core/src/ownership/authority.rs
@@ -0,0 +1,188 @@
+//! Lease of the node, state of the service, and the right to give orders.
+
+use crate::membership::StoreViews;
+use crate::ownership::OwnershipConfig;
+use crate::ownership::OwnershipEffect;
+use crate::types::Time;
+
+/// Consecutive calls without an answer after which the service counts as unreachable.
+const UNREACHABLE_AFTER: u32 = 2;
+
+#[derive(Debug)]
+struct Lease {
+    id: i64,
+    /// End by this node's clock, counted from when the call was issued.
+    ends: Time,
+    registered: bool,
+}
+
+/// Lease and contact of one node.
+#[derive(Debug)]
+pub(super) struct Authority {
+    cfg: OwnershipConfig,
+    lease: Option<Lease>,
+    /// Call about the lease without a result.
+    lease_call: Option<Time>,
+    next_lease_call: Time,
+    /// End of the extensions during an outage.
+    extended_until: Time,
+    reachable: bool,
+    failures: u32,
+    /// No takeover before.
+    takeover_from: Option<Time>,
+    majority: bool,
+    isolated: bool,
+    views: StoreViews,
+}
+
+impl Authority {
+    pub(super) fn new(cfg: OwnershipConfig) -> Authority {
+        Authority {
+            cfg,
+            lease: None,
+            lease_call: None,
+            next_lease_call: Time::default(),
+            extended_until: Time::default(),
+            reachable: false,
+            failures: 0,
+            takeover_from: None,
+            majority: false,
+            isolated: false,
+            views: StoreViews::default(),
+        }
+    }
+
+    pub(super) fn lease(&self) -> Option<i64> {
+        self.lease.as_ref().map(|lease| lease.id)
+    }
+
+    pub(super) fn store_reachable(&self) -> bool {
+        self.reachable
+    }
+
+    pub(super) fn majority(&self) -> bool {
+        self.majority
+    }
+
+    /// Whether this node reaches neither the service nor any other member.
+    pub(super) fn isolated(&self) -> bool {
+        self.isolated && !self.reachable
+    }
+
+    /// Whether the owner may give orders now.
+    pub(super) fn orders_allowed(&self, now: Time) -> bool {
+        now < self.holds_until()
+    }
+
+    fn holds_until(&self) -> Time {
+        let leased = match &self.lease {
+            Some(lease) => lease.ends - self.cfg.lease_margin,
+            None => Time::default(),
+        };
+        leased.max(self.extended_until)
+    }
+
+    pub(super) fn granted(&mut self, now: Time, id: i64, sent: Time) {
+        self.lease_call = None;
+        self.next_lease_call = now + self.cfg.keep_alive;
+        self.lease = Some(Lease { id, ends: sent + self.cfg.lease_ttl, registered: false });
+    }
+
+    pub(super) fn kept_alive(&mut self, id: i64, sent: Time) {
+        self.lease_call = None;
+        match &mut self.lease {
+            Some(lease) if lease.id == id => {
+                lease.ends = lease.ends.max(sent + self.cfg.lease_ttl);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn call_ended(&mut self) {
+        self.lease_call = None;
+    }
+
+    pub(super) fn registered(&mut self, id: i64) {
+        if let Some(lease) = self.lease.as_mut().filter(|lease| lease.id == id) {
+            lease.registered = true;
+        }
+    }
+
+    /// Ends the lease; true if an unbroken chain of extensions held until now.
+    pub(super) fn lost(&mut self, now: Time) -> bool {
+        let held = now < self.extended_until;
+        self.lease = None;
+        self.lease_call = None;
+        self.next_lease_call = now;
+        self.extended_until = Time::default();
+        held
+    }
+
+    /// Notes whether a call was answered; true if an outage ended.
+    pub(super) fn called(&mut self, now: Time, ok: bool) -> bool {
+        self.failures = if ok { 0 } else { self.failures.saturating_add(1) };
+        match ok {
+            true if !self.reachable => {
+                let first = self.takeover_from.is_none();
+                let grace = if first { self.cfg.start_grace } else { self.cfg.grace };
+                self.reachable = true;
+                self.takeover_from = Some(now + grace);
+                true
+            }
+            true => false,
+            false => {
+                self.reachable = self.reachable && self.failures < UNREACHABLE_AFTER;
+                false
+            }
+        }
+    }
+
+    pub(super) fn set_contact(&mut self, majority: bool, isolated: bool, views: StoreViews) {
+        self.majority = majority;
+        self.isolated = isolated;
+        self.views = views;
+    }
+
+    /// First time at which a takeover is allowed.
+    pub(super) fn takeover_start(&self) -> Time {
+        self.takeover_from.unwrap_or_default()
+    }
+
+    /// Whether this node may take over upstreams without a record.
+    pub(super) fn may_take_over(&self, now: Time) -> bool {
+        let leased = match &self.lease {
+            Some(lease) => now < lease.ends - self.cfg.lease_margin,
+            None => false,
+        };
+        let started = self.takeover_from.is_some_and(|from| now >= from);
+        self.reachable
+            && leased
+            && started
+            && self.majority
+            && self.views.reachable >= self.views.unreachable
+    }
+
+    /// Extends the right to give orders during an outage, and keeps the lease alive.
+    pub(super) fn advance(&mut self, now: Time, effects: &mut Vec<OwnershipEffect>) {
+        let agreed = self.majority && self.views.reachable <= self.views.unreachable;
+        if !self.reachable && agreed && self.lease.is_some() && now < self.holds_until() {
+            self.extended_until = now + self.cfg.extension;
+        }
+        let waiting = self.lease_call.is_some_and(|sent| now.since(sent) < self.cfg.call_timeout);
+        if waiting || now < self.next_lease_call {
+            return;
+        }
+        self.lease_call = Some(now);
+        self.next_lease_call = now + self.cfg.keep_alive;
+        match &self.lease {
+            Some(lease) => {
+                let (lease, registered) = (lease.id, lease.registered);
+                effects.push(OwnershipEffect::KeepAlive { lease });
+                if !registered {
+                    effects.push(OwnershipEffect::Register { lease });
+                }
+            }
+            None => effects.push(OwnershipEffect::GrantLease),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-core/src/ownership/tests.rs
@@ -0,0 +1,1 @@
+//! Property tests of ownership.
