--- a/crates/fireflyhead-core/src/lib.rs
+++ b/crates/fireflyhead-core/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod placement;
 pub mod table;
 pub mod types;
+pub mod wire;
