--- a/crates/fireflyhead-core/src/ownership.rs
+++ b/crates/fireflyhead-core/src/ownership.rs
@@ -25,6 +25,7 @@
 
 use siphasher::sip::SipHasher13;
 
+use crate::ownership::authority::Authority;
 use crate::types::Member;
 use crate::types::MemberState;
 use crate::types::Name;
@@ -34,8 +35,6 @@
 use crate::types::Time;
 use crate::types::UpstreamInfo;
 
-use authority::Authority;
-
 pub use events::OwnershipConfig;
 pub use events::OwnershipEffect;
 pub use events::OwnershipInput;
