--- a/crates/fireflyhead-core/src/placement/replicas.rs
+++ b/crates/fireflyhead-core/src/placement/replicas.rs
@@ -92,6 +92,8 @@
         }
         self.order = rendezvous_order(service, adapter);
         self.order.truncate(cfg.max_replicas + SPARE_WORKERS);
+        // The order of all workers would stay allocated for each adapter.
+        self.order.shrink_to_fit();
         self.epoch = service.epoch;
         self.replicas = self.replicas.max(1);
     }
