--- a/crates/fireflyhead-core/src/membership.rs
+++ b/crates/fireflyhead-core/src/membership.rs
@@ -268,6 +268,12 @@
         2 * (answering + 1) > answering + 1 + silent
     }
 
+    /// Whether other members are known and none of them answers.
+    pub fn is_isolated(&self, now: Time) -> bool {
+        let (answering, silent) = self.roster.contact(now, self.cfg.contact_window);
+        answering == 0 && silent > 0
+    }
+
     /// Views of the key-value service that living members sent within `max_age`.
     pub fn store_views(&self, now: Time, max_age: Duration) -> StoreViews {
         self.gossip.store_views(now, max_age, |node| self.roster.is_live(node))
