--- a/crates/fireflyhead-standin/src/engine.rs
+++ b/crates/fireflyhead-standin/src/engine.rs
@@ -43,6 +43,8 @@
     pub chunk_tokens: u32,
     /// Weight store; without one a load takes `local_load_time`.
     pub weights: Option<SocketAddr>,
+    /// Adapters loaded at the first start, as `adapter@version`.
+    pub preloaded: Vec<String>,
     /// Duration of a load without a weight store.
     pub local_load_time: Duration,
     /// Age of the load report.
@@ -65,6 +67,7 @@
             prefill_time: Duration::from_micros(20),
             chunk_tokens: 1,
             weights: None,
+            preloaded: Vec::new(),
             local_load_time: Duration::from_millis(250),
             report_lag: Duration::from_millis(300),
             fencing: true,
--- a/crates/fireflyhead-standin/src/engine/batch.rs
+++ b/crates/fireflyhead-standin/src/engine/batch.rs
@@ -99,7 +99,7 @@
     pub(super) fn new(cfg: EngineConfig, connections: Arc<Connections>) -> Worker {
         let inner = Inner {
             boot_id: new_boot_id(&cfg.name),
-            slots: BTreeMap::new(),
+            slots: cfg.preloaded.iter().map(|model| (model.clone(), Slot::Ready)).collect(),
             running: Vec::new(),
             waiting: VecDeque::new(),
             fencing: 0,
--- a/src/bin/fireflyhead/commands.rs
+++ b/src/bin/fireflyhead/commands.rs
@@ -11,6 +11,7 @@
 mod drain;
 mod nodes;
 mod resolve;
+mod standin;
 mod status;
 mod table;
 mod upstreams;
@@ -25,6 +26,7 @@
         drain::cli(),
         resolve::cli(),
         call::cli(),
+        standin::cli(),
         completions::cli(),
     ]
 }
@@ -40,6 +42,7 @@
         "drain" => drain::exec(matches).await,
         "resolve" => resolve::exec(matches).await,
         "call" => call::exec(matches).await,
+        "standin" => standin::exec(matches).await,
         "completions" => completions::exec(matches),
         name => unreachable!("the parser accepts no command `{name}`"),
     }
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -2,5 +2,6 @@
 
 pub mod call;
 pub mod client;
+pub mod demo;
 pub mod output;
 pub mod table;
