--- a/crates/fireflyhead-core/src/ownership.rs
+++ b/crates/fireflyhead-core/src/ownership.rs
@@ -25,6 +25,7 @@
 
 use siphasher::sip::SipHasher13;
 
+use crate::ownership::authority::Authority;
 use crate::types::Member;
 use crate::types::MemberState;
 use crate::types::Name;
@@ -34,8 +35,6 @@
 use crate::types::Time;
 use crate::types::UpstreamInfo;
 
-use authority::Authority;
-
 pub use events::OwnershipConfig;
 pub use events::OwnershipEffect;
 pub use events::OwnershipInput;
@@ -183,6 +182,7 @@
             OwnershipInput::Read { upstream, stored, sent } => {
                 self.read(now, upstream, stored, sent, effects);
             }
+            OwnershipInput::WatchLost => self.next_read = now,
             OwnershipInput::SwapDone { upstream, operation, revision } => {
                 self.created(now, upstream, &operation, revision, effects);
             }
@@ -224,14 +224,24 @@
         }
         self.repeat_calls(now, effects);
         self.hand_over(now, effects);
-        if self.listed && self.authority.may_take_over(now) && !self.draining {
+        if self.listed && self.authority.has_lease(now) && !self.draining {
+            let allowed = self.authority.may_take_over(now);
             let names: Vec<Name> = self.upstreams.keys().cloned().collect();
             for upstream in names {
-                self.take_over(now, upstream, effects);
+                if allowed || self.may_reclaim(now, &upstream) {
+                    self.take_over(now, upstream, effects);
+                }
             }
         }
     }
 
+    /// Whether this node owned the upstream during an outage that ended the lease.
+    fn may_reclaim(&self, now: Time, upstream: &Name) -> bool {
+        self.handovers
+            .get(upstream)
+            .is_some_and(|(from, _, at)| *from == self.node && now.since(*at) < self.cfg.grace)
+    }
+
     fn set_members(&mut self, now: Time, members: Vec<Member>) {
         let old = std::mem::take(&mut self.members);
         self.members = members
--- a/crates/fireflyhead-core/src/ownership/authority.rs
+++ b/crates/fireflyhead-core/src/ownership/authority.rs
@@ -28,6 +28,7 @@
     extended_until: Time,
     reachable: bool,
     failures: u32,
+    last_answer: Time,
     /// No takeover before.
     takeover_from: Option<Time>,
     majority: bool,
@@ -45,6 +46,7 @@
             extended_until: Time::default(),
             reachable: false,
             failures: 0,
+            last_answer: Time::default(),
             takeover_from: None,
             majority: false,
             isolated: false,
@@ -121,6 +123,9 @@
     /// Notes whether a call was answered; true if an outage ended.
     pub(super) fn called(&mut self, now: Time, ok: bool) -> bool {
         self.failures = if ok { 0 } else { self.failures.saturating_add(1) };
+        if ok {
+            self.last_answer = now;
+        }
         match ok {
             true if !self.reachable => {
                 let first = self.takeover_from.is_none();
@@ -131,7 +136,9 @@
             }
             true => false,
             false => {
-                self.reachable = self.reachable && self.failures < UNREACHABLE_AFTER;
+                // Single lost replies among answered calls are no outage.
+                let silent = now.since(self.last_answer) >= self.cfg.keep_alive;
+                self.reachable &= !(silent && self.failures >= UNREACHABLE_AFTER);
                 false
             }
         }
@@ -148,16 +155,16 @@
         self.takeover_from.unwrap_or_default()
     }
 
+    /// Whether the service answers and the lease is valid.
+    pub(super) fn has_lease(&self, now: Time) -> bool {
+        let valid = |lease: &Lease| now < lease.ends - self.cfg.lease_margin;
+        self.reachable && self.lease.as_ref().is_some_and(valid)
+    }
+
     /// Whether this node may take over upstreams without a record.
     pub(super) fn may_take_over(&self, now: Time) -> bool {
-        let leased = match &self.lease {
-            Some(lease) => now < lease.ends - self.cfg.lease_margin,
-            None => false,
-        };
-        let started = self.takeover_from.is_some_and(|from| now >= from);
-        self.reachable
-            && leased
-            && started
+        self.has_lease(now)
+            && self.takeover_from.is_some_and(|from| now >= from)
             && self.majority
             && self.views.reachable >= self.views.unreachable
     }
--- a/crates/fireflyhead-core/src/ownership/events.rs
+++ b/crates/fireflyhead-core/src/ownership/events.rs
@@ -120,6 +120,8 @@
         /// Time at which the read was issued; the start of the clock for events of a watch.
         sent: Time,
     },
+    /// Events of the watch may be missing.
+    WatchLost,
     /// A compare-and-swap took effect.
     SwapDone {
         /// Upstream.
@@ -143,7 +145,7 @@
         /// Operation of the record.
         operation: Name,
     },
-    /// Whether a call to the service was answered.
+    /// A call to the service ended.
     Called {
         /// Whether it was answered.
         ok: bool,
