Limit rows over all entry nodes without a call per request

Nodes divide each row's rate and in-flight limit by the demand that they advertise to each other, and start from even shares. Retries of callers and entries count against one budget; a row with too few requests for a budget of its own may use that of its class, because most rows of 3,000 see less than one request in a window and an allowance for each would exceed the fraction.

--- a/crates/fireflyhead-core/src/lib.rs
+++ b/crates/fireflyhead-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! and the policy tool drive the same code.
 
 pub mod dispatch;
+pub mod limits;
 pub mod loads;
 pub mod membership;
 pub mod once;
