--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Integration tests: one module per interface or failure.
+
+mod kv;
+mod standin;
+mod tables;
