--- a/crates/fireflyhead-core/src/lib.rs
+++ b/crates/fireflyhead-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod dispatch;
 pub mod hostlist;
+pub mod limits;
 pub mod loads;
 pub mod membership;
 pub mod once;
