--- a/src/ops/demo.rs
+++ b/src/ops/demo.rs
@@ -5,6 +5,7 @@
 //! request must give, and every order against the services' own count.
 
 pub mod deployment;
+pub mod drive;
 pub mod fleet;
 pub mod report;
 pub mod workload;
