--- a/crates/fireflyhead-standin/src/engine/api.rs
+++ b/crates/fireflyhead-standin/src/engine/api.rs
@@ -32,6 +32,8 @@
 use crate::engine::batch::Worker;
 use crate::faults::state_routes;
 
+/// Header with the id of a request.
+const REQUEST_ID: &str = "x-request-id";
 /// Tokens generated if the request names no number.
 const DEFAULT_MAX_TOKENS: u32 = 16;
 
@@ -85,14 +87,25 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    complete(&worker, &headers, &body, Form::Text).await
+    answer(&worker, &headers, &body, Form::Text).await
 }
 
 async fn chat(State(worker): State<Arc<Worker>>, headers: HeaderMap, body: Bytes) -> Response {
-    complete(&worker, &headers, &body, Form::Chat).await
+    answer(&worker, &headers, &body, Form::Chat).await
 }
 
-async fn complete(worker: &Worker, headers: &HeaderMap, body: &[u8], form: Form) -> Response {
+/// Response that echoes the request id, error responses included.
+async fn answer(worker: &Worker, headers: &HeaderMap, body: &[u8], form: Form) -> Response {
+    let id = request_id(headers);
+    let mut response = complete(worker, &id, body, form).await;
+    // The response to another request, by the fault that swaps them, carries that one's id.
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        response.headers_mut().entry(REQUEST_ID).or_insert(id);
+    }
+    response
+}
+
+async fn complete(worker: &Worker, id: &str, body: &[u8], form: Form) -> Response {
     let req: CompletionRequest = match serde_json::from_slice(body) {
         Ok(req) => req,
         Err(e) => return error(StatusCode::BAD_REQUEST, e.to_string()),
@@ -108,7 +121,7 @@
     }
     let (output, mut pieces) = mpsc::unbounded_channel();
     let sequence = Sequence {
-        id: request_id(headers),
+        id: id.to_owned(),
         model: req.model.clone(),
         prompt,
         next: req.resume_from,
@@ -133,13 +146,13 @@
         false => whole(first, pieces, form, prompt_tokens).await,
     };
     if let Ok(id) = id {
-        response.headers_mut().insert("x-request-id", id);
+        response.headers_mut().insert(REQUEST_ID, id);
     }
     response
 }
 
 fn request_id(headers: &HeaderMap) -> String {
-    match headers.get("x-request-id").and_then(|value| value.to_str().ok()) {
+    match headers.get(REQUEST_ID).and_then(|value| value.to_str().ok()) {
         Some(id) => id.to_owned(),
         None => format!("engine-{:016x}", rand::random::<u64>()),
     }
--- a/src/ops/demo/fleet.rs
+++ b/src/ops/demo/fleet.rs
@@ -144,6 +144,32 @@
         Ok(version)
     }
 
+    /// Settings of the node `index` of this deployment, on free ports.
+    ///
+    /// # Errors
+    /// Settings that are out of range.
+    pub fn node_settings(&self, plan: &Plan, index: usize) -> Result<NodeSettings> {
+        let lookup = |name: &str| match name {
+            "node-id" => Some(format!("{}-node-{}", plan.name, index + 1)),
+            "zone" => Some(plan.zones[index % plan.zones.len()].to_owned()),
+            "caller-address" | "operator-address" | "peer-address" => {
+                Some("127.0.0.1:0".to_owned())
+            }
+            "store-url" => Some(self.kv.url()),
+            "host-list-url" => Some(self.hosts.url()),
+            "host-list-interval" => Some("250ms".to_owned()),
+            "probe-interval" => Some("250ms".to_owned()),
+            "loads-per-second" => Some(plan.loads_per_second.to_string()),
+            "operator-token" => Some("demo-operator".to_owned()),
+            "peer-key" => Some("demo-peers".to_owned()),
+            _ => None,
+        };
+        NodeSettings::read(lookup).map_err(|errors| {
+            let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+            anyhow!("invalid settings: {}", lines.join("; "))
+        })
+    }
+
     /// Whether `model` (`adapter@version`) is loaded anywhere.
     pub fn has_loaded(&self, model: &str) -> bool {
         self.engines.iter().any(|engine| engine.has_loaded(model))
--- a/tests/testsuite/standin.rs
+++ b/tests/testsuite/standin.rs
@@ -68,8 +68,8 @@
 #[tokio::test]
 async fn engine_answers_depend_on_the_request() {
     let engine = worker(EngineConfig::default()).await;
-    let (_, refused) = complete(&engine, "r0", "a@v1", 4).await.expect("an answer");
-    assert_eq!(refused["error"]["code"], 404);
+    let (id, refused) = complete(&engine, "r0", "a@v1", 4).await.expect("an answer");
+    assert_eq!((id.as_str(), refused["error"]["code"].as_u64()), ("r0", Some(404)));
     assert_eq!(order(&engine, "load", "a@v1", 1).await, StatusCode::OK);
     let (id, body) = complete(&engine, "r1", "a@v1", 4).await.expect("an answer");
     assert_eq!((id.as_str(), body["model"].as_str()), ("r1", Some("a@v1")));
