--- /dev/null
+++ b/crates/fireflyhead-node/src/dispatchers/actor.rs
@@ -0,0 +1,635 @@
+//! Actor of one upstream.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fireflyhead_core::dispatch::DispatchEffect;
+use fireflyhead_core::dispatch::DispatchInput;
+use fireflyhead_core::dispatch::Dispatcher;
+use fireflyhead_core::dispatch::DispatcherConfig;
+use fireflyhead_core::dispatch::RunResult;
+use fireflyhead_core::table::Table;
+use fireflyhead_core::types::AdapterKey;
+use fireflyhead_core::types::Job;
+use fireflyhead_core::types::JobId;
+use fireflyhead_core::types::Name;
+use fireflyhead_core::types::Role;
+use fireflyhead_core::types::RowId;
+use fireflyhead_core::types::Time;
+use fireflyhead_core::types::UpstreamInfo;
+use fireflyhead_core::wire::rank_from_wire;
+use fireflyhead_schema::messages;
+use fireflyhead_schema::messages::Dispatch;
+use fireflyhead_schema::messages::End;
+use fireflyhead_schema::messages::Outcome;
+use fireflyhead_schema::messages::PermitRequest;
+use fireflyhead_schema::messages::Redirect;
+use fireflyhead_schema::messages::Refused;
+use fireflyhead_schema::messages::peer_frame::Body;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::actor::Spawn;
+use kameo::error::Infallible;
+use kameo::mailbox;
+use kameo::message::Context;
+use kameo::message::Message;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+use tracing::Instrument;
+
+use crate::context::NodeContext;
+use crate::dispatchers::LoadReply;
+use crate::dispatchers::loads::LoadRequest;
+use crate::dispatchers::loads::Loads;
+use crate::peer::stream::RunPort;
+use crate::telemetry;
+use crate::upstream::RunEnd;
+use crate::upstream::RunNote;
+use crate::upstream::RunRequest;
+use crate::upstream::UpstreamClient;
+use crate::upstream::UpstreamError;
+use crate::upstream::UpstreamTimeouts;
+use crate::upstream::from_wire;
+
+/// Time between two reads of an upstream's load figures and two adverts.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Message to the actor of an upstream.
+pub(crate) enum DispatcherMsg {
+    /// An entry sent a request.
+    Submit {
+        /// The request.
+        dispatch: Dispatch,
+        /// Its frames and orders.
+        port: RunPort,
+    },
+    /// Something happened that the dispatcher reacts to.
+    Input(DispatchInput),
+    /// The entry cancelled a request or is gone.
+    EntryCancelled(JobId),
+    /// A run ended.
+    Ended { job: JobId, result: RunResult },
+    /// The role of this node changed.
+    Role(Role),
+    /// Another table version is in force.
+    Table(Arc<Table>),
+    /// Finish the running jobs, then stop.
+    Drain,
+    /// Publish the load figures.
+    Advertise,
+}
+
+/// Job at this dispatcher.
+struct JobEntry {
+    request: Arc<RunRequest>,
+    frames: mpsc::Sender<Body>,
+    cancel: CancellationToken,
+    /// Whether the entry asked for the cancellation, rather than a restart of the upstream.
+    by_entry: Arc<AtomicBool>,
+    idempotent: bool,
+    /// Whether a run was started and has not ended.
+    running: bool,
+    attempt: u32,
+    span: tracing::Span,
+}
+
+/// State of the dispatcher of one upstream.
+pub(crate) struct DispatcherActor {
+    cx: NodeContext,
+    info: UpstreamInfo,
+    me: ActorRef<DispatcherActor>,
+    dispatcher: Dispatcher,
+    client: UpstreamClient,
+    loads: Loads,
+    jobs: HashMap<JobId, JobEntry>,
+    next_job: u64,
+    role: Role,
+    draining: bool,
+    effects: Vec<DispatchEffect>,
+    next_tick: watch::Sender<Option<Time>>,
+    /// Ends the tasks of the actor with the actor.
+    _tasks: DropGuard,
+}
+
+/// Arguments of the actor.
+pub(crate) struct DispatcherArgs {
+    cx: NodeContext,
+    info: UpstreamInfo,
+    role: Role,
+    loads: Loads,
+    client: UpstreamClient,
+}
+
+/// Starts the actor of the upstream `info`.
+pub(crate) fn spawn(
+    cx: &NodeContext,
+    info: &UpstreamInfo,
+    role: Role,
+    loads: &Loads,
+) -> Result<ActorRef<DispatcherActor>, UpstreamError> {
+    let timeouts = UpstreamTimeouts {
+        connect: cx.settings.connect_timeout,
+        progress: cx.settings.request_timeout,
+    };
+    let client = UpstreamClient::new(info, timeouts)?;
+    let (cx, info, loads) = (cx.clone(), info.clone(), loads.clone());
+    let args = DispatcherArgs { cx, info, role, loads, client };
+    Ok(DispatcherActor::spawn_with_mailbox(args, mailbox::unbounded()))
+}
+
+impl Actor for DispatcherActor {
+    type Args = DispatcherArgs;
+    type Error = Infallible;
+
+    async fn on_start(
+        args: DispatcherArgs,
+        me: ActorRef<Self>,
+    ) -> Result<DispatcherActor, Infallible> {
+        let DispatcherArgs { cx, info, role, loads, client } = args;
+        let table = cx.table.borrow().clone();
+        let cfg = config(&cx, &info, role);
+        let mut dispatcher = Dispatcher::new(cfg, table, rand::random());
+        dispatcher.set_role(&role);
+        let tasks = CancellationToken::new();
+        let next_tick = watch::Sender::new(None);
+        let work = (
+            tick(me.clone(), cx.clone(), next_tick.subscribe()),
+            report(me.clone(), client.clone()),
+        );
+        let token = tasks.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = token.cancelled() => {}
+                () = work.0 => {}
+                () = work.1 => {}
+            }
+        });
+        Ok(DispatcherActor {
+            cx,
+            info,
+            me,
+            dispatcher,
+            client,
+            loads,
+            jobs: HashMap::new(),
+            next_job: 0,
+            role,
+            draining: false,
+            effects: Vec::new(),
+            next_tick,
+            _tasks: tasks.drop_guard(),
+        })
+    }
+
+    async fn on_stop(
+        &mut self,
+        _me: kameo::actor::WeakActorRef<Self>,
+        _reason: kameo::error::ActorStopReason,
+    ) -> Result<(), Infallible> {
+        for job in self.jobs.values() {
+            job.cancel.cancel();
+        }
+        let name = self.info.name.clone();
+        self.cx.adverts.send_modify(|adverts| drop(Arc::make_mut(adverts).remove(&name)));
+        Ok(())
+    }
+}
+
+fn config(cx: &NodeContext, info: &UpstreamInfo, role: Role) -> DispatcherConfig {
+    let pinned_until = match role {
+        Role::Owner { pinned_until, .. } => pinned_until,
+        Role::Caretaker | Role::None => Time::default(),
+    };
+    let count = |number: u64| usize::try_from(number).unwrap_or(usize::MAX);
+    DispatcherConfig {
+        upstream: info.name.clone(),
+        service: info.service.clone(),
+        kind: info.kind,
+        max_in_flight: count(cx.settings.upstream_in_flight),
+        fencing: info.fencing,
+        max_queue: count(cx.settings.queue_limit),
+        caretaker: role == Role::Caretaker,
+        pinned_until,
+        ..DispatcherConfig::default()
+    }
+}
+
+/// Delivers ticks at the times that the dispatcher asks for.
+async fn tick(
+    me: ActorRef<DispatcherActor>,
+    cx: NodeContext,
+    mut next: watch::Receiver<Option<Time>>,
+) {
+    loop {
+        let due = *next.borrow_and_update();
+        let changed = match due {
+            Some(time) => tokio::select! {
+                changed = next.changed() => changed,
+                () = sleep_until(cx.clock.instant(time)) => {
+                    if me.tell(DispatcherMsg::Input(DispatchInput::Tick)).try_send().is_err() {
+                        return;
+                    }
+                    // The actor answers with the next time, which may be the same one.
+                    next.changed().await
+                }
+            },
+            None => next.changed().await,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the load figures of the upstream again and again.
+async fn report(me: ActorRef<DispatcherActor>, client: UpstreamClient) {
+    loop {
+        let msg = match client.report().await {
+            Ok(report) => DispatcherMsg::Input(DispatchInput::Report(report)),
+            Err(e) => {
+                tracing::debug!(upstream = %client.name(), error = %e, "no load figures");
+                DispatcherMsg::Advertise
+            }
+        };
+        if me.tell(msg).try_send().is_err() || me.tell(DispatcherMsg::Advertise).try_send().is_err()
+        {
+            return;
+        }
+        sleep(REPORT_INTERVAL).await;
+    }
+}
+
+impl Message<DispatcherMsg> for DispatcherActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: DispatcherMsg, cx: &mut Context<Self, ()>) {
+        match msg {
+            DispatcherMsg::Submit { dispatch, port } => self.submit(dispatch, port),
+            DispatcherMsg::Input(DispatchInput::Permit { job, granted: false }) => {
+                self.input(DispatchInput::Permit { job, granted: false });
+                self.forget_idle(job);
+            }
+            DispatcherMsg::Input(input) => self.input(input),
+            DispatcherMsg::EntryCancelled(job) => {
+                if let Some(entry) = self.jobs.get(&job) {
+                    entry.by_entry.store(true, Ordering::Release);
+                }
+                self.input(DispatchInput::Cancel(job));
+                self.forget_idle(job);
+            }
+            DispatcherMsg::Ended { job, result } => {
+                if let Some(entry) = self.jobs.get_mut(&job) {
+                    entry.running = false;
+                }
+                self.input(DispatchInput::Finished { job, result });
+                self.forget_finished(job, result);
+            }
+            DispatcherMsg::Role(role) if role != self.role => {
+                self.role = role;
+                self.dispatcher.set_role(&role);
+                self.input(DispatchInput::Tick);
+            }
+            DispatcherMsg::Role(_) => {}
+            DispatcherMsg::Table(table) => self.dispatcher.set_table(table),
+            DispatcherMsg::Drain if !self.draining => {
+                self.draining = true;
+                self.input(DispatchInput::Drain);
+            }
+            DispatcherMsg::Drain => {}
+            DispatcherMsg::Advertise => self.advertise(),
+        }
+        if self.draining && self.jobs.is_empty() {
+            cx.stop();
+        }
+    }
+}
+
+impl DispatcherActor {
+    fn submit(&mut self, dispatch: Dispatch, port: RunPort) {
+        self.next_job += 1;
+        let id = JobId(self.next_job);
+        let Some((job, request)) = self.accept(id, &dispatch) else {
+            let code = "malformed_body".to_owned();
+            let _gone = port.frames.try_send(Body::Refused(Refused { code, retry_after_ms: 0 }));
+            return;
+        };
+        let span = telemetry::remote_span("dispatch", &dispatch.traceparent);
+        let entry = JobEntry {
+            request: Arc::new(request),
+            frames: port.frames,
+            cancel: CancellationToken::new(),
+            by_entry: Arc::default(),
+            idempotent: dispatch.idempotent,
+            running: false,
+            attempt: dispatch.attempt,
+            span,
+        };
+        let (me, ended) = (self.me.clone(), entry.cancel.clone());
+        self.jobs.insert(id, entry);
+        tokio::spawn(follow_orders(me, id, port.orders, ended));
+        self.input(DispatchInput::Submit(job));
+    }
+
+    /// Job and upstream request of a well-formed message.
+    fn accept(&self, id: JobId, dispatch: &Dispatch) -> Option<(Job, RunRequest)> {
+        let adapter = match &dispatch.adapter {
+            Some(wire) => Some(AdapterKey::try_from(wire.clone()).ok()?),
+            None => None,
+        };
+        let job = Job {
+            id,
+            row: RowId(dispatch.row),
+            rank: rank_from_wire(dispatch.rank).ok()?,
+            adapter: adapter.clone(),
+            prompt_tokens: dispatch.prompt_tokens,
+            output_tokens: dispatch.output_tokens,
+            deadline: Duration::from_millis(dispatch.deadline_ms),
+            retry: dispatch.retry,
+            idempotent: dispatch.idempotent,
+        };
+        let mut headers = from_wire(&dispatch.headers);
+        if let Ok(value) = dispatch.traceparent.parse() {
+            headers.insert("traceparent", value);
+        }
+        let request = RunRequest {
+            id: self.upstream_id(id, dispatch, adapter.is_some()),
+            method: dispatch.method.parse().ok()?,
+            path: dispatch.path.clone(),
+            headers,
+            body: dispatch.body.clone(),
+            adapter,
+            resume_from: dispatch.resume_from,
+        };
+        Some((job, request))
+    }
+
+    /// Engines get an id of our own, because two callers may choose the same one. Plain
+    /// services get the caller's id, by which they may recognise a repeated call.
+    fn upstream_id(&self, id: JobId, dispatch: &Dispatch, engine: bool) -> String {
+        let me = &self.cx.me;
+        if engine || dispatch.request_id.is_empty() {
+            format!("{}-{:x}-{}-{}", me.id, me.incarnation, self.info.name, id.0)
+        } else {
+            dispatch.request_id.clone()
+        }
+    }
+
+    fn input(&mut self, input: DispatchInput) {
+        let now = self.cx.clock.now();
+        let mut effects = std::mem::take(&mut self.effects);
+        self.dispatcher.handle(now, input, &mut effects);
+        for effect in effects.drain(..) {
+            self.execute(effect);
+        }
+        self.effects = effects;
+        self.next_tick.send_replace(self.dispatcher.next_tick());
+    }
+
+    fn execute(&mut self, effect: DispatchEffect) {
+        match effect {
+            DispatchEffect::RequestPermit { job } => {
+                if let Some(entry) = self.jobs.get(&job) {
+                    let frame = Body::PermitRequest(PermitRequest { attempt: entry.attempt });
+                    let _gone = entry.frames.try_send(frame);
+                }
+            }
+            DispatchEffect::Run { job } => self.run(job),
+            DispatchEffect::Refuse { job, reason, retry_after } => {
+                let code = reason.code().to_owned();
+                let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                self.end(job, Body::Refused(Refused { code, retry_after_ms }));
+            }
+            DispatchEffect::Redirect { job } => {
+                let reason = "the dispatcher sends the request elsewhere".to_owned();
+                self.end(job, Body::Redirect(Redirect { reason }));
+            }
+            DispatchEffect::CancelRun { job } => {
+                if let Some(entry) = self.jobs.get(&job) {
+                    entry.cancel.cancel();
+                }
+            }
+            DispatchEffect::RequestLoad { adapter, rank, waiting } => {
+                self.loads.request(LoadRequest {
+                    upstream: self.info.name.clone(),
+                    service: self.info.service.clone(),
+                    adapter,
+                    rank,
+                    waiting,
+                    reply: LoadReply(self.me.clone()),
+                });
+            }
+            DispatchEffect::CancelLoadRequest { adapter } => {
+                self.loads.cancel(&self.info.service, &self.info.name, &adapter);
+            }
+            DispatchEffect::Load { adapter } => self.order(adapter, true),
+            DispatchEffect::Unload { adapter } => self.order(adapter, false),
+        }
+    }
+
+    /// Sends the last frame of a job that did not run here.
+    fn end(&mut self, job: JobId, frame: Body) {
+        if let Some(entry) = self.jobs.remove(&job) {
+            let _gone = entry.frames.try_send(frame);
+            entry.cancel.cancel();
+        }
+    }
+
+    /// Forgets a job that the dispatcher dropped, unless it runs.
+    fn forget_idle(&mut self, job: JobId) {
+        if self.jobs.get(&job).is_some_and(|entry| !entry.running)
+            && let Some(entry) = self.jobs.remove(&job)
+        {
+            entry.cancel.cancel();
+        }
+    }
+
+    /// Forgets a job after its run, unless the dispatcher queued it again.
+    fn forget_finished(&mut self, job: JobId, result: RunResult) {
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        if result == RunResult::Cancelled && !entry.by_entry.load(Ordering::Acquire) {
+            return;
+        }
+        if let Some(entry) = self.jobs.remove(&job) {
+            entry.cancel.cancel();
+        }
+    }
+
+    fn run(&mut self, job: JobId) {
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        // A job that is run again after a restart of the upstream has a spent token.
+        if entry.cancel.is_cancelled() && !entry.by_entry.load(Ordering::Acquire) {
+            entry.cancel = CancellationToken::new();
+        }
+        entry.running = true;
+        let task = Run {
+            me: self.me.clone(),
+            client: self.client.clone(),
+            job,
+            request: entry.request.clone(),
+            frames: entry.frames.clone(),
+            cancel: entry.cancel.clone(),
+            by_entry: entry.by_entry.clone(),
+            idempotent: entry.idempotent,
+        };
+        let span = tracing::info_span!(parent: &entry.span, "upstream", upstream = %self.info.name);
+        tokio::spawn(task.execute().instrument(span));
+    }
+
+    /// Gives a load or unload order if the node may give orders at this moment.
+    fn order(&self, adapter: AdapterKey, load: bool) {
+        let role = self.cx.owners.borrow().get(&self.info.name).map(|owned| owned.role);
+        let (me, client) = (self.me.clone(), self.client.clone());
+        let (loads, upstream) = (self.loads.clone(), self.info.name.clone());
+        let service = self.info.service.clone();
+        tokio::spawn(async move {
+            let result = match role {
+                Some(Role::Owner { fencing, orders_allowed: true, .. }) if load => {
+                    client.load(&adapter, fencing).await
+                }
+                Some(Role::Owner { fencing, orders_allowed: true, .. }) => {
+                    client.unload(&adapter, fencing).await
+                }
+                _ => Err(UpstreamError::Fenced),
+            };
+            if let Err(e) = &result {
+                tracing::warn!(%upstream, %adapter, load, error = %e, "order failed");
+            }
+            let ok = result.is_ok();
+            if load {
+                loads.finished(&service, &upstream, &adapter, ok);
+            }
+            let input = match load {
+                true => DispatchInput::LoadDone { adapter, ok },
+                false => DispatchInput::UnloadDone { adapter, ok },
+            };
+            let _stopped = me.tell(DispatcherMsg::Input(input)).try_send();
+        });
+    }
+
+    fn advertise(&self) {
+        let advert = self.dispatcher.advert(self.cx.clock.now());
+        let name: &Name = &self.info.name;
+        self.cx.adverts.send_if_modified(|adverts| {
+            if adverts.get(name) == Some(&advert) {
+                return false;
+            }
+            Arc::make_mut(adverts).insert(name.clone(), advert);
+            true
+        });
+    }
+}
+
+/// Passes the entry's orders on to the actor.
+async fn follow_orders(
+    me: ActorRef<DispatcherActor>,
+    job: JobId,
+    mut orders: mpsc::Receiver<Body>,
+    ended: CancellationToken,
+) {
+    loop {
+        let order = tokio::select! {
+            () = ended.cancelled() => return,
+            order = orders.recv() => order,
+        };
+        let msg = match order {
+            Some(Body::Permit(messages::Permit { granted })) => {
+                DispatcherMsg::Input(DispatchInput::Permit { job, granted })
+            }
+            Some(Body::Cancel(_)) | None => DispatcherMsg::EntryCancelled(job),
+            Some(_) => continue,
+        };
+        let last = matches!(msg, DispatcherMsg::EntryCancelled(_));
+        if me.tell(msg).try_send().is_err() || last {
+            return;
+        }
+    }
+}
+
+/// One run of a job.
+struct Run {
+    me: ActorRef<DispatcherActor>,
+    client: UpstreamClient,
+    job: JobId,
+    request: Arc<RunRequest>,
+    frames: mpsc::Sender<Body>,
+    cancel: CancellationToken,
+    by_entry: Arc<AtomicBool>,
+    idempotent: bool,
+}
+
+impl Run {
+    async fn execute(self) {
+        let started = AtomicBool::new(false);
+        let job = self.job;
+        let note = |note| {
+            let input = match note {
+                RunNote::Started => {
+                    started.store(true, Ordering::Release);
+                    DispatchInput::Started { job }
+                }
+                RunNote::Tokens(tokens) => DispatchInput::Progress { job, tokens },
+            };
+            let _stopped = self.me.tell(DispatcherMsg::Input(input)).try_send();
+        };
+        let end = self.client.run(&self.request, &self.frames, &note, &self.cancel).await;
+        let restarted = end == RunEnd::Cancelled
+            && !self.by_entry.load(Ordering::Acquire)
+            && self.cancel.is_cancelled();
+        // What was passed on or may have had an effect is not queued again by the dispatcher.
+        let end = match end {
+            RunEnd::Cancelled
+                if restarted && (started.load(Ordering::Acquire) || !self.idempotent) =>
+            {
+                RunEnd::Failed { sent: true, reason: "the upstream restarted".to_owned() }
+            }
+            end => end,
+        };
+        let result = match &end {
+            RunEnd::Answered { .. } => RunResult::Ok,
+            RunEnd::Failed { sent, .. } => RunResult::Failed { sent: *sent },
+            RunEnd::WrongAdapter => RunResult::Failed { sent: true },
+            RunEnd::Cancelled => RunResult::Cancelled,
+        };
+        // The slot is free from now on, even if the entry reads slowly.
+        if result == RunResult::Cancelled && !restarted {
+            self.by_entry.store(true, Ordering::Release);
+        }
+        let _stopped = self.me.tell(DispatcherMsg::Ended { job, result }).try_send();
+        if let Some(frame) = end_frame(&self.request, &end) {
+            let _gone = self.frames.send(Body::End(frame)).await;
+        }
+    }
+}
+
+/// Last frame of a run; `None` if the entry expects none.
+fn end_frame(request: &RunRequest, end: &RunEnd) -> Option<End> {
+    let (outcome, status, code) = match end {
+        RunEnd::Answered { status } => (Outcome::Answered, *status, ""),
+        RunEnd::Failed { sent: false, reason } => {
+            tracing::warn!(%reason, "request did not reach the upstream");
+            (Outcome::NotRun, 503, "upstream_failed")
+        }
+        RunEnd::Failed { sent: true, reason } => {
+            tracing::warn!(%reason, "run failed");
+            (Outcome::Unknown, 502, "upstream_failed")
+        }
+        RunEnd::WrongAdapter => {
+            tracing::warn!("the upstream answered with another adapter or version");
+            (Outcome::Unknown, 502, "wrong_adapter")
+        }
+        RunEnd::Cancelled => return None,
+    };
+    Some(End {
+        outcome: outcome.into(),
+        status: status.into(),
+        adapter: request.adapter.as_ref().map(messages::AdapterKey::from),
+        code: code.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/fireflyhead-node/src/dispatchers/tests.rs
@@ -0,0 +1,1 @@
+//! Contract of the dispatchers.
--- a/crates/fireflyhead-node/src/peer.rs
+++ b/crates/fireflyhead-node/src/peer.rs
@@ -51,8 +51,11 @@
     fn dispatch(&self, from: NodeRef, dispatch: Dispatch, port: RunPort);
 
     /// Answers a short call.
-    fn call(&self, from: NodeRef, body: call_request::Body)
-    -> BoxFuture<'static, call_answer::Body>;
+    fn call(
+        &self,
+        from: NodeRef,
+        body: call_request::Body,
+    ) -> BoxFuture<'static, call_answer::Body>;
 }
 
 /// Returns when the peer has not answered a PING in time or the connection ended.
--- a/crates/fireflyhead-node/src/peer/auth/tests.rs
+++ b/crates/fireflyhead-node/src/peer/auth/tests.rs
@@ -17,9 +17,27 @@
     type Fault = fn(&mut http::HeaderMap);
     let cases: [(&str, Fault, &str, u64, AuthError); 7] = [
         ("no mac", |h| drop(h.remove("x-peer-mac")), "/a", NOW, AuthError::Malformed),
-        ("bad time", |h| drop(h.insert("x-peer-time", "x".parse().unwrap())), "/a", NOW, AuthError::Malformed),
-        ("other node", |h| drop(h.insert("x-peer-node", "node-2".parse().unwrap())), "/a", NOW, AuthError::WrongMac),
-        ("other incarnation", |h| drop(h.insert("x-peer-incarnation", "8".parse().unwrap())), "/a", NOW, AuthError::WrongMac),
+        (
+            "bad time",
+            |h| drop(h.insert("x-peer-time", "x".parse().unwrap())),
+            "/a",
+            NOW,
+            AuthError::Malformed,
+        ),
+        (
+            "other node",
+            |h| drop(h.insert("x-peer-node", "node-2".parse().unwrap())),
+            "/a",
+            NOW,
+            AuthError::WrongMac,
+        ),
+        (
+            "other incarnation",
+            |h| drop(h.insert("x-peer-incarnation", "8".parse().unwrap())),
+            "/a",
+            NOW,
+            AuthError::WrongMac,
+        ),
         ("other path", |_| (), "/b", NOW, AuthError::WrongMac),
         ("late", |_| (), "/a", NOW + 30_001, AuthError::Expired),
         ("early", |_| (), "/a", NOW - 30_001, AuthError::Expired),
--- a/crates/fireflyhead-node/src/peer/client.rs
+++ b/crates/fireflyhead-node/src/peer/client.rs
@@ -182,10 +182,8 @@
             .parse()
             .map_err(|e: http::uri::InvalidUri| unreachable(e.to_string()))?;
         *request.headers_mut() = self.inner.auth.sign(&self.inner.me, path);
-        let (response, body) = connection
-            .send
-            .send_request(request, false)
-            .map_err(|e| unreachable(e.to_string()))?;
+        let (response, body) =
+            connection.send.send_request(request, false).map_err(|e| unreachable(e.to_string()))?;
         Ok((response, FrameWriter::new(body, limit)))
     }
 
