--- a/crates/fireflyhead-node/src/dispatchers.rs
+++ b/crates/fireflyhead-node/src/dispatchers.rs
@@ -31,6 +31,9 @@
 use actor::DispatcherMsg;
 use loads::Loads;
 
+/// Reason of a redirect by a node that does not dispatch to the upstream.
+pub(crate) const NOT_OWNER: &str = "not_owner";
+
 /// Answer of the load scheduler to one dispatcher.
 pub(crate) type LoadVerdict = Result<(), std::time::Duration>;
 
@@ -74,10 +77,12 @@
         match actor {
             Some(actor) => {
                 // A stopped actor drops the port, which the entry sees as a lost owner.
-                let _stopped = actor.tell(DispatcherMsg::Submit { dispatch, port }).try_send();
+                let _stopped = actor
+                    .tell(DispatcherMsg::Submit { dispatch: Box::new(dispatch), port })
+                    .try_send();
             }
             None => {
-                let reason = "this node does not own the upstream".to_owned();
+                let reason = NOT_OWNER.to_owned();
                 let _gone = port.frames.try_send(Body::Redirect(Redirect { reason }));
             }
         }
--- a/crates/fireflyhead-node/src/dispatchers/actor.rs
+++ b/crates/fireflyhead-node/src/dispatchers/actor.rs
@@ -66,7 +66,7 @@
     /// An entry sent a request.
     Submit {
         /// The request.
-        dispatch: Dispatch,
+        dispatch: Box<Dispatch>,
         /// Its frames and orders.
         port: RunPort,
     },
@@ -96,6 +96,7 @@
     idempotent: bool,
     /// Whether a run was started and has not ended.
     running: bool,
+    submitted: Time,
     attempt: u32,
     span: tracing::Span,
 }
@@ -197,7 +198,9 @@
             job.cancel.cancel();
         }
         let name = self.info.name.clone();
-        self.cx.adverts.send_modify(|adverts| drop(Arc::make_mut(adverts).remove(&name)));
+        self.cx.adverts.send_modify(|adverts| {
+            Arc::make_mut(adverts).remove(&name);
+        });
         Ok(())
     }
 }
@@ -271,7 +274,7 @@
 
     async fn handle(&mut self, msg: DispatcherMsg, cx: &mut Context<Self, ()>) {
         match msg {
-            DispatcherMsg::Submit { dispatch, port } => self.submit(dispatch, port),
+            DispatcherMsg::Submit { dispatch, port } => self.submit(&dispatch, port),
             DispatcherMsg::Input(DispatchInput::Permit { job, granted: false }) => {
                 self.input(DispatchInput::Permit { job, granted: false });
                 self.forget_idle(job);
@@ -312,10 +315,10 @@
 }
 
 impl DispatcherActor {
-    fn submit(&mut self, dispatch: Dispatch, port: RunPort) {
+    fn submit(&mut self, dispatch: &Dispatch, port: RunPort) {
         self.next_job += 1;
         let id = JobId(self.next_job);
-        let Some((job, request)) = self.accept(id, &dispatch) else {
+        let Some((job, request)) = self.accept(id, dispatch) else {
             let code = "malformed_body".to_owned();
             let _gone = port.frames.try_send(Body::Refused(Refused { code, retry_after_ms: 0 }));
             return;
@@ -328,6 +331,7 @@
             by_entry: Arc::default(),
             idempotent: dispatch.idempotent,
             running: false,
+            submitted: self.cx.clock.now(),
             attempt: dispatch.attempt,
             span,
         };
@@ -468,7 +472,9 @@
             entry.cancel = CancellationToken::new();
         }
         entry.running = true;
+        let queued = self.cx.clock.now().since(entry.submitted);
         let task = Run {
+            queued_ms: u32::try_from(queued.as_millis()).unwrap_or(u32::MAX),
             me: self.me.clone(),
             client: self.client.clone(),
             job,
@@ -557,6 +563,7 @@
     me: ActorRef<DispatcherActor>,
     client: UpstreamClient,
     job: JobId,
+    queued_ms: u32,
     request: Arc<RunRequest>,
     frames: mpsc::Sender<Body>,
     cancel: CancellationToken,
@@ -578,7 +585,8 @@
             };
             let _stopped = self.me.tell(DispatcherMsg::Input(input)).try_send();
         };
-        let end = self.client.run(&self.request, &self.frames, &note, &self.cancel).await;
+        let end =
+            self.client.run(&self.request, self.queued_ms, &self.frames, &note, &self.cancel).await;
         let restarted = end == RunEnd::Cancelled
             && !self.by_entry.load(Ordering::Acquire)
             && self.cancel.is_cancelled();
--- /dev/null
+++ b/crates/fireflyhead-node/src/entry/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the entry.
--- /dev/null
+++ b/crates/fireflyhead-node/src/http/tests.rs
@@ -0,0 +1,1 @@
+//! Bad input on the listener for callers.
--- a/crates/fireflyhead-node/src/lib.rs
+++ b/crates/fireflyhead-node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod context;
 pub mod dispatchers;
+pub mod entry;
 pub mod hosts;
 pub mod http;
 pub mod kv;
--- /dev/null
+++ b/crates/fireflyhead-node/src/once/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of home and witness.
--- a/crates/fireflyhead-node/src/peer/auth.rs
+++ b/crates/fireflyhead-node/src/peer/auth.rs
@@ -30,6 +30,12 @@
 /// Remembered nonces above which expired ones are searched.
 const SWEEP_NONCES: usize = 10_000;
 
+/// Bytes of the code of a placement token.
+const TOKEN_MAC_BYTES: usize = 16;
+
+/// Prefix that separates codes of tokens from codes of requests.
+const TOKEN_DOMAIN: &[u8] = b"placement-token\0";
+
 const NODE: HeaderName = HeaderName::from_static("x-peer-node");
 const INCARNATION: HeaderName = HeaderName::from_static("x-peer-incarnation");
 const TIME: HeaderName = HeaderName::from_static("x-peer-time");
@@ -37,7 +43,8 @@
 const MAC: HeaderName = HeaderName::from_static("x-peer-mac");
 
 /// Reason for which a request is not authentic.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum AuthError {
     /// an authentication header is missing or malformed
     Malformed,
@@ -117,6 +124,26 @@
         Ok(node)
     }
 
+    /// Code of the bytes of a placement token.
+    pub fn sign_token(&self, bytes: &[u8]) -> Vec<u8> {
+        let mac = self.token_mac(bytes).finalize().into_bytes();
+        mac[..TOKEN_MAC_BYTES].to_vec()
+    }
+
+    /// Whether `mac` is the code of the bytes of a placement token.
+    pub fn verify_token(&self, bytes: &[u8], mac: &[u8]) -> bool {
+        // `verify_truncated_left` compares in constant time.
+        mac.len() == TOKEN_MAC_BYTES && self.token_mac(bytes).verify_truncated_left(mac).is_ok()
+    }
+
+    fn token_mac(&self, bytes: &[u8]) -> Hmac<Sha256> {
+        let mut mac =
+            Hmac::<Sha256>::new_from_slice(&self.key).expect("HMAC takes a key of any length");
+        mac.update(TOKEN_DOMAIN);
+        mac.update(bytes);
+        mac
+    }
+
     fn mac(&self, node: &NodeRef, path: &str, time_ms: u64, nonce: u64) -> Hmac<Sha256> {
         let mut mac =
             Hmac::<Sha256>::new_from_slice(&self.key).expect("HMAC takes a key of any length");
--- a/crates/fireflyhead-node/src/peer/client.rs
+++ b/crates/fireflyhead-node/src/peer/client.rs
@@ -44,7 +44,8 @@
 const BODY_PART_BYTES: usize = 512 << 10;
 
 /// Failure of a request to a peer.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum PeerError {
     /// the node at {address} cannot be reached: {reason}
     Unreachable {
--- a/crates/fireflyhead-node/src/peer/frame.rs
+++ b/crates/fireflyhead-node/src/peer/frame.rs
@@ -23,7 +23,8 @@
 const LENGTH_BYTES: usize = 4;
 
 /// Failure to read or write a frame.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum FrameError {
     /// the frame has {length} bytes, the limit is {limit}
     TooLarge {
@@ -85,7 +86,7 @@
     ///
     /// # Errors
     /// A length above the limit or bytes that don't decode.
-    pub fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+    pub fn next_frame<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
         let Some(mut head) = self.buf.get(..LENGTH_BYTES) else { return Ok(None) };
         let length = head.get_u32() as usize;
         if length > self.limit {
@@ -134,7 +135,7 @@
     /// A failed stream or a malformed, truncated or oversized frame.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
         loop {
-            if let Some(frame) = self.decoder.next()? {
+            if let Some(frame) = self.decoder.next_frame()? {
                 return Ok(Some(frame));
             }
             match self.body.data().await {
--- a/crates/fireflyhead-node/src/upstream.rs
+++ b/crates/fireflyhead-node/src/upstream.rs
@@ -27,7 +27,6 @@
 pub use run::RunRequest;
 
 pub(crate) use run::from_wire;
-pub(crate) use run::is_end_to_end;
 pub(crate) use run::to_wire;
 
 /// Header with the fencing number of an order.
@@ -49,7 +48,8 @@
 const IDLE_CONNECTIONS: usize = 64;
 
 /// Failure of an order or of a read of the load figures.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
 pub enum UpstreamError {
     /// the upstream cannot be reached: {0}
     Transport(reqwest::Error),
--- a/crates/fireflyhead-node/src/upstream/run.rs
+++ b/crates/fireflyhead-node/src/upstream/run.rs
@@ -28,6 +28,9 @@
 /// Data of the event that ends a stream of an engine.
 const DONE: &str = "[DONE]";
 
+/// Event that ends a stream of an engine.
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 9] = [
     "connection",
@@ -100,6 +103,7 @@
 struct Sink<'a> {
     frames: &'a mpsc::Sender<Body>,
     note: &'a (dyn Fn(RunNote) + Send + Sync),
+    queued_ms: u32,
     started: bool,
 }
 
@@ -112,7 +116,8 @@
     ) -> Result<(), RunEnd> {
         let adapter = adapter.map(messages::AdapterKey::from);
         let headers = to_wire(headers);
-        let frame = Body::Started(Started { adapter, status: status.into(), headers });
+        let (status, queued_ms) = (status.into(), self.queued_ms);
+        let frame = Body::Started(Started { adapter, status, headers, queued_ms });
         self.frames.send(frame).await.map_err(|_| RunEnd::Cancelled)
     }
 
@@ -141,11 +146,12 @@
     pub async fn run(
         &self,
         request: &RunRequest,
+        queued_ms: u32,
         frames: &mpsc::Sender<Body>,
         note: &(dyn Fn(RunNote) + Send + Sync),
         cancel: &CancellationToken,
     ) -> RunEnd {
-        let mut sink = Sink { frames, note, started: false };
+        let mut sink = Sink { frames, note, queued_ms, started: false };
         let end = tokio::select! {
             () = cancel.cancelled() => RunEnd::Cancelled,
             end = self.exchange(request, &mut sink) => end.unwrap_or_else(|end| end),
@@ -164,9 +170,9 @@
             None => self.pass(response, sink).await,
             Some(_) if !(200..300).contains(&status) => self.engine_error(response, sink).await,
             Some(adapter) if is_event_stream(response.headers()) => {
-                self.stream(response, adapter, sink).await
+                self.stream(response, request, adapter, sink).await
             }
-            Some(adapter) => self.json(response, adapter, sink).await,
+            Some(adapter) => self.json(response, request, adapter, sink).await,
         }
     }
 
@@ -220,6 +226,7 @@
     async fn json(
         &self,
         mut response: reqwest::Response,
+        request: &RunRequest,
         adapter: &AdapterKey,
         sink: &mut Sink<'_>,
     ) -> Result<RunEnd, RunEnd> {
@@ -233,6 +240,7 @@
         let json: Value = serde_json::from_slice(&body)
             .map_err(|e| RunEnd::failed(format!("the answer is not JSON: {e}")))?;
         check_model(&json, adapter)?;
+        check_id(&json, request)?;
         let tokens = json["usage"]["completion_tokens"].as_u64().unwrap_or_default();
         let status = response.status().as_u16();
         sink.start(status, response.headers(), Some(adapter)).await?;
@@ -243,35 +251,53 @@
     async fn stream(
         &self,
         mut response: reqwest::Response,
+        request: &RunRequest,
         adapter: &AdapterKey,
         sink: &mut Sink<'_>,
     ) -> Result<RunEnd, RunEnd> {
         let status = response.status().as_u16();
         sink.start(status, response.headers(), Some(adapter)).await?;
         let mut events = EventSplitter::default();
-        while let Some(bytes) = self.next(&mut response).await? {
-            events.push(&bytes);
+        let mut check = StreamCheck::new(request, adapter);
+        loop {
+            let received = match self.next(&mut response).await {
+                Ok(Some(bytes)) => bytes,
+                // Only the closing event is missing.
+                Ok(None) | Err(_) if check.finished => {
+                    sink.chunk(Bytes::from_static(DONE_EVENT), 0).await?;
+                    return Ok(RunEnd::Answered { status });
+                }
+                Ok(None) => {
+                    return Err(RunEnd::failed("the stream ended without its last event"));
+                }
+                Err(end) => return Err(end),
+            };
+            events.push(&received);
             let (mut ready, mut tokens, mut done) = (BytesMut::new(), 0, false);
             let mut failure = None;
-            while let Some(event) = events.next().map_err(|e| RunEnd::failed(e.to_string()))? {
-                match check_event(&event.data, adapter) {
-                    Ok(counted) => tokens += counted,
-                    Err(end) => {
-                        failure = Some(end);
-                        break;
-                    }
+            while let (None, false) = (&failure, done) {
+                match events.next_event() {
+                    Ok(Some(event)) => match check.event(&event.data) {
+                        Ok(counted) => {
+                            tokens += counted;
+                            ready.extend_from_slice(&event.raw);
+                            done = event.data == DONE;
+                        }
+                        Err(end) => failure = Some(end),
+                    },
+                    Ok(None) => break,
+                    Err(e) => failure = Some(RunEnd::failed(e.to_string())),
                 }
-                ready.extend_from_slice(&event.raw);
-                done |= event.data == DONE;
             }
-            sink.chunk(ready.freeze(), tokens).await?;
+            if !ready.is_empty() {
+                sink.chunk(ready.freeze(), tokens).await?;
+            }
             match failure {
                 Some(end) => return Err(end),
                 None if done => return Ok(RunEnd::Answered { status }),
                 None => {}
             }
         }
-        Err(RunEnd::failed("the stream ended without its last event"))
     }
 
     async fn next(&self, response: &mut reqwest::Response) -> Result<Option<Bytes>, RunEnd> {
@@ -283,18 +309,54 @@
     }
 }
 
-/// Tokens of an event after its model was checked.
-fn check_event(data: &str, adapter: &AdapterKey) -> Result<u32, RunEnd> {
-    if data.is_empty() || data == DONE {
-        return Ok(0);
+/// Checks that the events of a stream belong to the request and follow each other.
+struct StreamCheck<'a> {
+    request: &'a RunRequest,
+    adapter: &'a AdapterKey,
+    /// Tokens before the next event, counted from the start of the answer.
+    offset: u64,
+    /// Whether the engine stated that the answer is complete.
+    finished: bool,
+}
+
+impl<'a> StreamCheck<'a> {
+    fn new(request: &'a RunRequest, adapter: &'a AdapterKey) -> StreamCheck<'a> {
+        StreamCheck { request, adapter, offset: request.resume_from.into(), finished: false }
     }
-    let json: Value = serde_json::from_str(data)
-        .map_err(|e| RunEnd::failed(format!("an event is not JSON: {e}")))?;
-    if !json["error"].is_null() {
-        return Err(RunEnd::failed("the engine reported an error within the stream"));
+
+    /// Tokens of an event, after it was checked.
+    fn event(&mut self, data: &str) -> Result<u32, RunEnd> {
+        if data.is_empty() || data == DONE {
+            return Ok(0);
+        }
+        let json: Value = serde_json::from_str(data)
+            .map_err(|e| RunEnd::failed(format!("an event is not JSON: {e}")))?;
+        if !json["error"].is_null() {
+            return Err(RunEnd::failed("the engine reported an error within the stream"));
+        }
+        check_model(&json, self.adapter)?;
+        check_id(&json, self.request)?;
+        if json["token_offset"].as_u64().is_some_and(|offset| offset != self.offset) {
+            return Err(RunEnd::failed("the stream has a gap or repeats tokens"));
+        }
+        let choice = &json["choices"][0];
+        self.finished |= !choice["finish_reason"].is_null();
+        // Engines that don't state the number send one token in each event.
+        let default = u64::from(choice.is_object());
+        let tokens = json["tokens"].as_u64().unwrap_or(default);
+        self.offset = self.offset.saturating_add(tokens);
+        Ok(u32::try_from(tokens).unwrap_or(u32::MAX))
+    }
+}
+
+/// Rejects an event or answer that names another request.
+fn check_id(json: &Value, request: &RunRequest) -> Result<(), RunEnd> {
+    match json["id"].as_str() {
+        Some(id) if id != request.id => {
+            Err(RunEnd::failed("the response belongs to another request"))
+        }
+        _ => Ok(()),
     }
-    check_model(&json, adapter)?;
-    Ok(u32::from(json["choices"].as_array().is_some_and(|choices| !choices.is_empty())))
 }
 
 fn check_model(json: &Value, adapter: &AdapterKey) -> Result<(), RunEnd> {
@@ -330,7 +392,7 @@
 }
 
 /// Whether a header is passed on between connections.
-pub(crate) fn is_end_to_end(name: &str) -> bool {
+fn is_end_to_end(name: &str) -> bool {
     !CONNECTION_HEADERS.contains(&name)
 }
 
--- a/crates/fireflyhead-node/src/upstream/sse.rs
+++ b/crates/fireflyhead-node/src/upstream/sse.rs
@@ -7,7 +7,8 @@
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// the event is larger than the limit
-#[derive(Clone, Copy, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub struct EventTooLarge;
 
 impl std::error::Error for EventTooLarge {}
@@ -39,7 +40,7 @@
     ///
     /// # Errors
     /// An event above the limit.
-    pub fn next(&mut self) -> Result<Option<Event>, EventTooLarge> {
+    pub fn next_event(&mut self) -> Result<Option<Event>, EventTooLarge> {
         match self.find_end() {
             Some(end) if end > MAX_EVENT_BYTES => Err(EventTooLarge),
             Some(end) => {
