--- a/crates/fireflyhead-core/src/once/token.rs
+++ b/crates/fireflyhead-core/src/once/token.rs
@@ -191,7 +191,8 @@
 }
 
 /// Reason for which a request id can't be read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum IdError {
     /// the placement token is malformed
     Token,
