--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,3 +4,4 @@
 mod kv;
 mod standin;
 mod tables;
+mod upstream;
