--- a/crates/fireflyhead-core/src/dispatch.rs
+++ b/crates/fireflyhead-core/src/dispatch.rs
@@ -186,17 +186,27 @@
     pub fn advert(&self, _now: Time) -> UpstreamAdvert {
         let wait = |rank| self.predicted_queue_wait(rank, |q| q.ready_cost() as f64);
         let queued: usize = self.queues.iter().map(RankQueue::len).sum();
-        let limit = (self.cfg.max_queue / Rank::ALL.len()).max(1);
         let ahead = self.adapters.candidates_ahead(Rank::Background);
         UpstreamAdvert {
             queue_delay_ms: Rank::ALL.map(|rank| millis(wait(rank))),
             in_flight: count(self.concurrency.in_flight()),
             queued: count(queued),
             load_delay_ms: millis(self.loads.wait_behind(ahead)),
-            full: self.draining || self.queues.iter().any(|queue| queue.len() >= limit),
+            full: self.draining || self.is_full(),
         }
     }
 
+    /// Whether the most urgent rank in use has no room, so that a flood of a lower one does not count.
+    fn is_full(&self) -> bool {
+        let used = |i: &usize| self.last_seen[*i].is_some();
+        (0..self.queues.len()).find(used).is_some_and(|i| self.queues[i].len() >= self.rank_limit())
+    }
+
+    /// Jobs that one rank may queue.
+    fn rank_limit(&self) -> usize {
+        (self.cfg.max_queue / Rank::ALL.len()).max(1)
+    }
+
     /// Earliest time at which `Tick` must be delivered.
     pub fn next_tick(&self) -> Option<Time> {
         let first = |set: &BTreeSet<(Time, JobId)>| set.first().map(|(at, _)| *at);
--- a/crates/fireflyhead-core/src/dispatch/jobs.rs
+++ b/crates/fireflyhead-core/src/dispatch/jobs.rs
@@ -145,7 +145,7 @@
         lane: Option<u32>,
     ) -> Option<(RefuseReason, Duration)> {
         let queue = &self.queues[job.rank.index()];
-        let limit = (self.cfg.max_queue / Rank::ALL.len()).max(1);
+        let limit = self.rank_limit();
         let wait = self.predicted_wait(now, job, lane);
         if queue.len() >= limit || (job.retry && queue.retries() >= limit.div_ceil(2)) {
             return Some((RefuseReason::Overloaded, wait));
