--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -75,7 +75,7 @@
 /// End of a run and the bytes that were passed on.
 async fn run(client: &UpstreamClient, request: &RunRequest) -> (RunEnd, Vec<u8>) {
     let (tx, mut rx) = mpsc::channel(1_024);
-    let end = client.run(request, &tx, &|_| {}, &CancellationToken::new()).await;
+    let end = client.run(request, 0, &tx, &|_| {}, &CancellationToken::new()).await;
     drop(tx);
     let mut passed = Vec::new();
     while let Some(frame) = rx.recv().await {
