--- a/crates/fireflyhead-node/src/dispatchers.rs
+++ b/crates/fireflyhead-node/src/dispatchers.rs
@@ -27,9 +27,9 @@
 #[cfg(test)]
 mod tests;
 
-use actor::DispatcherActor;
-use actor::DispatcherMsg;
-use loads::Loads;
+use crate::dispatchers::actor::DispatcherActor;
+use crate::dispatchers::actor::DispatcherMsg;
+use crate::dispatchers::loads::Loads;
 
 /// Reason of a redirect by a node that does not dispatch to the upstream.
 pub(crate) const NOT_OWNER: &str = "not_owner";
--- a/crates/fireflyhead-node/src/entry.rs
+++ b/crates/fireflyhead-node/src/entry.rs
@@ -52,10 +52,10 @@
 #[cfg(test)]
 mod tests;
 
-use account::Accepted;
-use account::Accounting;
-use error::EntryError;
-use output::Output;
+use crate::entry::account::Accepted;
+use crate::entry::account::Accounting;
+use crate::entry::error::EntryError;
+use crate::entry::output::Output;
 
 /// Header that names the class of a request.
 pub const CLASS_HEADER: &str = "x-work-class";
--- a/crates/fireflyhead-node/src/peer.rs
+++ b/crates/fireflyhead-node/src/peer.rs
@@ -25,7 +25,7 @@
 #[cfg(test)]
 mod tests;
 
-use stream::RunPort;
+use crate::peer::stream::RunPort;
 
 /// Path of dispatch streams.
 pub const DISPATCH_PATH: &str = "/peer/v1/dispatch";
