--- a/crates/fireflyhead-core/src/dispatch/adapters.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters.rs
@@ -20,6 +20,11 @@
 /// flood of a lower rank does not evict the adapters of a higher one.
 const RANK_VALUE: [f64; 3] = [4.0, 1.0, 0.1];
 
+/// Requests that a frequency may let expect in a time without any; a higher
+/// frequency is taken to have fallen. The frequency of an adapter that is no
+/// longer requested would otherwise outlast a popularity shift by several half-lives.
+const EXPECTED_IN_IDLE: f64 = 3.0;
+
 /// Adapters kept before adapters that hold no state are dropped.
 const ADAPTERS_BEFORE_SWEEP: usize = 4096;
 
@@ -100,6 +105,8 @@
     pub(super) lanes: Vec<(Rank, RowId, u32)>,
     frequency: f64,
     frequency_at: Time,
+    /// Value of the last request.
+    last_value: f64,
     position: Option<(Rank, i64)>,
 }
 
@@ -127,6 +134,7 @@
             lanes: Vec::new(),
             frequency: 0.0,
             frequency_at: Time::default(),
+            last_value: 0.0,
             position: None,
         }
     }
@@ -153,8 +161,12 @@
 
     /// Requests within about one half-life, weighted by rank.
     pub(super) fn frequency(&self, now: Time, half_life: Duration) -> f64 {
-        let periods = now.since(self.frequency_at).as_secs_f64() / half_life.as_secs_f64();
-        self.frequency * (-periods).exp2()
+        let idle = now.since(self.frequency_at).as_secs_f64() / half_life.as_secs_f64();
+        let decayed = self.frequency * (-idle).exp2();
+        if idle <= 0.0 {
+            return decayed;
+        }
+        decayed.min(EXPECTED_IN_IDLE * self.last_value / std::f64::consts::LN_2 / idle)
     }
 
     fn is_idle_record(&self, now: Time, half_life: Duration) -> bool {
@@ -245,6 +257,7 @@
         let half_life = self.cfg.half_life;
         let adapter = self.get_mut(idx);
         adapter.frequency = adapter.frequency(now, half_life) + RANK_VALUE[rank.index()];
+        adapter.last_value = RANK_VALUE[rank.index()];
         adapter.frequency_at = now;
     }
 
--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -34,10 +34,9 @@
     /// Idle adapters that may be unloaded for `candidate`, least frequent first.
     pub(in crate::dispatch) fn victims(&self, cx: &Eviction, candidate: u32) -> Vec<u32> {
         let wanted = self.frequency_of(cx, candidate);
-        let overdue = self.get(candidate).is_overdue(cx.now, cx.lead);
         let order = self.by_frequency(cx);
         let replaces = |place: usize, frequency: f64| {
-            place < self.cfg.probation || overdue || wanted > frequency * REPLACE_RATIO
+            place < self.cfg.probation || wanted > frequency * REPLACE_RATIO
         };
         let may_go = |adapter: &Adapter| {
             adapter.in_use == 0
@@ -61,12 +60,14 @@
         let overdue = self.get(candidate).is_overdue(cx.now, cx.lead);
         let order = self.by_frequency(cx);
         let open = || {
-            order.iter().filter(|(frequency, idx)| {
-                is_evictable(self.get(*idx), cx) && (overdue || wanted > frequency * CLOSE_RATIO)
+            order.iter().enumerate().filter(|(place, (frequency, idx))| {
+                let gives_way =
+                    (overdue && *place < self.cfg.probation) || wanted > frequency * CLOSE_RATIO;
+                gives_way && is_evictable(self.get(*idx), cx)
             })
         };
-        let without_waiters = open().find(|(_, idx)| self.get(*idx).due.is_empty());
-        without_waiters.or_else(|| open().next()).map(|(_, idx)| *idx)
+        let without_waiters = open().find(|(_, (_, idx))| self.get(*idx).due.is_empty());
+        without_waiters.or_else(|| open().next()).map(|(_, (_, idx))| *idx)
     }
 
     /// Adapter that is being closed.
--- a/crates/fireflyhead-core/src/dispatch/api.rs
+++ b/crates/fireflyhead-core/src/dispatch/api.rs
@@ -73,10 +73,10 @@
             headroom: 0.05,
             latency_target: Duration::from_millis(400),
             report_lag: Duration::from_secs(3),
-            max_load_requests: 3,
+            max_load_requests: 6,
             probation_slots: 1,
-            frequency_half_life: Duration::from_secs(60),
-            waiter_value: Duration::from_secs(2),
+            frequency_half_life: Duration::from_secs(180),
+            waiter_value: Duration::from_secs(4),
             permit_timeout: Duration::from_secs(5),
             load_backoff: Duration::from_millis(500),
         }
