--- a/crates/fireflyhead-core/src/membership/gossip.rs
+++ b/crates/fireflyhead-core/src/membership/gossip.rs
@@ -246,3 +246,10 @@
     };
     RUMOR_OVERHEAD_BYTES + rumor.from.id.as_str().len() + upstream
 }
+
+/// Estimated bytes of a message's members and rumors.
+#[cfg(test)]
+pub(super) fn sizes(message: &crate::membership::Message) -> usize {
+    message.members.iter().map(member_size).sum::<usize>()
+        + message.rumors.iter().map(rumor_size).sum::<usize>()
+}
