Let nodes that were declared dead follow the members while they stop

Two nodes that were both declared dead stopped probing, so each kept an outdated view of the other. Found by states_only_advance_and_converge.

--- a/crates/fireflyhead-core/src/membership.rs
+++ b/crates/fireflyhead-core/src/membership.rs
@@ -461,6 +461,10 @@
     }
 
     fn declare_dead(&mut self, now: Time, effects: &mut Vec<MembershipEffect>) {
+        // A node that was declared dead itself still follows the others while it stops.
+        if self.roster.is_dead(&self.me) {
+            return;
+        }
         let in_contact = self.in_contact(now);
         let dead =
             self.roster.expired_suspects(now, self.cfg.suspicion, MIN_FAILED_PROBES, in_contact);
@@ -469,9 +473,6 @@
 
     /// Probes the next member of the round, some suspects and one unknown contact.
     fn start_probes(&mut self, now: Time, effects: &mut Vec<MembershipEffect>) {
-        if self.roster.is_dead(&self.me) {
-            return;
-        }
         let mut targets = Vec::new();
         targets.extend(self.next_target());
         let mut suspects: Vec<NodeRef> = self.roster.suspects().cloned().collect();
