--- a/crates/fireflyhead-node/src/tables/service.rs
+++ b/crates/fireflyhead-node/src/tables/service.rs
@@ -32,6 +32,8 @@
 const READ_ATTEMPTS: usize = 5;
 /// Time for which an edit is tried.
 const EDIT_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time without any answer of the service after which an edit is rejected.
+const UNAVAILABLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// First delay between two attempts of an edit; doubles up to the longest.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest delay between two attempts of an edit.
@@ -180,6 +182,8 @@
     Done(Box<Stored>),
     /// Nothing was changed by this attempt; the reason, for the message.
     Retry(String),
+    /// Nothing was changed, since the service can't be read.
+    Unavailable(String),
     /// The head may have been changed by this attempt.
     InDoubt(String),
 }
@@ -198,12 +202,23 @@
     known: Option<&Stored>,
 ) -> Result<Stored, EditError> {
     let deadline = Instant::now() + EDIT_TIMEOUT;
+    let mut answered = Instant::now();
     let mut delay = MIN_RETRY_DELAY;
     let mut in_doubt = false;
     loop {
+        let mut limit = deadline;
         let reason = match attempt(store, edit, floor, known).await {
             Ok(Attempt::Done(stored)) => return Ok(*stored),
-            Ok(Attempt::Retry(reason)) => reason,
+            Ok(Attempt::Retry(reason)) => {
+                answered = Instant::now();
+                reason
+            }
+            Ok(Attempt::Unavailable(reason)) => {
+                if !in_doubt {
+                    limit = deadline.min(answered + UNAVAILABLE_TIMEOUT);
+                }
+                reason
+            }
             Ok(Attempt::InDoubt(reason)) => {
                 in_doubt = true;
                 reason
@@ -212,7 +227,7 @@
             // take effect.
             Err(error) => return Err(error),
         };
-        if Instant::now() + delay > deadline {
+        if Instant::now() + delay > limit {
             return Err(match in_doubt {
                 true => EditError::OutcomeUnknown(reason),
                 false => EditError::StoreUnavailable(reason),
@@ -231,7 +246,7 @@
 ) -> Result<Attempt, EditError> {
     let base = match read(store.as_ref(), known).await {
         Ok(base) => base,
-        Err(e) => return Ok(Attempt::Retry(e.to_string())),
+        Err(e) => return Ok(Attempt::Unavailable(e.to_string())),
     };
     if base.version_of_edit(&edit.id).is_some() {
         return Ok(Attempt::Done(Box::new(base)));
--- a/src/bin/fireflyhead/commands.rs
+++ b/src/bin/fireflyhead/commands.rs
@@ -8,6 +8,7 @@
 
 mod call;
 mod completions;
+mod demo;
 mod drain;
 mod nodes;
 mod resolve;
@@ -26,6 +27,7 @@
         drain::cli(),
         resolve::cli(),
         call::cli(),
+        demo::cli(),
         standin::cli(),
         completions::cli(),
     ]
@@ -42,6 +44,7 @@
         "drain" => drain::exec(matches).await,
         "resolve" => resolve::exec(matches).await,
         "call" => call::exec(matches).await,
+        "demo" => demo::exec(matches).await,
         "standin" => standin::exec(matches).await,
         "completions" => completions::exec(matches),
         name => unreachable!("the parser accepts no command `{name}`"),
--- a/src/ops/demo.rs
+++ b/src/ops/demo.rs
@@ -7,5 +7,7 @@
 pub mod deployment;
 pub mod drive;
 pub mod fleet;
+pub mod nodes;
 pub mod report;
+pub mod run;
 pub mod workload;
