--- a/crates/fireflyhead-node/src/dispatchers.rs
+++ b/crates/fireflyhead-node/src/dispatchers.rs
@@ -7,6 +7,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use fireflyhead_core::dispatch::DispatchInput;
 use fireflyhead_core::types::AdapterKey;
@@ -20,6 +23,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::context::NodeContext;
+use crate::owners::MayOrder;
+use crate::owners::Owners;
 use crate::peer::stream::RunPort;
 
 mod actor;
@@ -35,7 +40,29 @@
 pub(crate) const NOT_OWNER: &str = "not_owner";
 
 /// Answer of the load scheduler to one dispatcher.
-pub(crate) type LoadVerdict = Result<(), std::time::Duration>;
+pub(crate) type LoadVerdict = Result<(), Duration>;
+
+/// Decides right before a load or unload order whether it may be given.
+#[derive(Clone)]
+pub enum OrderGate {
+    /// The actor that checks the lease by its own clock.
+    Owners(ActorRef<Owners>),
+    /// The roles of the context, for nodes without the actor.
+    Roles,
+}
+
+impl OrderGate {
+    /// Fencing number for an order to `upstream`, if it may be given now.
+    pub(crate) async fn fencing(&self, cx: &NodeContext, upstream: &Name) -> Option<u64> {
+        match self {
+            OrderGate::Owners(owners) => owners.ask(MayOrder(upstream.clone())).await.ok()?,
+            OrderGate::Roles => match cx.owners.borrow().get(upstream)?.role {
+                Role::Owner { fencing, orders_allowed: true, .. } => Some(fencing),
+                Role::Owner { .. } | Role::Caretaker | Role::None => None,
+            },
+        }
+    }
+}
 
 /// Dispatchers of one node.
 #[derive(Clone)]
@@ -46,6 +73,7 @@
 struct Inner {
     cx: NodeContext,
     loads: Loads,
+    gate: OrderGate,
     stop: CancellationToken,
     actors: Mutex<HashMap<Name, Running>>,
 }
@@ -56,13 +84,20 @@
     actor: ActorRef<DispatcherActor>,
     info: UpstreamInfo,
     draining: bool,
+    /// Unfinished jobs.
+    jobs: Arc<AtomicU64>,
 }
 
 impl Dispatchers {
     /// Starts and drains dispatchers as roles change, until `stop`.
-    pub fn start(cx: NodeContext, loads: Loads, stop: CancellationToken) -> Dispatchers {
+    pub fn start(
+        cx: NodeContext,
+        loads: Loads,
+        gate: OrderGate,
+        stop: CancellationToken,
+    ) -> Dispatchers {
         let actors = Mutex::default();
-        let this = Dispatchers { inner: Arc::new(Inner { cx, loads, stop, actors }) };
+        let this = Dispatchers { inner: Arc::new(Inner { cx, loads, gate, stop, actors }) };
         let follower = this.clone();
         tokio::spawn(async move { follower.follow().await });
         this
@@ -94,6 +129,36 @@
         actors.keys().cloned().collect()
     }
 
+    /// Whether no dispatcher has unfinished jobs.
+    pub fn is_idle(&self) -> bool {
+        let actors = self.inner.actors.lock().expect("no holder of this lock panics");
+        actors
+            .values()
+            .all(|running| !running.actor.is_alive() || running.jobs.load(Ordering::Acquire) == 0)
+    }
+
+    /// Unfinished jobs at all dispatchers.
+    pub fn jobs(&self) -> u64 {
+        let actors = self.inner.actors.lock().expect("no holder of this lock panics");
+        let alive = actors.values().filter(|running| running.actor.is_alive());
+        alive.map(|running| running.jobs.load(Ordering::Acquire)).sum()
+    }
+
+    /// Drains the dispatcher of `upstream`; the adapters that its running jobs use.
+    pub(crate) async fn hand_over(&self, upstream: &Name) -> Vec<AdapterKey> {
+        let actor = {
+            let mut actors = self.inner.actors.lock().expect("no holder of this lock panics");
+            actors.get_mut(upstream).map(|running| {
+                running.draining = true;
+                running.actor.clone()
+            })
+        };
+        match actor {
+            Some(actor) => actor.ask(actor::HandOver).await.unwrap_or_default(),
+            None => Vec::new(),
+        }
+    }
+
     async fn follow(&self) {
         let cx = &self.inner.cx;
         let mut owners = cx.owners.subscribe();
@@ -102,7 +167,7 @@
         loop {
             self.reconcile();
             // A removed actor ends on its own; its successor starts after that.
-            let retry = tokio::time::sleep(std::time::Duration::from_millis(500));
+            let retry = tokio::time::sleep(Duration::from_millis(500));
             let changed = tokio::select! {
                 () = self.inner.stop.cancelled() => return self.stop_all(),
                 changed = owners.changed() => changed,
@@ -154,9 +219,10 @@
         for (name, info) in upstreams.iter().filter(|(_, info)| !info.leaving) {
             let role = owners.get(name).map_or(Role::None, |owned| owned.role);
             if role != Role::None && !actors.contains_key(name) {
-                match actor::spawn(&self.inner.cx, info, role, &self.inner.loads) {
-                    Ok(actor) => {
-                        let running = Running { actor, info: info.clone(), draining: false };
+                match actor::spawn(&self.inner.cx, info, role, &self.inner.loads, &self.inner.gate)
+                {
+                    Ok((actor, jobs)) => {
+                        let running = Running { actor, info: info.clone(), draining: false, jobs };
                         actors.insert(name.clone(), running);
                     }
                     Err(e) => tracing::error!(upstream = %name, error = %e, "no dispatcher"),
--- a/crates/fireflyhead-node/src/dispatchers/actor.rs
+++ b/crates/fireflyhead-node/src/dispatchers/actor.rs
@@ -1,8 +1,10 @@
 //! Actor of one upstream.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -46,6 +48,8 @@
 
 use crate::context::NodeContext;
 use crate::dispatchers::LoadReply;
+use crate::dispatchers::NOT_OWNER;
+use crate::dispatchers::OrderGate;
 use crate::dispatchers::loads::LoadRequest;
 use crate::dispatchers::loads::Loads;
 use crate::peer::stream::RunPort;
@@ -109,6 +113,9 @@
     dispatcher: Dispatcher,
     client: UpstreamClient,
     loads: Loads,
+    gate: OrderGate,
+    /// Number of `jobs`, for others to read.
+    unfinished: Arc<AtomicU64>,
     jobs: HashMap<JobId, JobEntry>,
     next_job: u64,
     role: Role,
@@ -125,7 +132,9 @@
     info: UpstreamInfo,
     role: Role,
     loads: Loads,
+    gate: OrderGate,
     client: UpstreamClient,
+    unfinished: Arc<AtomicU64>,
 }
 
 /// Starts the actor of the upstream `info`.
@@ -134,15 +143,18 @@
     info: &UpstreamInfo,
     role: Role,
     loads: &Loads,
-) -> Result<ActorRef<DispatcherActor>, UpstreamError> {
+    gate: &OrderGate,
+) -> Result<(ActorRef<DispatcherActor>, Arc<AtomicU64>), UpstreamError> {
     let timeouts = UpstreamTimeouts {
         connect: cx.settings.connect_timeout,
         progress: cx.settings.request_timeout,
     };
     let client = UpstreamClient::new(info, timeouts)?;
-    let (cx, info, loads) = (cx.clone(), info.clone(), loads.clone());
-    let args = DispatcherArgs { cx, info, role, loads, client };
-    Ok(DispatcherActor::spawn_with_mailbox(args, mailbox::unbounded()))
+    let (cx, info, loads, gate) = (cx.clone(), info.clone(), loads.clone(), gate.clone());
+    let unfinished: Arc<AtomicU64> = Arc::default();
+    let args =
+        DispatcherArgs { cx, info, role, loads, gate, client, unfinished: unfinished.clone() };
+    Ok((DispatcherActor::spawn_with_mailbox(args, mailbox::unbounded()), unfinished))
 }
 
 impl Actor for DispatcherActor {
@@ -153,7 +165,7 @@
         args: DispatcherArgs,
         me: ActorRef<Self>,
     ) -> Result<DispatcherActor, Infallible> {
-        let DispatcherArgs { cx, info, role, loads, client } = args;
+        let DispatcherArgs { cx, info, role, loads, gate, client, unfinished } = args;
         let table = cx.table.borrow().clone();
         let cfg = config(&cx, &info, role);
         let mut dispatcher = Dispatcher::new(cfg, table, rand::random());
@@ -179,6 +191,8 @@
             dispatcher,
             client,
             loads,
+            gate,
+            unfinished,
             jobs: HashMap::new(),
             next_job: 0,
             role,
@@ -308,12 +322,37 @@
             DispatcherMsg::Drain => {}
             DispatcherMsg::Advertise => self.advertise(),
         }
+        self.unfinished.store(self.jobs.len() as u64, Ordering::Release);
         if self.draining && self.jobs.is_empty() {
             cx.stop();
         }
     }
 }
 
+/// Drains the dispatcher and asks for the adapters that running jobs use.
+pub(crate) struct HandOver;
+
+impl Message<HandOver> for DispatcherActor {
+    type Reply = Vec<AdapterKey>;
+
+    async fn handle(
+        &mut self,
+        _: HandOver,
+        cx: &mut Context<Self, Self::Reply>,
+    ) -> Vec<AdapterKey> {
+        if !std::mem::replace(&mut self.draining, true) {
+            self.input(DispatchInput::Drain);
+        }
+        self.unfinished.store(self.jobs.len() as u64, Ordering::Release);
+        if self.jobs.is_empty() {
+            cx.stop();
+        }
+        let used = self.jobs.values().filter_map(|job| job.request.adapter.clone());
+        let used: HashSet<AdapterKey> = used.collect();
+        used.into_iter().collect()
+    }
+}
+
 impl DispatcherActor {
     fn submit(&mut self, dispatch: &Dispatch, port: RunPort) {
         self.next_job += 1;
@@ -411,7 +450,7 @@
                 self.end(job, Body::Refused(Refused { code, retry_after_ms }));
             }
             DispatchEffect::Redirect { job } => {
-                let reason = "the dispatcher sends the request elsewhere".to_owned();
+                let reason = if self.draining { NOT_OWNER } else { "elsewhere" }.to_owned();
                 self.end(job, Body::Redirect(Redirect { reason }));
             }
             DispatchEffect::CancelRun { job } => {
@@ -490,19 +529,15 @@
 
     /// Gives a load or unload order if the node may give orders at this moment.
     fn order(&self, adapter: AdapterKey, load: bool) {
-        let role = self.cx.owners.borrow().get(&self.info.name).map(|owned| owned.role);
         let (me, client) = (self.me.clone(), self.client.clone());
         let (loads, upstream) = (self.loads.clone(), self.info.name.clone());
+        let (gate, cx) = (self.gate.clone(), self.cx.clone());
         let service = self.info.service.clone();
         tokio::spawn(async move {
-            let result = match role {
-                Some(Role::Owner { fencing, orders_allowed: true, .. }) if load => {
-                    client.load(&adapter, fencing).await
-                }
-                Some(Role::Owner { fencing, orders_allowed: true, .. }) => {
-                    client.unload(&adapter, fencing).await
-                }
-                _ => Err(UpstreamError::Fenced),
+            let result = match gate.fencing(&cx, &upstream).await {
+                Some(fencing) if load => client.load(&adapter, fencing).await,
+                Some(fencing) => client.unload(&adapter, fencing).await,
+                None => Err(UpstreamError::NotAllowed),
             };
             if let Err(e) = &result {
                 tracing::warn!(%upstream, %adapter, load, error = %e, "order failed");
--- a/crates/fireflyhead-node/src/http.rs
+++ b/crates/fireflyhead-node/src/http.rs
@@ -9,6 +9,8 @@
 use axum::extract::Request;
 use axum::extract::State;
 use axum::extract::rejection::QueryRejection;
+use axum::middleware;
+use axum::middleware::Next;
 use axum::response::IntoResponse;
 use axum::response::Json;
 use axum::response::Response;
@@ -22,7 +24,10 @@
 use fireflyhead_schema::messages::TokenRequest;
 use fireflyhead_schema::messages::call_answer;
 use fireflyhead_schema::messages::call_request;
+use http::HeaderValue;
 use http::StatusCode;
+use http::Version;
+use http::header::CONNECTION;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -81,6 +86,7 @@
                 EntryError { status: StatusCode::METHOD_NOT_ALLOWED, ..e }.field("method")
             })
             .fallback(async || EntryError::not_run("unknown_service", "no such path").field("path"))
+            .layer(middleware::from_fn_with_state(self.cx.clone(), close_when_draining))
             .with_state(Arc::new(self))
     }
 
@@ -115,6 +121,20 @@
     }
 }
 
+/// Asks callers of a stopping node to open their next connection elsewhere.
+async fn close_when_draining(
+    State(cx): State<NodeContext>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let http1 = request.version() <= Version::HTTP_11;
+    let mut response = next.run(request).await;
+    if http1 && *cx.draining.borrow() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 /// Whether the node of `cx` serves callers: it has a table and knows upstreams.
 pub(crate) fn is_ready(cx: &NodeContext) -> bool {
     cx.table.borrow().version > 0 && !cx.upstreams.borrow().is_empty() && !*cx.draining.borrow()
--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -3,24 +3,37 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use fireflyhead_core::once::OnceInput;
 use fireflyhead_core::once::RequestId;
+use fireflyhead_core::types::MemberState;
+use fireflyhead_core::types::Name;
 use fireflyhead_core::types::NodeRef;
 use fireflyhead_schema::NodeSettings;
 use fireflyhead_schema::messages::Dispatch;
 use fireflyhead_schema::messages::Done;
 use fireflyhead_schema::messages::IntentAck;
+use fireflyhead_schema::messages::TableAnswer;
 use fireflyhead_schema::messages::call_answer;
 use fireflyhead_schema::messages::call_request;
 use futures::future::BoxFuture;
+use kameo::actor::ActorRef;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::context::NodeContext;
 use crate::dispatchers::Dispatchers;
+use crate::dispatchers::OrderGate;
 use crate::dispatchers::loads::Loads;
 use crate::entry::Entry;
 use crate::entry::EntryParts;
@@ -29,11 +42,15 @@
 use crate::http::CallerApi;
 use crate::http::serve::ServeOptions;
 use crate::http::serve::serve;
+use crate::kv::HttpStore;
+use crate::kv::HttpStoreConfig;
 use crate::kv::Store;
 use crate::once::OnceHandle;
 use crate::once::outcome_from_wire;
 use crate::once::reply_to_wire;
 use crate::once::token_to_wire;
+use crate::owners::HandoverReceived;
+use crate::owners::Owners;
 use crate::peer::PeerHandler;
 use crate::peer::auth::Authenticator;
 use crate::peer::client::Peers;
@@ -41,6 +58,21 @@
 use crate::peer::stream::RunPort;
 use crate::telemetry::Metrics;
 
+mod cluster;
+#[cfg(test)]
+mod tests;
+
+use cluster::Cluster;
+
+/// Connections of operators at the same time.
+const MAX_OPERATOR_CONNECTIONS: usize = 256;
+
+/// Time for connections to end after their last response.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time between two looks at the dispatchers during a planned stop.
+const IDLE_POLL: Duration = Duration::from_millis(20);
+
 /// Connections of callers at the same time.
 const MAX_CALLER_CONNECTIONS: usize = 20_000;
 
@@ -91,10 +123,34 @@
     pub counts: Counts,
 }
 
+/// Reason for which a node does not start.
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
+pub enum StartError {
+    /// cannot listen on {0}
+    Listen(io::Error),
+    /// cannot set up the client of the key-value service: {0}
+    Store(reqwest::Error),
+}
+
+impl std::error::Error for StartError {}
+
+impl From<io::Error> for StartError {
+    fn from(e: io::Error) -> StartError {
+        StartError::Listen(e)
+    }
+}
+
 /// Running node.
 pub struct Node {
     cx: NodeContext,
     entry: Entry,
+    dispatchers: Dispatchers,
+    cluster: Option<Cluster>,
+    /// Told when an operator asks for a planned stop.
+    drain_requested: Arc<Notify>,
+    /// Listeners for callers and operators.
+    listeners: Mutex<Vec<JoinHandle<()>>>,
     /// Ends the listeners after their current requests.
     drain: CancellationToken,
     /// Ends everything.
@@ -102,25 +158,61 @@
 }
 
 impl Node {
+    /// Starts a node with these settings.
+    ///
+    /// # Errors
+    /// An address that can't be bound.
+    pub async fn start(mut settings: NodeSettings) -> Result<Node, StartError> {
+        let listeners = Listeners::bind(&mut settings).await?;
+        let socket = UdpSocket::bind(settings.peer_address).await?;
+        let store = HttpStore::new(HttpStoreConfig {
+            url: settings.store_url.clone(),
+            connect_timeout: settings.connect_timeout,
+            ..HttpStoreConfig::default()
+        });
+        let store: Arc<dyn Store> = Arc::new(store.map_err(StartError::Store)?);
+        let cx = NodeContext::new(settings, new_incarnation());
+        let stop = CancellationToken::new();
+        let auth = Arc::new(Authenticator::new(cx.settings.peer_key.expose()));
+        let peers = Peers::new(cx.me.clone(), auth, cx.settings.connect_timeout, stop.clone());
+        let cluster = Cluster::start(&cx, &store, &peers, socket);
+        Ok(Node::with(cx, store, listeners, peers, stop, Some(cluster)))
+    }
+
     /// Starts the request path of a node whose context somebody else keeps up to date.
     pub fn assemble(cx: NodeContext, store: Arc<dyn Store>, listeners: Listeners) -> Node {
-        let (stop, drain) = (CancellationToken::new(), CancellationToken::new());
+        let stop = CancellationToken::new();
         let auth = Arc::new(Authenticator::new(cx.settings.peer_key.expose()));
-        let connect_timeout = cx.settings.connect_timeout;
-        let peers = Peers::new(cx.me.clone(), auth.clone(), connect_timeout, stop.clone());
+        let peers = Peers::new(cx.me.clone(), auth, cx.settings.connect_timeout, stop.clone());
+        Node::with(cx, store, listeners, peers, stop, None)
+    }
+
+    fn with(
+        cx: NodeContext,
+        store: Arc<dyn Store>,
+        listeners: Listeners,
+        peers: Peers,
+        stop: CancellationToken,
+        cluster: Option<Cluster>,
+    ) -> Node {
+        let drain = CancellationToken::new();
+        let auth = peers.authenticator().clone();
+        let gate = match &cluster {
+            Some(cluster) => OrderGate::Owners(cluster.owners.clone()),
+            None => OrderGate::Roles,
+        };
         let loads = Loads::start(cx.clone(), peers.clone(), stop.clone());
-        let dispatchers = Dispatchers::start(cx.clone(), loads.clone(), stop.clone());
+        let dispatchers = Dispatchers::start(cx.clone(), loads.clone(), gate, stop.clone());
         let (submit, submissions) = mpsc::unbounded_channel();
         let once = OnceHandle::start(&cx, &peers, auth.clone(), submit, stop.clone());
-        let meter = opentelemetry::global::meter("fireflyhead");
-        let accounting = Accounting::new(Metrics::new(&meter));
+        let metrics = Metrics::new(&opentelemetry::global::meter("fireflyhead"));
         let entry = Entry::start(EntryParts {
             cx: cx.clone(),
             dispatchers: dispatchers.clone(),
             peers: peers.clone(),
             once: once.clone(),
             store,
-            accounting,
+            accounting: Accounting::new(metrics),
             stop: stop.clone(),
         });
         tokio::spawn(entry.clone().run_submissions(submissions));
@@ -128,8 +220,9 @@
             cx: cx.clone(),
             entry: entry.clone(),
             once: once.clone(),
-            dispatchers,
+            dispatchers: dispatchers.clone(),
             loads,
+            owners: cluster.as_ref().map(|cluster| cluster.owners.clone()),
         });
         let body_limit = cx.settings.body_limit;
         let server = PeerServer { auth, handler, body_limit, stop: stop.clone() };
@@ -140,10 +233,18 @@
             drain: drain.clone(),
             stop: stop.clone(),
         };
-        let api = CallerApi { cx: cx.clone(), entry: entry.clone(), once, peers };
-        tokio::spawn(serve(listeners.caller, api.router(), options));
-        drop(listeners.operator);
-        Node { cx, entry, drain, stop }
+        let drain_requested = Arc::new(Notify::new());
+        let api = CallerApi { cx: cx.clone(), entry: entry.clone(), once, peers: peers.clone() };
+        let mut tasks = vec![tokio::spawn(serve(listeners.caller, api.router(), options.clone()))];
+        if let Some(cluster) = &cluster {
+            let (accounting, drain) = (entry.accounting().clone(), drain_requested.clone());
+            let router = cluster.operators(&cx, &peers, accounting, drain);
+            let options = ServeOptions { max_connections: MAX_OPERATOR_CONNECTIONS, ..options };
+            tasks.push(tokio::spawn(serve(listeners.operator, router, options)));
+            cluster.follow(&cx, &dispatchers, &peers, &stop);
+        }
+        let listeners = Mutex::new(tasks);
+        Node { cx, entry, dispatchers, cluster, drain_requested, listeners, drain, stop }
     }
 
     /// Addresses on which the node listens.
@@ -166,23 +267,74 @@
         self.entry.accounting().counts()
     }
 
-    /// Stops as planned: finishes all requests, at most for the drain timeout.
+    /// Waits until an operator asks for a planned stop.
+    pub async fn drain_requested(&self) {
+        self.drain_requested.notified().await;
+    }
+
+    /// Stops as planned: hands the upstreams over and finishes all requests, at most
+    /// for the drain timeout.
+    ///
+    /// Callers may use the addresses of an earlier resolve answer, so the node serves
+    /// requests until these answers have expired.
     pub async fn shutdown(&self) -> StopReport {
+        tracing::info!("planned stop");
         self.cx.draining.send_replace(true);
         let limit = self.cx.settings.drain_timeout;
-        let _expired = timeout(limit, self.entry.accounting().idle()).await;
+        if timeout(limit, self.finish_work()).await.is_err() {
+            tracing::warn!("the drain timeout passed before all requests ended");
+        }
         self.drain.cancel();
+        let listeners = std::mem::take(&mut *self.listeners.lock().expect("no holder panics"));
+        let _expired = timeout(CLOSE_TIMEOUT, futures::future::join_all(listeners)).await;
+        if let Some(cluster) = &self.cluster {
+            cluster.revoke().await;
+        }
         self.kill()
     }
 
+    async fn finish_work(&self) {
+        let expired = sleep(self.cx.settings.resolve_ttl);
+        let others =
+            self.cx.members.borrow().iter().any(|member| {
+                member.state == MemberState::Alive && member.node.id != self.cx.me.id
+            });
+        match &self.cluster {
+            // Without another node the queued requests can only run here.
+            Some(cluster) if others => cluster.leave().await,
+            Some(_) | None => {}
+        }
+        expired.await;
+        loop {
+            self.entry.accounting().idle().await;
+            if self.dispatchers.is_idle() {
+                break;
+            }
+            sleep(IDLE_POLL).await;
+        }
+        if let Some(cluster) = &self.cluster {
+            cluster.released().await;
+        }
+    }
+
     /// Drops everything at once.
     pub fn kill(&self) -> StopReport {
         let counts = self.counts();
+        let interrupted = counts.in_flight.max(self.dispatchers.jobs());
         self.stop.cancel();
-        StopReport { interrupted: counts.in_flight, counts }
+        if let Some(cluster) = &self.cluster {
+            cluster.kill();
+        }
+        StopReport { interrupted, counts }
     }
 }
 
+/// Number that differs for every start of a node and rises.
+fn new_incarnation() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Work of a node for its peers.
 struct Handler {
     cx: NodeContext,
@@ -190,6 +342,7 @@
     once: OnceHandle,
     dispatchers: Dispatchers,
     loads: Loads,
+    owners: Option<ActorRef<Owners>>,
 }
 
 impl PeerHandler for Handler {
@@ -203,7 +356,7 @@
         body: call_request::Body,
     ) -> BoxFuture<'static, call_answer::Body> {
         let (cx, entry, once) = (self.cx.clone(), self.entry.clone(), self.once.clone());
-        let loads = self.loads.clone();
+        let (loads, owners) = (self.loads.clone(), self.owners.clone());
         Box::pin(async move {
             match body {
                 call_request::Body::Intent(intent) => match RequestId::parse(&intent.request_id) {
@@ -238,8 +391,23 @@
                     Some(token) => call_answer::Body::Token(token_to_wire(&token)),
                     None => call_answer::Body::Error("the node stops".to_owned()),
                 },
-                call_request::Body::TableFetch(_) | call_request::Body::Handover(_) => {
-                    call_answer::Body::Error("not supported by this node".to_owned())
+                call_request::Body::TableFetch(fetch) => {
+                    let table = cx.table.borrow().clone();
+                    let newer = table.version > fetch.known_version;
+                    let csv = if newer { table.to_csv() } else { String::new() };
+                    call_answer::Body::Table(TableAnswer { version: table.version, csv })
+                }
+                call_request::Body::Handover(handover) => {
+                    if let Some(owners) = owners {
+                        let received = HandoverReceived {
+                            from,
+                            upstream: Name::from(handover.upstream),
+                            fencing: handover.fencing,
+                            in_use: !handover.pinned.is_empty(),
+                        };
+                        let _stopped = owners.tell(received).await;
+                    }
+                    call_answer::Body::Done(Done {})
                 }
             }
         })
@@ -249,6 +417,3 @@
 fn malformed() -> call_answer::Body {
     call_answer::Body::Error("malformed message".to_owned())
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/fireflyhead-node/src/node/tests.rs
+++ b/crates/fireflyhead-node/src/node/tests.rs
@@ -148,6 +148,7 @@
                 peer_address: "127.0.0.1:0".parse().unwrap(),
                 peer_key: "secret".to_owned().into(),
                 request_timeout: Duration::from_secs(5),
+                resolve_ttl: Duration::from_secs(1),
                 ..NodeSettings::default()
             };
             let listeners = Listeners::bind(&mut settings).await.unwrap();
--- a/crates/fireflyhead-node/src/peer/client.rs
+++ b/crates/fireflyhead-node/src/peer/client.rs
@@ -109,6 +109,11 @@
         Peers { inner: Arc::new(Inner { me, auth, connect_timeout, slots, stop }) }
     }
 
+    /// Keys of the node.
+    pub fn authenticator(&self) -> &Arc<Authenticator> {
+        &self.inner.auth
+    }
+
     /// Sends `dispatch` to the owner at `address`.
     ///
     /// # Errors
--- a/crates/fireflyhead-node/src/upstream.rs
+++ b/crates/fireflyhead-node/src/upstream.rs
@@ -55,6 +55,8 @@
     Transport(reqwest::Error),
     /// the upstream rejected the order: a newer owner exists
     Fenced,
+    /// this node may not give orders to the upstream now
+    NotAllowed,
     /// the upstream answered with status {0}
     Status(u16),
     /// the upstream's answer is malformed: {0}
