--- a/src/ops/demo/run.rs
+++ b/src/ops/demo/run.rs
@@ -59,7 +59,7 @@
     for index in 0..NODES {
         let mut settings = fleet.node_settings(plan, index)?;
         settings.seeds = nodes.iter().map(|node| node.addresses().peer.to_string()).collect();
-        let node = nodes::start(settings).await;
+        let node = Node::start(settings).await;
         nodes.push(node.with_context(|| format!("cannot start node {}", index + 1))?);
     }
     for node in &nodes {
