--- a/crates/fireflyhead-node/src/node/cluster.rs
+++ b/crates/fireflyhead-node/src/node/cluster.rs
@@ -1,5 +1,8 @@
 //! Actors that keep the context of a node up to date, and their connections.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
