--- a/crates/fireflyhead-node/src/dispatchers/actor.rs
+++ b/crates/fireflyhead-node/src/dispatchers/actor.rs
@@ -357,12 +357,13 @@
     fn submit(&mut self, dispatch: &Dispatch, port: RunPort) {
         self.next_job += 1;
         let id = JobId(self.next_job);
-        let Some((job, request)) = self.accept(id, dispatch) else {
+        let span = telemetry::dispatch_span(&dispatch.traceparent);
+        let traceparent = telemetry::outgoing(&span, &dispatch.traceparent);
+        let Some((job, request)) = self.accept(id, dispatch, &traceparent) else {
             let code = "malformed_body".to_owned();
             let _gone = port.frames.try_send(Body::Refused(Refused { code, retry_after_ms: 0 }));
             return;
         };
-        let span = telemetry::remote_span("dispatch", &dispatch.traceparent);
         let entry = JobEntry {
             request: Arc::new(request),
             frames: port.frames,
@@ -381,7 +382,12 @@
     }
 
     /// Job and upstream request of a well-formed message.
-    fn accept(&self, id: JobId, dispatch: &Dispatch) -> Option<(Job, RunRequest)> {
+    fn accept(
+        &self,
+        id: JobId,
+        dispatch: &Dispatch,
+        traceparent: &str,
+    ) -> Option<(Job, RunRequest)> {
         let adapter = match &dispatch.adapter {
             Some(wire) => Some(AdapterKey::try_from(wire.clone()).ok()?),
             None => None,
@@ -398,7 +404,7 @@
             idempotent: dispatch.idempotent,
         };
         let mut headers = from_wire(&dispatch.headers);
-        if let Ok(value) = dispatch.traceparent.parse() {
+        if let (false, Ok(value)) = (traceparent.is_empty(), traceparent.parse()) {
             headers.insert("traceparent", value);
         }
         let request = RunRequest {
--- a/crates/fireflyhead-node/src/entry.rs
+++ b/crates/fireflyhead-node/src/entry.rs
@@ -31,6 +31,7 @@
 use http::HeaderMap;
 use http::Method;
 use tokio_util::sync::CancellationToken;
+use tracing::Span;
 
 use crate::context::NodeContext;
 use crate::dispatchers::Dispatchers;
@@ -335,7 +336,7 @@
             prefix: None,
             retry,
             request_id: request.header(REQUEST_ID_HEADER).unwrap_or_default().to_owned(),
-            traceparent: telemetry::current_traceparent(),
+            traceparent: telemetry::traceparent(&Span::current(), &request.headers),
         }
     }
 
