--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -62,7 +62,7 @@
 #[cfg(test)]
 mod tests;
 
-use cluster::Cluster;
+use crate::node::cluster::Cluster;
 
 /// Connections of operators at the same time.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
@@ -114,6 +114,10 @@
     Ok(listener)
 }
 
+/// Probe intervals in which the other nodes learn that a node is leaving. A change
+/// reaches 330 nodes in about 6 intervals; a busy host takes longer.
+const LEAVE_INTERVALS: u32 = 10;
+
 /// What a stop interrupted.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StopReport {
@@ -294,7 +298,9 @@
     }
 
     async fn finish_work(&self) {
-        let expired = sleep(self.cx.settings.resolve_ttl);
+        // Until then callers may hold ids that name this node as home or witness.
+        let settings = &self.cx.settings;
+        let expired = sleep(settings.resolve_ttl + settings.probe_interval * LEAVE_INTERVALS);
         let others =
             self.cx.members.borrow().iter().any(|member| {
                 member.state == MemberState::Alive && member.node.id != self.cx.me.id
