--- a/crates/fireflyhead-node/src/node/cluster/tests.rs
+++ b/crates/fireflyhead-node/src/node/cluster/tests.rs
@@ -70,6 +70,8 @@
 
 impl Cluster {
     async fn start(count: usize) -> Cluster {
+        // The log is shown with a failed test.
+        let _already_set = tracing_subscriber::fmt().with_test_writer().try_init();
         let ledger = Ledger::default();
         let (mut engines, mut services, mut list) = (Vec::new(), Vec::new(), Vec::new());
         for i in 0..2 {
