--- a/crates/fireflyhead-node/src/entry.rs
+++ b/crates/fireflyhead-node/src/entry.rs
@@ -23,6 +23,7 @@
 use fireflyhead_core::types::Name;
 use fireflyhead_core::types::NodeRef;
 use fireflyhead_core::types::Role;
+use fireflyhead_core::types::Time;
 use fireflyhead_core::types::UpstreamAdvert;
 use fireflyhead_core::types::UpstreamInfo;
 use fireflyhead_schema::messages;
@@ -43,6 +44,7 @@
 use crate::upstream::to_wire;
 
 pub mod account;
+mod admission;
 pub mod calls;
 pub mod error;
 mod keys;
@@ -52,9 +54,12 @@
 mod run;
 #[cfg(test)]
 mod tests;
+mod usage;
 
 use crate::entry::account::Accepted;
 use crate::entry::account::Accounting;
+use crate::entry::admission::Admission;
+use crate::entry::admission::Admitted;
 use crate::entry::error::EntryError;
 use crate::entry::output::Output;
 
@@ -124,13 +129,7 @@
 
 impl JobSpec {
     /// Message to the owner of `upstream`, with `left` until the deadline.
-    fn dispatch(
-        &self,
-        upstream: &Name,
-        left: Duration,
-        attempt: u32,
-        resume_from: u32,
-    ) -> Dispatch {
+    fn dispatch(&self, upstream: &Name, left: Duration, rerun: bool, resume_from: u32) -> Dispatch {
         let terms = &self.policy.terms;
         Dispatch {
             job: 0,
@@ -143,9 +142,9 @@
             prompt_tokens: self.prompt_tokens,
             output_tokens: self.output_tokens.saturating_sub(resume_from),
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            retry: self.retry || attempt > 1,
+            retry: self.retry || rerun,
             idempotent: terms.idempotent,
-            attempt,
+            attempt: 1,
             method: self.method.to_string(),
             path: self.path.clone(),
             headers: self.headers.clone(),
@@ -194,6 +193,7 @@
     parts: EntryParts,
     placement: Mutex<Placement>,
     keys: keys::Keys,
+    admission: Admission,
 }
 
 impl Entry {
@@ -203,8 +203,10 @@
         let cfg = PlacementConfig { zone, ..PlacementConfig::default() };
         let placement = Mutex::new(Placement::new(cfg, rand::random()));
         let keys = keys::Keys::new(parts.store.clone(), parts.cx.settings.request_retention);
-        let entry = Entry { inner: Arc::new(Inner { parts, placement, keys }) };
+        let admission = Admission::new(&parts.cx);
+        let entry = Entry { inner: Arc::new(Inner { parts, placement, keys, admission }) };
         tokio::spawn(entry.clone().follow());
+        tokio::spawn(entry.clone().share_usage());
         entry
     }
 
@@ -222,6 +224,8 @@
         let mut upstreams = self.cx().upstreams.subscribe();
         upstreams.mark_changed();
         let mut adverts = self.cx().adverts.subscribe();
+        let mut members = self.cx().members.subscribe();
+        members.mark_changed();
         let stop = self.inner.parts.stop.clone();
         let mut sent: HashMap<Name, UpstreamAdvert> = HashMap::new();
         let mut refreshed = tokio::time::Instant::now();
@@ -233,6 +237,10 @@
                     Err(_) => return,
                 },
                 changed = adverts.changed() => if changed.is_err() { return },
+                changed = members.changed() => match changed {
+                    Ok(()) => self.inner.admission.set_members(&members.borrow_and_update()),
+                    Err(_) => return,
+                },
                 () = tokio::time::sleep(ADVERT_INTERVAL) => {}
             }
             let all = adverts.borrow_and_update().clone();
@@ -282,11 +290,18 @@
         let accounting = &self.inner.parts.accounting;
         let accepted = accounting.accept(spec.policy.terms.rank, spec.class.clone());
         match spec.policy.terms.idempotent {
-            true => self.stream(spec, accepted).await,
+            true => match self.inner.admission.admit(self.now(), &spec.policy, spec.retry) {
+                Ok(admitted) => self.stream(spec, accepted, admitted).await,
+                Err(e) => e.into_response(),
+            },
             false => self.call(request, spec, accepted).await,
         }
     }
 
+    fn now(&self) -> Time {
+        self.inner.parts.cx.clock.now()
+    }
+
     /// Finds the policy of a request and checks the request.
     fn admit(&self, request: &CallerRequest) -> Result<JobSpec, EntryError> {
         let table = self.cx().table.borrow().clone();
@@ -322,7 +337,9 @@
         for name in OWN_HEADERS {
             headers.remove(name);
         }
-        let retry = request.header(RETRY_HEADER).is_some_and(|attempt| attempt != "0");
+        let id = request.header(REQUEST_ID_HEADER).unwrap_or_default();
+        let named = request.header(RETRY_HEADER).is_some_and(|attempt| attempt != "0");
+        let retry = self.inner.admission.is_retry(self.now(), id) || named;
         JobSpec {
             policy,
             class,
@@ -335,13 +352,13 @@
             output_tokens: 0,
             prefix: None,
             retry,
-            request_id: request.header(REQUEST_ID_HEADER).unwrap_or_default().to_owned(),
+            request_id: id.to_owned(),
             traceparent: telemetry::traceparent(&Span::current(), &request.headers),
         }
     }
 
     /// Runs an idempotent request and streams its response.
-    async fn stream(&self, spec: JobSpec, accepted: Accepted) -> Response {
+    async fn stream(&self, spec: JobSpec, accepted: Accepted, admitted: Admitted) -> Response {
         let (output, response) = Output::new(accepted);
         let (entry, stop) = (self.clone(), self.inner.parts.stop.clone());
         let work = async move {
@@ -349,6 +366,7 @@
                 () = stop.cancelled() => {}
                 () = entry.run_idempotent(spec, output) => {}
             }
+            drop(admitted);
         };
         tokio::spawn(tracing::Instrument::in_current_span(work));
         response.await
--- a/crates/fireflyhead-node/src/entry/calls.rs
+++ b/crates/fireflyhead-node/src/entry/calls.rs
@@ -168,7 +168,21 @@
     /// Starts or joins the request at this home.
     async fn begin(&self, mut spec: JobSpec, id: RequestId) -> Settled {
         spec.request_id = id.to_string();
-        let reply = self.inner.parts.once.begin(id, Arc::new(spec)).await;
+        let once = &self.inner.parts.once;
+        // A call that joins a run causes no work, so the limits don't apply to it.
+        let admitted = match once.is_running(id.clone()).await {
+            true => None,
+            false => Some(self.inner.admission.admit(self.now(), &spec.policy, spec.retry)),
+        };
+        let reply = match &admitted {
+            Some(Err(e)) => match once.refuse(id).await {
+                OnceReply::NotRun => return e.clone().into(),
+                // The id is known: it runs or has ended.
+                reply => reply,
+            },
+            Some(Ok(_)) | None => once.begin(id, Arc::new(spec)).await,
+        };
+        drop(admitted);
         self.settled(reply).await
     }
 
--- a/crates/fireflyhead-node/src/entry/run.rs
+++ b/crates/fireflyhead-node/src/entry/run.rs
@@ -213,13 +213,22 @@
     lost: u32,
     /// Whether an upstream may have received the request.
     sent: bool,
+    /// Whether a run failed at its upstream.
+    rerun: bool,
     /// Code of the last failure.
     code: &'static str,
 }
 
 impl Tries {
     fn new() -> Tries {
-        Tries { tried: Vec::new(), count: 0, lost: 0, sent: false, code: UPSTREAM_FAILED }
+        Tries {
+            tried: Vec::new(),
+            count: 0,
+            lost: 0,
+            sent: false,
+            rerun: false,
+            code: UPSTREAM_FAILED,
+        }
     }
 
     fn error(&self, code: &'static str, message: &str) -> Stopped {
@@ -278,8 +287,7 @@
                 }
                 false => left,
             };
-            let attempt = tries.count + tries.lost + 1;
-            let dispatch = spec.dispatch(&upstream, left, attempt, receiver.resume_from());
+            let dispatch = spec.dispatch(&upstream, left, tries.rerun, receiver.resume_from());
             let end = self.try_one(spec, &upstream, &route, dispatch, receiver).await;
             if let TryEnd::Answered = end {
                 return Ok(());
@@ -334,6 +342,11 @@
                 tries.count += 1;
                 tries.sent |= sent;
                 tries.code = code;
+                tries.rerun |= sent;
+                // A lost owner is not the upstream's failure, so only failed runs are limited.
+                if sent && !asked && !self.inner.admission.admit_rerun(self.now(), &spec.policy) {
+                    return Err(tries.error(tries.code, "the retry budget of the row is spent"));
+                }
             }
         }
         let failure = tries.error(tries.code, "the upstream did not complete the request");
--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -387,6 +387,10 @@
                 call_request::Body::Forward(forward) => entry.serve_forwarded(forward).await,
                 call_request::Body::LoadGrant(request) => loads.answer(request).await,
                 call_request::Body::LoadFinished(finished) => loads.answer_finished(finished),
+                call_request::Body::Usage(usage) => {
+                    entry.learn_usage(from, &usage);
+                    call_answer::Body::Done(Done {})
+                }
                 call_request::Body::Token(_) => match once.issue().await {
                     Some(token) => call_answer::Body::Token(token_to_wire(&token)),
                     None => call_answer::Body::Error("the node stops".to_owned()),
--- a/crates/fireflyhead-node/src/once.rs
+++ b/crates/fireflyhead-node/src/once.rs
@@ -81,6 +81,8 @@
     Begin { id: RequestId, spec: Arc<JobSpec>, reply: oneshot::Sender<OnceReply> },
     Lookup { id: RequestId, reply: oneshot::Sender<OnceReply> },
     Intent { id: RequestId, from: NodeRef, reply: oneshot::Sender<bool> },
+    Refuse { id: RequestId, reply: oneshot::Sender<OnceReply> },
+    IsRunning { id: RequestId, reply: oneshot::Sender<bool> },
     Permit { id: RequestId, attempt: u32, reply: oneshot::Sender<bool> },
     Issue { reply: oneshot::Sender<PlacementToken> },
     Clock { node: NodeRef, tick_ms: u64 },
@@ -130,6 +132,16 @@
         self.ask(|reply| OnceMsg::Begin { id, spec, reply }).await.unwrap_or(OnceReply::Unknown)
     }
 
+    /// Closes `id` at this home without a run; its outcome if it is known.
+    pub(crate) async fn refuse(&self, id: RequestId) -> OnceReply {
+        self.ask(|reply| OnceMsg::Refuse { id, reply }).await.unwrap_or(OnceReply::Unknown)
+    }
+
+    /// Whether `id` runs at this home.
+    pub(crate) async fn is_running(&self, id: RequestId) -> bool {
+        self.ask(|reply| OnceMsg::IsRunning { id, reply }).await.unwrap_or(false)
+    }
+
     /// Outcome of `id` as this witness knows it.
     pub(crate) async fn lookup(&self, id: RequestId) -> OnceReply {
         self.ask(|reply| OnceMsg::Lookup { id, reply }).await.unwrap_or(OnceReply::Unknown)
@@ -278,6 +290,13 @@
                 self.specs.entry(id.clone()).or_insert(spec);
                 self.input(OnceInput::Begin { id, caller });
             }
+            OnceMsg::Refuse { id, reply } => {
+                let caller = self.caller(reply);
+                self.input(OnceInput::Refuse { id, caller });
+            }
+            OnceMsg::IsRunning { id, reply } => {
+                let _gone = reply.send(self.specs.contains_key(&id));
+            }
             OnceMsg::Lookup { id, reply } => {
                 let caller = self.caller(reply);
                 self.input(OnceInput::Lookup { id, caller });
