--- a/crates/fireflyhead-node/src/dispatchers/actor.rs
+++ b/crates/fireflyhead-node/src/dispatchers/actor.rs
@@ -65,6 +65,13 @@
 /// Time between two reads of an upstream's load figures and two adverts.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Shortest time without progress after which a connection may be silent. With the time to
+/// find that out it stays below the 5 s within which such connections are replaced.
+const MIN_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Targets to first output that pass before a connection may be silent.
+const PATIENCE_TARGETS: u32 = 6;
+
 /// Message to the actor of an upstream.
 pub(crate) enum DispatcherMsg {
     /// An entry sent a request.
@@ -415,10 +422,18 @@
             body: dispatch.body.clone(),
             adapter,
             resume_from: dispatch.resume_from,
+            patience: dispatch.idempotent.then(|| self.patience(job.row)),
         };
         Some((job, request))
     }
 
+    /// Time without progress after which a connection may be silent: well above the target
+    /// of the row, so that slow work is not taken for a silent connection.
+    fn patience(&self, row: RowId) -> Duration {
+        let target = self.cx.table.borrow().row(row).map_or(Duration::ZERO, |row| row.terms.target);
+        MIN_PATIENCE.max(target * PATIENCE_TARGETS)
+    }
+
     /// Engines get an id of our own, because two callers may choose the same one. Plain
     /// services get the caller's id, by which they may recognise a repeated call.
     fn upstream_id(&self, id: JobId, dispatch: &Dispatch, engine: bool) -> String {
--- a/crates/fireflyhead-node/src/entry/admission.rs
+++ b/crates/fireflyhead-node/src/entry/admission.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use fireflyhead_core::limits::Attempt;
+use fireflyhead_core::limits::LimitRefusal;
 use fireflyhead_core::limits::LimitsConfig;
 use fireflyhead_core::limits::RowLimits;
 use fireflyhead_core::limits::RowUsage;
@@ -17,6 +18,7 @@
 use fireflyhead_core::types::Member;
 use fireflyhead_core::types::MemberState;
 use fireflyhead_core::types::Name;
+use fireflyhead_core::types::RefuseReason;
 use fireflyhead_core::types::RowId;
 use fireflyhead_core::types::Time;
 use rand::Rng;
@@ -30,11 +32,46 @@
 /// Request ids remembered at most.
 const MAX_RECENT: usize = 200_000;
 
+/// Retries a second that a node allows in excess of the rows' budgets.
+const SPARE_RETRIES_PER_SECOND: f64 = 1.0;
+
+/// Retries in excess of the rows' budgets that a node may save up.
+const SPARE_RETRIES: f64 = 10.0;
+
 /// Row limits and recent request ids of one entry.
 #[derive(Clone)]
 pub(super) struct Admission {
     limits: Arc<Mutex<RowLimits>>,
     recent: Arc<Mutex<Recent>>,
+    spare: Arc<Mutex<Spare>>,
+}
+
+/// Retries that a node allows in excess of the rows' budgets.
+///
+/// A fraction of few requests is less than one, so that without them the only failed
+/// request of a quiet row could not run again.
+struct Spare {
+    tokens: f64,
+    at: Time,
+}
+
+impl Default for Spare {
+    fn default() -> Spare {
+        Spare { tokens: SPARE_RETRIES, at: Time::default() }
+    }
+}
+
+impl Spare {
+    fn take(&mut self, now: Time) -> bool {
+        let gained = now.since(self.at).as_secs_f64() * SPARE_RETRIES_PER_SECOND;
+        self.tokens = (self.tokens + gained).min(SPARE_RETRIES);
+        self.at = now;
+        let taken = self.tokens >= 1.0;
+        if taken {
+            self.tokens -= 1.0;
+        }
+        taken
+    }
 }
 
 /// Request within the limits of its row; dropping it releases its place.
@@ -52,7 +89,8 @@
 impl Admission {
     pub(super) fn new(cx: &NodeContext) -> Admission {
         let limits = RowLimits::new(LimitsConfig::default(), cx.me.id.clone());
-        Admission { limits: Arc::new(Mutex::new(limits)), recent: Arc::default() }
+        let limits = Arc::new(Mutex::new(limits));
+        Admission { limits, recent: Arc::default(), spare: Arc::default() }
     }
 
     /// Admits a request of a caller.
@@ -62,8 +100,20 @@
         policy: &Policy,
         retry: bool,
     ) -> Result<Admitted, EntryError> {
-        let attempt = if retry { Attempt::CallerRetry } else { Attempt::Fresh };
-        match lock(&self.limits).admit(now, policy, attempt) {
+        let mut limits = lock(&self.limits);
+        let admitted = match retry {
+            false => limits.admit(now, policy, Attempt::Fresh),
+            true => match limits.admit(now, policy, Attempt::CallerRetry) {
+                Err(LimitRefusal { reason: RefuseReason::RetryBudget, .. })
+                    if lock(&self.spare).take(now) =>
+                {
+                    limits.admit(now, policy, Attempt::Fresh)
+                }
+                admitted => admitted,
+            },
+        };
+        drop(limits);
+        match admitted {
             Ok(()) => Ok(Admitted { limits: self.limits.clone(), row: policy.row }),
             Err(refusal) => {
                 let message = "the limits of the table row are reached";
@@ -77,7 +127,8 @@
 
     /// Whether this entry may run an admitted request once more.
     pub(super) fn admit_rerun(&self, now: Time, policy: &Policy) -> bool {
-        lock(&self.limits).admit(now, policy, Attempt::EntryRetry).is_ok()
+        let admitted = lock(&self.limits).admit(now, policy, Attempt::EntryRetry);
+        admitted.is_ok() || lock(&self.spare).take(now)
     }
 
     /// Whether a request with this id arrived at this node not long ago.
--- a/crates/fireflyhead-node/src/node/tests.rs
+++ b/crates/fireflyhead-node/src/node/tests.rs
@@ -1,5 +1,7 @@
 //! Whole request paths through nodes whose contexts the tests fill by hand.
 
+mod faults;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -48,6 +50,7 @@
 class,draft,,models,,,standard,1,0.1,,,530,20000,0.2,true
 class,order,,desk,POST /orders,,urgent,1,,,,530,10000,0.2,false
 class,status,,desk,GET /orders,,urgent,1,,,,530,10000,0.2,true
+class,quote,,desk,GET /quotes,,standard,1,,2,,530,10000,0.2,true
 adapter,haiku,draft,,,1 2,,,,,,,,,
 ";
 
@@ -122,11 +125,12 @@
 
 /// Nodes, one engine and one plain service; the upstreams belong to the node `owner`.
 struct Fleet {
+    upstreams: Vec<UpstreamInfo>,
     nodes: Vec<Node>,
     service: Service,
     store: Arc<FakeStore>,
     http: reqwest::Client,
-    _engine: Engine,
+    engine: Engine,
 }
 
 impl Fleet {
@@ -160,7 +164,7 @@
             info("service", "desk", service.address(), UpstreamKind::Service),
         ];
         let http = reqwest::Client::new();
-        let fleet = Fleet { nodes, service, store, http, _engine: engine };
+        let fleet = Fleet { upstreams: upstreams.to_vec(), nodes, service, store, http, engine };
         fleet.publish(&upstreams, owner);
         sleep(Duration::from_millis(300)).await;
         fleet
@@ -169,12 +173,17 @@
     /// Fills the contexts of all nodes.
     fn publish(&self, upstreams: &[UpstreamInfo], owner: usize) {
         let members: Vec<Member> = self.nodes.iter().map(member).collect();
+        self.publish_members(upstreams, owner, &members);
+    }
+
+    /// Fills the contexts with `members` instead of the nodes as they are.
+    fn publish_members(&self, upstreams: &[UpstreamInfo], owner: usize, members: &[Member]) {
         let upstreams: HashMap<Name, UpstreamInfo> =
             upstreams.iter().map(|info| (info.name.clone(), info.clone())).collect();
         for (i, node) in self.nodes.iter().enumerate() {
             let cx = node.context();
             cx.table.send_replace(Arc::new(Table::from_csv(1, TABLE).unwrap()));
-            cx.members.send_replace(Arc::new(members.clone()));
+            cx.members.send_replace(Arc::new(members.to_vec()));
             let role = match i == owner {
                 true => {
                     Role::Owner { fencing: 1, orders_allowed: true, pinned_until: Time::default() }
--- a/crates/fireflyhead-node/src/upstream.rs
+++ b/crates/fireflyhead-node/src/upstream.rs
@@ -7,8 +7,10 @@
 use std::collections::hash_map::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
+use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use fireflyhead_core::dispatch::LoadReport;
 use fireflyhead_core::types::AdapterKey;
 use fireflyhead_core::types::Name;
@@ -39,7 +41,7 @@
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Longest time of a read of the load figures.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest time of the order to cancel a request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -83,7 +85,10 @@
 /// Client of one upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamClient {
-    http: reqwest::Client,
+    /// Connections in use; replaced when they stop responding.
+    http: Arc<ArcSwap<reqwest::Client>>,
+    /// Opens a connection for each call, to find out whether the upstream responds.
+    fresh: reqwest::Client,
     base: String,
     name: Name,
     engine: bool,
@@ -99,17 +104,9 @@
         info: &UpstreamInfo,
         timeouts: UpstreamTimeouts,
     ) -> Result<UpstreamClient, UpstreamError> {
-        let http = reqwest::Client::builder()
-            .connect_timeout(timeouts.connect)
-            .redirect(reqwest::redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .tcp_nodelay(true)
-            .no_proxy()
-            .http1_only()
-            .build()?;
         Ok(UpstreamClient {
-            http,
+            http: Arc::new(ArcSwap::from_pointee(http_client(timeouts, IDLE_CONNECTIONS)?)),
+            fresh: http_client(timeouts, 0)?,
             base: format!("http://{}", info.address),
             name: info.name.clone(),
             engine: matches!(info.kind, UpstreamKind::Engine { .. }),
@@ -122,6 +119,30 @@
         &self.name
     }
 
+    fn http(&self) -> Arc<reqwest::Client> {
+        self.http.load_full()
+    }
+
+    /// Whether the upstream responds on a new connection while `used` does not.
+    ///
+    /// If so, the connections of `used` are no longer used for new requests.
+    async fn is_connection_silent(&self, used: &Arc<reqwest::Client>) -> bool {
+        let request = self.fresh.get(format!("{}/load", self.base)).timeout(REPORT_TIMEOUT);
+        if request.send().await.is_err() {
+            return false;
+        }
+        match http_client(self.timeouts, IDLE_CONNECTIONS) {
+            Ok(client) => {
+                let replaced = self.http.compare_and_swap(used, Arc::new(client));
+                if Arc::ptr_eq(&replaced, used) {
+                    tracing::warn!(upstream = %self.name, "connections replaced: a new one responds");
+                }
+            }
+            Err(e) => tracing::error!(error = %e, "no new HTTP client"),
+        }
+        true
+    }
+
     /// Orders the engine to load `adapter`.
     ///
     /// # Errors
@@ -143,7 +164,7 @@
 
     async fn order(&self, path: &str, body: &Value, fencing: u64) -> Result<(), UpstreamError> {
         let request = self
-            .http
+            .http()
             .post(format!("{}{path}", self.base))
             .header(FENCING_HEADER, fencing)
             .timeout(ORDER_TIMEOUT)
@@ -160,8 +181,15 @@
     /// # Errors
     /// An unanswered call or a malformed answer.
     pub async fn report(&self) -> Result<LoadReport, UpstreamError> {
-        let request = self.http.get(format!("{}/load", self.base)).timeout(REPORT_TIMEOUT);
-        let response = request.send().await?;
+        let http = self.http();
+        let request = http.get(format!("{}/load", self.base)).timeout(REPORT_TIMEOUT);
+        let response = match request.send().await {
+            Err(e) if e.is_timeout() && !e.is_connect() => {
+                self.is_connection_silent(&http).await;
+                return Err(e.into());
+            }
+            result => result?,
+        };
         match response.status().as_u16() {
             200 => parse_report(&response.json().await?),
             status => Err(UpstreamError::Status(status)),
@@ -174,13 +202,25 @@
             return;
         }
         let url = format!("{}/v1/requests/{id}", self.base);
-        let request = self.http.delete(url).timeout(CANCEL_TIMEOUT);
+        let request = self.http().delete(url).timeout(CANCEL_TIMEOUT);
         if let Err(e) = request.send().await {
             tracing::debug!(upstream = %self.name, error = %e, "cancel order failed");
         }
     }
 }
 
+fn http_client(timeouts: UpstreamTimeouts, idle: usize) -> reqwest::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .connect_timeout(timeouts.connect)
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .pool_max_idle_per_host(idle)
+        .tcp_nodelay(true)
+        .no_proxy()
+        .http1_only()
+        .build()
+}
+
 /// Load figures from the JSON of `GET /load`.
 fn parse_report(json: &Value) -> Result<LoadReport, UpstreamError> {
     let boot_id = match &json["boot_id"] {
--- a/crates/fireflyhead-node/src/upstream/run.rs
+++ b/crates/fireflyhead-node/src/upstream/run.rs
@@ -1,5 +1,8 @@
 //! One run of a request at an upstream.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use fireflyhead_core::types::AdapterKey;
@@ -61,6 +64,9 @@
     pub adapter: Option<AdapterKey>,
     /// Tokens that the caller already has.
     pub resume_from: u32,
+    /// Time without progress after which a connection that may be silent is given up,
+    /// if the upstream responds on a new one; `None` if the request must not run twice.
+    pub patience: Option<Duration>,
 }
 
 /// Progress of a run.
@@ -99,6 +105,14 @@
     }
 }
 
+/// Response while it is received.
+struct Source {
+    response: reqwest::Response,
+    /// Client whose connection carries the response.
+    http: Arc<reqwest::Client>,
+    patience: Option<Duration>,
+}
+
 /// Receiver of a run's output.
 struct Sink<'a> {
     frames: &'a mpsc::Sender<Body>,
@@ -163,75 +177,100 @@
     }
 
     async fn exchange(&self, request: &RunRequest, sink: &mut Sink<'_>) -> Result<RunEnd, RunEnd> {
-        let response = self.send(request).await?;
+        let http = self.http();
+        let response = self.send(request, &http).await?;
         check_echo(request, response.headers(), self.engine)?;
         let status = response.status().as_u16();
         match &request.adapter {
-            None => self.pass(response, sink).await,
-            Some(_) if !(200..300).contains(&status) => self.engine_error(response, sink).await,
-            Some(adapter) if is_event_stream(response.headers()) => {
-                self.stream(response, request, adapter, sink).await
+            None => {
+                let patience = request.patience;
+                self.pass(Source { response, http, patience }, sink).await
+            }
+            Some(_) if !(200..300).contains(&status) => {
+                self.engine_error(Source { response, http, patience: request.patience }, sink).await
+            }
+            Some(adapter) => {
+                let events = is_event_stream(response.headers());
+                let source = Source { response, http, patience: request.patience };
+                match events {
+                    true => self.stream(source, request, adapter, sink).await,
+                    false => self.json(source, request, adapter, sink).await,
+                }
             }
-            Some(adapter) => self.json(response, request, adapter, sink).await,
         }
     }
 
-    async fn send(&self, request: &RunRequest) -> Result<reqwest::Response, RunEnd> {
+    async fn send(
+        &self,
+        request: &RunRequest,
+        http: &Arc<reqwest::Client>,
+    ) -> Result<reqwest::Response, RunEnd> {
         let body = match request.resume_from {
             0 => request.body.clone(),
             offset => with_resume(&request.body, offset),
         };
-        let built = self
-            .http
+        let built = http
             .request(request.method.clone(), format!("{}{}", self.base, request.path))
             .headers(request.headers.clone())
             .header(REQUEST_ID_HEADER, &request.id)
             .body(body);
-        match timeout(self.timeouts.progress, built.send()).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(e)) => {
+        match self.watched(http, request.patience, built.send()).await {
+            Some(Ok(response)) => Ok(response),
+            Some(Err(e)) => {
                 let sent = !e.is_connect() && !e.is_builder();
                 Err(RunEnd::Failed { sent, reason: e.to_string() })
             }
-            Err(_) => Err(RunEnd::failed("no answer within the progress timeout")),
+            None => Err(RunEnd::failed("no answer, or the connection is silent")),
         }
     }
 
-    /// Passes the response of a plain service on as it is.
-    async fn pass(
+    /// Waits for progress; `None` after the progress timeout, or if the connection is silent.
+    async fn watched<T>(
         &self,
-        mut response: reqwest::Response,
-        sink: &mut Sink<'_>,
-    ) -> Result<RunEnd, RunEnd> {
-        let status = response.status().as_u16();
-        sink.start(status, response.headers(), None).await?;
-        while let Some(bytes) = self.next(&mut response).await? {
+        http: &Arc<reqwest::Client>,
+        patience: Option<Duration>,
+        progress: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::pin!(progress);
+        let limit = self.timeouts.progress;
+        let Some(patience) = patience.filter(|patience| *patience < limit) else {
+            return timeout(limit, progress).await.ok();
+        };
+        match timeout(patience, &mut progress).await {
+            Ok(done) => return Some(done),
+            Err(_) if self.is_connection_silent(http).await => return None,
+            Err(_) => {}
+        }
+        timeout(limit - patience, progress).await.ok()
+    }
+
+    /// Passes the response of a plain service on as it is.
+    async fn pass(&self, mut source: Source, sink: &mut Sink<'_>) -> Result<RunEnd, RunEnd> {
+        let status = source.response.status().as_u16();
+        sink.start(status, source.response.headers(), None).await?;
+        while let Some(bytes) = self.next(&mut source).await? {
             sink.chunk(bytes, 0).await?;
         }
         Ok(RunEnd::Answered { status })
     }
 
     /// Errors in the caller's request are answers; all others are failures of the engine.
-    async fn engine_error(
-        &self,
-        response: reqwest::Response,
-        sink: &mut Sink<'_>,
-    ) -> Result<RunEnd, RunEnd> {
-        match response.status().as_u16() {
-            400 | 413 | 422 => self.pass(response, sink).await,
+    async fn engine_error(&self, source: Source, sink: &mut Sink<'_>) -> Result<RunEnd, RunEnd> {
+        match source.response.status().as_u16() {
+            400 | 413 | 422 => self.pass(source, sink).await,
             status => Err(RunEnd::failed(format!("the engine answered with status {status}"))),
         }
     }
 
     async fn json(
         &self,
-        mut response: reqwest::Response,
+        mut source: Source,
         request: &RunRequest,
         adapter: &AdapterKey,
         sink: &mut Sink<'_>,
     ) -> Result<RunEnd, RunEnd> {
         let mut body = BytesMut::new();
-        while let Some(bytes) = self.next(&mut response).await? {
+        while let Some(bytes) = self.next(&mut source).await? {
             if body.len() + bytes.len() > MAX_JSON_BYTES {
                 return Err(RunEnd::failed("the answer is too large"));
             }
@@ -242,25 +281,25 @@
         check_model(&json, adapter)?;
         check_id(&json, request)?;
         let tokens = json["usage"]["completion_tokens"].as_u64().unwrap_or_default();
-        let status = response.status().as_u16();
-        sink.start(status, response.headers(), Some(adapter)).await?;
+        let status = source.response.status().as_u16();
+        sink.start(status, source.response.headers(), Some(adapter)).await?;
         sink.chunk(body.freeze(), u32::try_from(tokens).unwrap_or(u32::MAX)).await?;
         Ok(RunEnd::Answered { status })
     }
 
     async fn stream(
         &self,
-        mut response: reqwest::Response,
+        mut source: Source,
         request: &RunRequest,
         adapter: &AdapterKey,
         sink: &mut Sink<'_>,
     ) -> Result<RunEnd, RunEnd> {
-        let status = response.status().as_u16();
-        sink.start(status, response.headers(), Some(adapter)).await?;
+        let status = source.response.status().as_u16();
+        sink.start(status, source.response.headers(), Some(adapter)).await?;
         let mut events = EventSplitter::default();
         let mut check = StreamCheck::new(request, adapter);
         loop {
-            let received = match self.next(&mut response).await {
+            let received = match self.next(&mut source).await {
                 Ok(Some(bytes)) => bytes,
                 // Only the closing event is missing.
                 Ok(None) | Err(_) if check.finished => {
@@ -300,11 +339,12 @@
         }
     }
 
-    async fn next(&self, response: &mut reqwest::Response) -> Result<Option<Bytes>, RunEnd> {
-        match timeout(self.timeouts.progress, response.chunk()).await {
-            Ok(Ok(bytes)) => Ok(bytes),
-            Ok(Err(e)) => Err(RunEnd::failed(e.to_string())),
-            Err(_) => Err(RunEnd::failed("no progress within the timeout")),
+    async fn next(&self, source: &mut Source) -> Result<Option<Bytes>, RunEnd> {
+        let Source { response, http, patience } = source;
+        match self.watched(http, *patience, response.chunk()).await {
+            Some(Ok(bytes)) => Ok(bytes),
+            Some(Err(e)) => Err(RunEnd::failed(e.to_string())),
+            None => Err(RunEnd::failed("no progress, or the connection is silent")),
         }
     }
 }
