--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -60,7 +60,7 @@
 
 mod cluster;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use cluster::Cluster;
 
--- a/crates/fireflyhead-node/src/node/tests.rs
+++ b/crates/fireflyhead-node/src/node/tests.rs
@@ -124,17 +124,17 @@
 }
 
 /// Nodes, one engine and one plain service; the upstreams belong to the node `owner`.
-struct Fleet {
+pub(crate) struct Fleet {
     upstreams: Vec<UpstreamInfo>,
-    nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
     service: Service,
     store: Arc<FakeStore>,
-    http: reqwest::Client,
+    pub(crate) http: reqwest::Client,
     engine: Engine,
 }
 
 impl Fleet {
-    async fn start(count: usize, owner: usize) -> Fleet {
+    pub(crate) async fn start(count: usize, owner: usize) -> Fleet {
         Fleet::with_service(count, owner, ServiceConfig::default()).await
     }
 
@@ -152,6 +152,7 @@
                 peer_address: "127.0.0.1:0".parse().unwrap(),
                 peer_key: "secret".to_owned().into(),
                 request_timeout: Duration::from_secs(5),
+                header_timeout: Duration::from_secs(1),
                 resolve_ttl: Duration::from_secs(1),
                 ..NodeSettings::default()
             };
@@ -202,7 +203,7 @@
         }
     }
 
-    fn url(&self, node: usize, path: &str) -> String {
+    pub(crate) fn url(&self, node: usize, path: &str) -> String {
         format!("http://{}{path}", self.nodes[node].addresses().caller)
     }
 
@@ -212,12 +213,12 @@
     }
 
     /// Id of a new request with `node` as home.
-    async fn id(&self, node: usize, suffix: &str) -> String {
+    pub(crate) async fn id(&self, node: usize, suffix: &str) -> String {
         let resolved = self.resolve(node).await;
         format!("{}.{suffix}", resolved["addresses"][0]["placement"].as_str().unwrap())
     }
 
-    async fn order(&self, node: usize, headers: &[(&str, &str)]) -> (u16, Value) {
+    pub(crate) async fn order(&self, node: usize, headers: &[(&str, &str)]) -> (u16, Value) {
         let mut request = self.http.post(self.url(node, "/svc/desk/orders"));
         for (name, value) in headers {
             request = request.header(*name, *value);
--- a/crates/fireflyhead-node/src/peer/frame.rs
+++ b/crates/fireflyhead-node/src/peer/frame.rs
@@ -82,6 +82,12 @@
         self.buf.is_empty()
     }
 
+    /// Bytes that the decoder has reserved.
+    #[cfg(test)]
+    pub(crate) fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Next complete frame, if one was received.
     ///
     /// # Errors
--- a/crates/fireflyhead-node/src/upstream/run.rs
+++ b/crates/fireflyhead-node/src/upstream/run.rs
@@ -350,7 +350,7 @@
 }
 
 /// Checks that the events of a stream belong to the request and follow each other.
-struct StreamCheck<'a> {
+pub(super) struct StreamCheck<'a> {
     request: &'a RunRequest,
     adapter: &'a AdapterKey,
     /// Tokens before the next event, counted from the start of the answer.
@@ -360,12 +360,12 @@
 }
 
 impl<'a> StreamCheck<'a> {
-    fn new(request: &'a RunRequest, adapter: &'a AdapterKey) -> StreamCheck<'a> {
+    pub(super) fn new(request: &'a RunRequest, adapter: &'a AdapterKey) -> StreamCheck<'a> {
         StreamCheck { request, adapter, offset: request.resume_from.into(), finished: false }
     }
 
     /// Tokens of an event, after it was checked.
-    fn event(&mut self, data: &str) -> Result<u32, RunEnd> {
+    pub(super) fn event(&mut self, data: &str) -> Result<u32, RunEnd> {
         if data.is_empty() || data == DONE {
             return Ok(0);
         }
