--- a/crates/fireflyhead-node/src/dispatchers.rs
+++ b/crates/fireflyhead-node/src/dispatchers.rs
@@ -107,7 +107,8 @@
     pub fn submit(&self, dispatch: Dispatch, port: RunPort) {
         let actor = {
             let actors = self.inner.actors.lock().expect("no holder of this lock panics");
-            actors.get(dispatch.upstream.as_str()).map(|running| running.actor.clone())
+            let running = actors.get(dispatch.upstream.as_str());
+            running.map(|running| running.actor.clone()).filter(ActorRef::is_alive)
         };
         match actor {
             Some(actor) => {
@@ -219,8 +220,14 @@
         for (name, info) in upstreams.iter().filter(|(_, info)| !info.leaving) {
             let role = owners.get(name).map_or(Role::None, |owned| owned.role);
             if role != Role::None && !actors.contains_key(name) {
-                match actor::spawn(&self.inner.cx, info, role, &self.inner.loads, &self.inner.gate)
-                {
+                match actor::spawn(
+                    &self.inner.cx,
+                    info,
+                    role,
+                    &self.inner.loads,
+                    &self.inner.gate,
+                    &self.inner.stop,
+                ) {
                     Ok((actor, jobs)) => {
                         let running = Running { actor, info: info.clone(), draining: false, jobs };
                         actors.insert(name.clone(), running);
--- a/crates/fireflyhead-node/src/dispatchers/actor.rs
+++ b/crates/fireflyhead-node/src/dispatchers/actor.rs
@@ -93,6 +93,8 @@
     Table(Arc<Table>),
     /// Finish the running jobs, then stop.
     Drain,
+    /// The load figures could not be read; whether the connection was refused.
+    Down(bool),
     /// Publish the load figures.
     Advertise,
 }
@@ -121,6 +123,10 @@
     client: UpstreamClient,
     loads: Loads,
     gate: OrderGate,
+    /// Ends the node.
+    stop: CancellationToken,
+    /// Whether the upstream refused the last connection.
+    down: bool,
     /// Number of `jobs`, for others to read.
     unfinished: Arc<AtomicU64>,
     jobs: HashMap<JobId, JobEntry>,
@@ -140,6 +146,7 @@
     role: Role,
     loads: Loads,
     gate: OrderGate,
+    stop: CancellationToken,
     client: UpstreamClient,
     unfinished: Arc<AtomicU64>,
 }
@@ -151,6 +158,7 @@
     role: Role,
     loads: &Loads,
     gate: &OrderGate,
+    stop: &CancellationToken,
 ) -> Result<(ActorRef<DispatcherActor>, Arc<AtomicU64>), UpstreamError> {
     let timeouts = UpstreamTimeouts {
         connect: cx.settings.connect_timeout,
@@ -158,9 +166,18 @@
     };
     let client = UpstreamClient::new(info, timeouts)?;
     let (cx, info, loads, gate) = (cx.clone(), info.clone(), loads.clone(), gate.clone());
+    let stop = stop.clone();
     let unfinished: Arc<AtomicU64> = Arc::default();
-    let args =
-        DispatcherArgs { cx, info, role, loads, gate, client, unfinished: unfinished.clone() };
+    let args = DispatcherArgs {
+        cx,
+        info,
+        role,
+        loads,
+        gate,
+        stop,
+        client,
+        unfinished: unfinished.clone(),
+    };
     Ok((DispatcherActor::spawn_with_mailbox(args, mailbox::unbounded()), unfinished))
 }
 
@@ -172,7 +189,7 @@
         args: DispatcherArgs,
         me: ActorRef<Self>,
     ) -> Result<DispatcherActor, Infallible> {
-        let DispatcherArgs { cx, info, role, loads, gate, client, unfinished } = args;
+        let DispatcherArgs { cx, info, role, loads, gate, stop, client, unfinished } = args;
         let table = cx.table.borrow().clone();
         let cfg = config(&cx, &info, role);
         let mut dispatcher = Dispatcher::new(cfg, table, rand::random());
@@ -199,6 +216,8 @@
             client,
             loads,
             gate,
+            stop,
+            down: false,
             unfinished,
             jobs: HashMap::new(),
             next_job: 0,
@@ -279,7 +298,7 @@
             Ok(report) => DispatcherMsg::Input(DispatchInput::Report(report)),
             Err(e) => {
                 tracing::debug!(upstream = %client.name(), error = %e, "no load figures");
-                DispatcherMsg::Advertise
+                DispatcherMsg::Down(e.is_refused())
             }
         };
         if me.tell(msg).try_send().is_err() || me.tell(DispatcherMsg::Advertise).try_send().is_err()
@@ -300,7 +319,11 @@
                 self.input(DispatchInput::Permit { job, granted: false });
                 self.forget_idle(job);
             }
-            DispatcherMsg::Input(input) => self.input(input),
+            DispatcherMsg::Input(input) => {
+                self.down &= !matches!(input, DispatchInput::Report(_));
+                self.input(input);
+            }
+            DispatcherMsg::Down(down) => self.down = down,
             DispatcherMsg::EntryCancelled(job) => {
                 if let Some(entry) = self.jobs.get(&job) {
                     entry.by_entry.store(true, Ordering::Release);
@@ -364,6 +387,13 @@
     fn submit(&mut self, dispatch: &Dispatch, port: RunPort) {
         self.next_job += 1;
         let id = JobId(self.next_job);
+        // Without a connection the job can't run here, and the permit of a request that
+        // must not run twice would be spent for nothing.
+        if self.down {
+            let reason = "the upstream refuses connections".to_owned();
+            let _gone = port.frames.try_send(Body::Redirect(Redirect { reason }));
+            return;
+        }
         let span = telemetry::dispatch_span(&dispatch.traceparent);
         let traceparent = telemetry::outgoing(&span, &dispatch.traceparent);
         let Some((job, request)) = self.accept(id, dispatch, &traceparent) else {
@@ -439,7 +469,10 @@
     fn upstream_id(&self, id: JobId, dispatch: &Dispatch, engine: bool) -> String {
         let me = &self.cx.me;
         if engine || dispatch.request_id.is_empty() {
-            format!("{}-{:x}-{}-{}", me.id, me.incarnation, self.info.name, id.0)
+            let text = format!("{}-{:x}-{}-{}", me.id, me.incarnation, self.info.name, id.0);
+            // The id is part of a header and of a path.
+            let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
+            text.chars().map(plain).collect()
         } else {
             dispatch.request_id.clone()
         }
@@ -545,7 +578,15 @@
             idempotent: entry.idempotent,
         };
         let span = tracing::info_span!(parent: &entry.span, "upstream", upstream = %self.info.name);
-        tokio::spawn(task.execute().instrument(span));
+        let stop = self.stop.clone();
+        let run = async move {
+            tokio::select! {
+                biased;
+                () = stop.cancelled() => {}
+                () = task.execute() => {}
+            }
+        };
+        tokio::spawn(run.instrument(span));
     }
 
     /// Gives a load or unload order if the node may give orders at this moment.
--- a/crates/fireflyhead-node/src/entry/calls.rs
+++ b/crates/fireflyhead-node/src/entry/calls.rs
@@ -36,6 +36,7 @@
 use crate::entry::account::Accepted;
 use crate::entry::error::EntryError;
 use crate::entry::error::ErrorOutcome;
+use crate::entry::error::PLACEMENT_HEADER;
 use crate::entry::run::Collected;
 use crate::entry::run::Receiver;
 use crate::entry::run::Stopped;
@@ -45,6 +46,9 @@
 use crate::upstream::from_wire;
 use crate::upstream::to_wire;
 
+/// Largest body of a request that must not run twice, in bytes: it travels to its home in one message.
+const MAX_CALL_BODY_BYTES: usize = 16 << 20;
+
 /// Time that home needs beyond the deadline and the progress timeout of a request.
 const FORWARD_MARGIN: Duration = Duration::from_secs(10);
 
@@ -74,6 +78,10 @@
         spec: JobSpec,
         mut accepted: Accepted,
     ) -> Response {
+        if request.body.len() > MAX_CALL_BODY_BYTES {
+            let message = "the body of a request that must not run twice has more than 16 MiB";
+            return EntryError::not_run("body_too_large", message).field("body").into_response();
+        }
         let (entry, stop) = (self.clone(), self.inner.parts.stop.clone());
         let work = async move {
             let id = match entry.identify(&request, &spec).await {
@@ -176,7 +184,7 @@
         };
         let reply = match &admitted {
             Some(Err(e)) => match once.refuse(id).await {
-                OnceReply::NotRun => return e.clone().into(),
+                OnceReply::NotRun => return self.with_placement(e.clone().into()).await,
                 // The id is known: it runs or has ended.
                 reply => reply,
             },
@@ -295,6 +303,17 @@
         once.input(OnceInput::Completed { id, attempt, outcome });
     }
 
+    /// Adds a fresh placement to the response for a request id that is closed.
+    async fn with_placement(&self, mut settled: Settled) -> Settled {
+        if settled.outcome == Outcome::NotRun
+            && let Some(token) = self.inner.parts.once.issue().await
+            && let Ok(value) = HeaderValue::from_str(&token.to_string())
+        {
+            settled.response.headers_mut().insert(PLACEMENT_HEADER, value);
+        }
+        settled
+    }
+
     async fn settled(&self, reply: OnceReply) -> Settled {
         let bare = match reply {
             OnceReply::Stored(stored) if stored.status != 0 => {
@@ -306,7 +325,8 @@
                     }
                 }
                 let response = response(stored.status, headers, stored.body);
-                return Settled { outcome: stored.outcome, response };
+                let settled = Settled { outcome: stored.outcome, response };
+                return self.with_placement(settled).await;
             }
             OnceReply::Stored(stored) => stored.outcome,
             OnceReply::NotRun => Outcome::NotRun,
--- a/crates/fireflyhead-node/src/entry/output.rs
+++ b/crates/fireflyhead-node/src/entry/output.rs
@@ -1,6 +1,7 @@
 //! Response of a request while it is produced.
 
 use std::io;
+use std::time::Duration;
 
 use axum::body::Body;
 use axum::response::IntoResponse;
@@ -12,11 +13,15 @@
 use http::HeaderMap;
 use http::StatusCode;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::entry::account::Accepted;
 use crate::entry::error::EntryError;
 use crate::entry::error::ErrorOutcome;
 
+/// Longest time for which a caller may leave its response unread.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Parts of a response buffered between its producer and the caller's connection.
 const PARTS: usize = 16;
 
@@ -114,7 +119,11 @@
     }
 
     async fn send(&self, part: Part) -> Result<(), CallerGone> {
-        self.tx.send(part).await.map_err(|_| CallerGone)
+        match timeout(STALL_TIMEOUT, self.tx.send(part)).await {
+            Ok(sent) => sent.map_err(|_| CallerGone),
+            // A caller that does not read must not hold a place at the upstream.
+            Err(_) => Err(CallerGone),
+        }
     }
 }
 
--- a/crates/fireflyhead-node/src/entry/run.rs
+++ b/crates/fireflyhead-node/src/entry/run.rs
@@ -326,9 +326,11 @@
             self.observe(&upstream, spec, seen);
         }
         match end {
-            TryEnd::Answered | TryEnd::NotOwner | TryEnd::Unreachable => {}
             TryEnd::CallerGone | TryEnd::Denied => return Err(Stopped::Gone),
-            TryEnd::Redirected | TryEnd::Lost if asked => return Err(Stopped::Lost),
+            TryEnd::Redirected | TryEnd::NotOwner | TryEnd::Lost if asked => {
+                return Err(Stopped::Lost);
+            }
+            TryEnd::Answered | TryEnd::NotOwner | TryEnd::Unreachable => {}
             TryEnd::Refused(e) if tries.sent => {
                 return Err(tries.error(e.code, "a repeated run was refused"));
             }
--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -67,6 +67,9 @@
 /// Connections of operators at the same time.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 
+/// Bytes by which an entry may lengthen a caller's body.
+const REWRITTEN_BYTES: u64 = 64 << 10;
+
 /// Time for connections to end after their last response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -224,7 +227,7 @@
             loads,
             owners: cluster.as_ref().map(|cluster| cluster.owners.clone()),
         });
-        let body_limit = cx.settings.body_limit;
+        let body_limit = cx.settings.body_limit + REWRITTEN_BYTES;
         let server = PeerServer { auth, handler, body_limit, stop: stop.clone() };
         tokio::spawn(server.serve(listeners.peer));
         let options = ServeOptions {
--- a/crates/fireflyhead-node/src/node/tests/faults.rs
+++ b/crates/fireflyhead-node/src/node/tests/faults.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fireflyhead_core::types::UpstreamKind;
 use fireflyhead_standin::engine::EngineFaults;
 use fireflyhead_standin::engine::expected_text;
 use fireflyhead_standin::service::ServiceConfig;
@@ -24,6 +25,7 @@
 use tokio::time::sleep;
 
 use super::Fleet;
+use super::info;
 use super::member;
 use super::streamed_text;
 
@@ -223,3 +225,37 @@
     }
     fleet.assert_settled().await;
 }
+
+/// Guards against permits spent on an instance that refuses connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_avoid_an_instance_that_refuses_connections() {
+    let fleet = Fleet::start(2, 1).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let mut upstreams = fleet.upstreams.clone();
+    upstreams.push(info("service-2", "desk", closed, UpstreamKind::Service));
+    fleet.publish(&upstreams, 1);
+    sleep(Duration::from_millis(500)).await;
+    for _ in 0..10 {
+        let (status, body) = fleet.order(0, &[]).await;
+        assert_eq!(status, 200, "{body}");
+    }
+    fleet.assert_settled().await;
+}
+
+/// Guards against a refused order whose caller has no id to try again with.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_that_no_upstream_takes_is_not_run_and_gets_a_new_placement() {
+    let fleet = Fleet::start(1, 0).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    fleet.publish(&[info("service", "desk", closed, UpstreamKind::Service)], 0);
+    sleep(Duration::from_millis(500)).await;
+    let id = fleet.id(0, "x").await;
+    let request = fleet.http.post(fleet.url(0, "/svc/desk/orders")).header("x-request-id", &id);
+    let response = request.send().await.unwrap();
+    assert!(response.headers().contains_key("x-placement"));
+    let body: Value = response.json().await.unwrap();
+    assert_eq!(body["error"]["outcome"], "not_run", "{body}");
+    let (_, again) = fleet.order(0, &[("x-request-id", &id)]).await;
+    assert_eq!(again["error"]["outcome"], "not_run", "{again}");
+    fleet.assert_settled().await;
+}
--- a/crates/fireflyhead-node/src/peer/stream.rs
+++ b/crates/fireflyhead-node/src/peer/stream.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 
 /// Frames buffered in each direction.
-const FRAMES: usize = 64;
+const FRAMES: usize = 32;
 
 /// The entry's end: it sends `Permit` and `Cancel` and receives everything else.
 ///
--- a/crates/fireflyhead-node/src/upstream.rs
+++ b/crates/fireflyhead-node/src/upstream.rs
@@ -67,6 +67,13 @@
 
 impl std::error::Error for UpstreamError {}
 
+impl UpstreamError {
+    /// Whether no connection could be opened.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, UpstreamError::Transport(e) if e.is_connect())
+    }
+}
+
 impl From<reqwest::Error> for UpstreamError {
     fn from(e: reqwest::Error) -> UpstreamError {
         UpstreamError::Transport(e)
