--- a/crates/fireflyhead-core/src/dispatch.rs
+++ b/crates/fireflyhead-core/src/dispatch.rs
@@ -14,6 +14,7 @@
 mod floors;
 mod jobs;
 mod queue;
+mod rank_queue;
 mod residency;
 #[cfg(test)]
 mod tests;
@@ -32,7 +33,7 @@
 use self::floors::Floors;
 use self::floors::floor_shares;
 use self::jobs::JobState;
-use self::queue::RankQueue;
+use self::rank_queue::RankQueue;
 use crate::table::Table;
 use crate::types::JobId;
 use crate::types::Rank;
--- a/crates/fireflyhead-core/src/dispatch/adapters.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters.rs
@@ -61,8 +61,12 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiter {
     pub(super) id: JobId,
+    /// Queue that holds it.
     pub(super) rank: Rank,
+    /// Rank of its demand for a load.
+    pub(super) demand: Rank,
     pub(super) row: RowId,
+    /// Weight of its demand for a load.
     pub(super) weight: f64,
     /// Time at which its slack is used up.
     pub(super) due: Time,
@@ -96,7 +100,7 @@
     pub(super) request_rank: Rank,
     pub(super) loaded_at: Time,
     pub(super) unloaded_at: Option<Time>,
-    /// Waiting jobs by rank.
+    /// Waiting jobs by the rank of their demand.
     pub(super) waiting: [u32; 3],
     waiting_weight: f64,
     /// Waiting jobs by the time at which their slack is used up.
@@ -139,9 +143,9 @@
         }
     }
 
-    /// Waiting jobs of all ranks.
-    pub(super) fn waiting_total(&self) -> u32 {
-        self.waiting.iter().sum()
+    /// Waiting jobs of the most urgent demand.
+    pub(super) fn waiting_first(&self) -> u32 {
+        self.waiting_rank().map_or(0, |rank| self.waiting[rank.index()])
     }
 
     /// Whether jobs may start on it.
@@ -149,7 +153,7 @@
         self.state == State::Loaded && !self.closing
     }
 
-    /// Most urgent rank that waits for it.
+    /// Rank of the most urgent demand for it.
     pub(super) fn waiting_rank(&self) -> Option<Rank> {
         Rank::ALL.into_iter().find(|rank| self.waiting[rank.index()] > 0)
     }
@@ -264,7 +268,7 @@
     /// Adds a waiting job.
     pub(super) fn add_waiting(&mut self, now: Time, idx: u32, waiter: &Waiter) {
         let adapter = self.get_mut(idx);
-        adapter.waiting[waiter.rank.index()] += 1;
+        adapter.waiting[waiter.demand.index()] += 1;
         adapter.waiting_weight += waiter.weight;
         adapter.due.insert((waiter.due, waiter.seq), waiter.id);
         match adapter.lanes.iter_mut().find(|lane| (lane.0, lane.1) == (waiter.rank, waiter.row)) {
@@ -280,7 +284,7 @@
         if adapter.due.remove(&(waiter.due, waiter.seq)).is_none() {
             return;
         }
-        adapter.waiting[waiter.rank.index()] -= 1;
+        adapter.waiting[waiter.demand.index()] -= 1;
         adapter.waiting_weight = match adapter.due.is_empty() {
             true => 0.0,
             false => (adapter.waiting_weight - waiter.weight).max(0.0),
--- a/crates/fireflyhead-core/src/dispatch/api.rs
+++ b/crates/fireflyhead-core/src/dispatch/api.rs
@@ -219,9 +219,9 @@
     RequestLoad {
         /// Adapter wanted.
         adapter: AdapterKey,
-        /// Most urgent rank that waits for it, raised if that rank is below its floor.
+        /// Rank of the most urgent demand; a retry counts as the next lower rank.
         rank: Rank,
-        /// Jobs that wait for it.
+        /// Waiting jobs with this demand.
         waiting: u32,
     },
     /// Withdraw a load request, or return a grant that is not used.
--- a/crates/fireflyhead-core/src/dispatch/jobs.rs
+++ b/crates/fireflyhead-core/src/dispatch/jobs.rs
@@ -17,6 +17,7 @@
 use super::adapters::Waiter;
 use super::queue::JobKey;
 use super::queue::Ticket;
+use super::rank_queue::RankQueue;
 
 /// Failed loads in a row after which new jobs are refused during the backoff.
 const FAILURES_BEFORE_REFUSAL: u32 = 3;
@@ -27,6 +28,9 @@
 /// Period after its last job in which a rank has headroom without a class row.
 const HEADROOM_MEMORY: Duration = Duration::from_secs(60);
 
+/// Weight of a retry's demand for a load in proportion to that of a fresh request.
+const RETRY_DEMAND: f64 = 0.1;
+
 /// Where an unfinished job is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
@@ -65,8 +69,9 @@
         Waiter {
             id: self.ticket.id,
             rank: self.rank,
+            demand: demand_rank(self.rank, self.ticket.retry),
             row: self.ticket.row,
-            weight: self.weight,
+            weight: if self.ticket.retry { self.weight * RETRY_DEMAND } else { self.weight },
             due: self.due,
             seq: self.ticket.key.seq,
         }
@@ -77,6 +82,16 @@
     }
 }
 
+/// Rank of a job's demand for a load: a retry counts as the next lower rank, so
+/// that loads for retries do not displace loads for fresh requests.
+fn demand_rank(rank: Rank, retry: bool) -> Rank {
+    match rank {
+        Rank::Urgent if retry => Rank::Standard,
+        Rank::Standard if retry => Rank::Background,
+        _ => rank,
+    }
+}
+
 impl Dispatcher {
     /// Queues a new job, or ends it at once.
     pub(super) fn submit(&mut self, now: Time, job: &Job, effects: &mut Vec<DispatchEffect>) {
@@ -115,14 +130,14 @@
 
     fn new_job(&mut self, now: Time, job: &Job, lane: Option<u32>) -> JobState {
         self.seq += 1;
-        let key = JobKey { retry: job.retry, deadline: now + job.deadline, seq: self.seq };
+        let key = JobKey { deadline: now + job.deadline, seq: self.seq };
         let cost = match self.cfg.kind {
             UpstreamKind::Engine { .. } => job.prompt_tokens.saturating_add(job.output_tokens),
             UpstreamKind::Service => 1,
         };
         let (id, row, cost) = (job.id, job.row, cost.max(1));
         JobState {
-            ticket: Ticket { id, row, lane, key, submitted: now, cost },
+            ticket: Ticket { id, row, lane, key, submitted: now, retry: job.retry, cost },
             rank: job.rank,
             weight: self.weight_of(job.row),
             due: now + job.deadline / 2,
@@ -165,10 +180,12 @@
     /// Expected time until the job starts.
     fn predicted_wait(&self, now: Time, job: &Job, lane: Option<u32>) -> Duration {
         let ready = self.predicted_queue_wait(job.rank, |queue| {
-            queue.cost_ahead(job.row, self.weight_of(job.row))
+            queue.cost_ahead(job.row, self.weight_of(job.row), job.retry)
         });
         match lane.filter(|idx| !self.adapters.get(*idx).is_ready()) {
-            Some(idx) => ready.max(self.predicted_load_wait(now, idx, job.rank)),
+            Some(idx) => {
+                ready.max(self.predicted_load_wait(now, idx, demand_rank(job.rank, job.retry)))
+            }
             None => ready,
         }
     }
@@ -177,7 +194,7 @@
     pub(super) fn predicted_queue_wait(
         &self,
         rank: Rank,
-        own: impl Fn(&super::queue::RankQueue) -> f64,
+        own: impl Fn(&RankQueue) -> f64,
     ) -> Duration {
         let capacity = self.concurrency.capacity();
         let own = own(&self.queues[rank.index()]);
@@ -241,7 +258,7 @@
             let Some(id) = self.queues[rank.index()].peek(now, self.cfg.age_bound) else { return };
             let Some(mut state) = self.jobs.remove(&id) else { return };
             let ticket = state.ticket;
-            self.queues[rank.index()].charge(ticket.row, ticket.cost);
+            self.queues[rank.index()].charge(&ticket);
             self.floors.charge(rank, f64::from(ticket.cost), ready);
             self.dequeue(now, &state);
             self.concurrency.acquire(now);
--- a/crates/fireflyhead-core/src/dispatch/queue.rs
+++ b/crates/fireflyhead-core/src/dispatch/queue.rs
@@ -1,4 +1,4 @@
-//! Queue of one rank: weighted fair queueing over table rows.
+//! Weighted fair queueing over table rows.
 //!
 //! A row holds a lane per adapter. A lane is ready while its adapter can run
 //! jobs; only ready lanes take part in the choice, so that a decision never
@@ -23,10 +23,9 @@
 /// Lane of a row: the index of its adapter, or `None` for jobs without one.
 pub(super) type LaneId = Option<u32>;
 
-/// Position of a job within its row: fresh before retries, then earliest deadline.
+/// Position of a job within its row: earliest deadline first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct JobKey {
-    pub(super) retry: bool,
     pub(super) deadline: Time,
     pub(super) seq: u64,
 }
@@ -39,6 +38,7 @@
     pub(super) lane: LaneId,
     pub(super) key: JobKey,
     pub(super) submitted: Time,
+    pub(super) retry: bool,
     pub(super) cost: u32,
 }
 
@@ -64,9 +64,9 @@
     oldest: BTreeSet<(Time, u64, LaneId)>,
 }
 
-/// Jobs of one rank.
+/// Jobs in the order of fair shares of their rows.
 #[derive(Debug, Default)]
-pub(super) struct RankQueue {
+pub(super) struct FairQueue {
     rows: HashMap<RowId, Row>,
     /// Rows with ready jobs, by tag.
     active: BTreeSet<(u64, RowId)>,
@@ -74,21 +74,15 @@
     virtual_time: u64,
     ready_cost: u64,
     queued: usize,
-    retries: usize,
     sweep_at: usize,
 }
 
-impl RankQueue {
+impl FairQueue {
     /// Queued jobs.
     pub(super) fn len(&self) -> usize {
         self.queued
     }
 
-    /// Queued retries.
-    pub(super) fn retries(&self) -> usize {
-        self.retries
-    }
-
     /// Whether a job could run now.
     pub(super) fn has_ready(&self) -> bool {
         !self.active.is_empty()
@@ -120,7 +114,6 @@
         lane.jobs.insert(ticket.key, ticket.id);
         lane.ages.insert((ticket.submitted, ticket.key.seq), ticket.id);
         self.queued += 1;
-        self.retries += usize::from(ticket.key.retry);
         self.end_change(ticket.row, ticket.lane, was);
     }
 
@@ -134,7 +127,6 @@
             lane.ages.remove(&(ticket.submitted, ticket.key.seq));
             lane.cost -= u64::from(ticket.cost);
             self.queued -= 1;
-            self.retries -= usize::from(ticket.key.retry);
         }
         self.end_change(ticket.row, ticket.lane, was);
     }
@@ -162,7 +154,7 @@
         row.lanes[lane].jobs.get(key).copied()
     }
 
-    /// Charges a row for a job that is about to start; call before [`RankQueue::remove`].
+    /// Charges a row for a job that is about to start; call before [`FairQueue::remove`].
     pub(super) fn charge(&mut self, id: RowId, cost: u32) {
         let Some(row) = self.rows.get_mut(&id) else { return };
         let active = self.active.remove(&(row.tag, id));
--- a/crates/fireflyhead-core/src/dispatch/residency.rs
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -85,7 +85,7 @@
         let adapter = self.adapters.get(idx);
         match adapter.state {
             State::Requested | State::Granted | State::Loading => self.loads.wait(),
-            _ if adapter.waiting_total() > 0 => self.loads.wait(),
+            _ if adapter.waiting_rank().is_some_and(|first| first <= rank) => self.loads.wait(),
             _ => {
                 let ahead = self.adapters.candidates_ahead(rank);
                 self.loads.wait_behind(ahead).max(adapter.not_before.since(now))
@@ -102,7 +102,7 @@
     ) {
         let usable = |idx: &u32| {
             let adapter = self.adapters.get(*idx);
-            let wanted = adapter.waiting_total() > 0 && !adapter.stale_load;
+            let wanted = !adapter.due.is_empty() && !adapter.stale_load;
             wanted && matches!(adapter.state, State::Absent | State::Requested)
         };
         match self.adapters.find(&key).filter(usable) {
@@ -439,7 +439,7 @@
     fn refresh_requests(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
         let stale = |idx: &u32| {
             let adapter = self.adapters.get(*idx);
-            adapter.waiting_total() >= adapter.announced.saturating_mul(2)
+            adapter.waiting_first() >= adapter.announced.saturating_mul(2)
                 || adapter.waiting_rank().is_some_and(|rank| rank < adapter.request_rank)
                 || now.since(adapter.announced_at) >= REQUEST_REFRESH
         };
@@ -451,7 +451,7 @@
     fn announce(&mut self, now: Time, idx: u32, effects: &mut Vec<DispatchEffect>) {
         let adapter = self.adapters.get_mut(idx);
         let Some(rank) = adapter.waiting_rank() else { return };
-        adapter.announced = adapter.waiting_total();
+        adapter.announced = adapter.waiting_first();
         adapter.request_rank = rank;
         adapter.announced_at = now;
         let waiting = adapter.announced;
--- a/crates/fireflyhead-core/src/limits.rs
+++ b/crates/fireflyhead-core/src/limits.rs
@@ -77,7 +77,8 @@
 }
 
 /// Demand for one row at one node.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RowUsage {
     /// Row with a limit.
     pub row: RowId,
