Tell dead members their state first, and test pauses during a suspicion

In a large cluster the state of the asking member could wait behind hundreds of other changes. The rule for late news of an older incarnation is gone: the rule for the newer one already covers it.

--- a/crates/fireflyhead-core/src/membership.rs
+++ b/crates/fireflyhead-core/src/membership.rs
@@ -327,12 +327,8 @@
             return;
         }
         self.adopt(now, message.members, effects);
-        match self.roster.heard(now, from) {
-            Some(changed) => effects.push(MembershipEffect::Changed(changed)),
-            // A dead member that still sends must learn its state with the answer.
-            None if self.roster.is_dead(from) => self.gossip.spread(from.clone(), 1),
-            None => {}
-        }
+        let changed = self.roster.heard(now, from);
+        effects.extend(changed.map(MembershipEffect::Changed));
         let limit = self.transmissions();
         for rumor in message.rumors {
             let live = self.roster.is_live(&rumor.from);
@@ -344,7 +340,9 @@
         match message.body {
             MessageBody::Probe { sequence } => {
                 let body = MessageBody::Ack { sequence, tick_ms: now.as_millis() };
-                self.send(address, body, effects);
+                // A dead member that still sends must learn its state with the answer.
+                let dead = self.roster.is_dead(from).then_some(from);
+                self.send_with(address, body, dead, effects);
             }
             MessageBody::Ack { sequence, tick_ms } => {
                 self.acked(now, from, sequence, tick_ms, effects);
@@ -534,7 +532,18 @@
     }
 
     fn send(&mut self, to: Name, body: MessageBody, effects: &mut Vec<MembershipEffect>) {
-        let (members, rumors) = self.gossip.compose(&self.roster, self.cfg.message_bytes);
+        self.send_with(to, body, None, effects);
+    }
+
+    /// Sends a message that carries the state of `first` before other changes.
+    fn send_with(
+        &mut self,
+        to: Name,
+        body: MessageBody,
+        first: Option<&NodeRef>,
+        effects: &mut Vec<MembershipEffect>,
+    ) {
+        let (members, rumors) = self.gossip.compose(&self.roster, first, self.cfg.message_bytes);
         let message = Message { body, members, rumors };
         effects.push(MembershipEffect::Send { to, message });
     }
--- a/crates/fireflyhead-core/src/membership/gossip.rs
+++ b/crates/fireflyhead-core/src/membership/gossip.rs
@@ -145,11 +145,20 @@
         views
     }
 
-    /// Members and rumors of the next message, at most `budget` bytes.
-    pub(super) fn compose(&mut self, roster: &Roster, budget: usize) -> (Vec<Member>, Vec<Rumor>) {
+    /// Members and rumors of the next message, at most `budget` bytes. This node goes
+    /// first, then the member `first`.
+    pub(super) fn compose(
+        &mut self,
+        roster: &Roster,
+        first: Option<&NodeRef>,
+        budget: usize,
+    ) -> (Vec<Member>, Vec<Rumor>) {
         let mut content = Content { left: budget, members: Vec::new(), rumors: Vec::new() };
         content.members.extend(roster.wire(&self.me));
         content.left = content.left.saturating_sub(content.members.iter().map(member_size).sum());
+        if let Some(member) = first.and_then(|node| roster.wire(node)) {
+            content.add_member(member);
+        }
         if self.table_version > 0 {
             let rumor = self.own(RumorBody::TableVersion(self.table_version));
             content.add_rumor(rumor);
@@ -170,7 +179,7 @@
         order.sort_by(|a, b| b.cmp(a));
         for (left, item) in order {
             let added = match &item {
-                Item::Member(node) if *node == self.me => true,
+                Item::Member(node) if content.members.iter().any(|m| m.node == *node) => true,
                 Item::Member(node) => roster.wire(node).is_none_or(|m| content.add_member(m)),
                 Item::Rumor(from, kind) => match self.rumors.get(&(from.clone(), kind.clone())) {
                     Some((_, rumor)) => content.add_rumor(rumor.clone()),
--- a/crates/fireflyhead-core/src/membership/roster.rs
+++ b/crates/fireflyhead-core/src/membership/roster.rs
@@ -153,24 +153,22 @@
         if member.state == MemberState::Suspect {
             member.state = MemberState::Alive;
         }
+        if self.is_forgotten(&member.node) {
+            member.state = MemberState::Dead;
+        }
         let node = member.node.clone();
         let state = member.state;
         if !self.entries.contains_key(&node) {
-            let full = self.entries.len() >= self.max_members;
-            if full || self.is_forgotten(&node) {
+            if self.entries.len() >= self.max_members {
                 return;
             }
             if state != MemberState::Dead {
                 self.replace_older(now, &member, changed);
             }
-            let replaced = self.is_replaced(&member);
             changed.push(member.clone());
             self.entries.insert(node.clone(), Entry::new(member));
-            match state {
-                MemberState::Dead => self.set_state(now, &node, MemberState::Dead, &mut Vec::new()),
-                _ if replaced => self.set_state(now, &node, MemberState::Dead, changed),
-                _ => {}
-            }
+            // Sets the time of a death that is news to this node.
+            self.set_state(now, &node, state, &mut Vec::new());
             return;
         }
         self.set_state(now, &node, state, changed);
@@ -207,10 +205,6 @@
         }
     }
 
-    fn is_replaced(&self, member: &Member) -> bool {
-        self.incarnations(member).any(|m| m.node.incarnation > member.node.incarnation)
-    }
-
     /// Listed incarnations of the same node at the same address.
     fn incarnations<'a>(&'a self, of: &'a Member) -> impl Iterator<Item = &'a Member> {
         let first = NodeRef { id: of.node.id.clone(), incarnation: 0 };
--- a/crates/fireflyhead-core/src/membership/tests.rs
+++ b/crates/fireflyhead-core/src/membership/tests.rs
@@ -13,6 +13,7 @@
 use crate::membership::MembershipEffect;
 use crate::membership::MembershipInput;
 use crate::membership::Message;
+use crate::membership::MessageBody;
 use crate::membership::RumorBody;
 use crate::membership::gossip;
 use crate::types::Member;
@@ -298,6 +299,58 @@
     }
 }
 
+/// Guards against a suspicion that runs on while the suspecting node is paused, so
+/// that the suspect is declared dead although its answers wait in the socket.
+#[test]
+fn a_pause_does_not_use_up_a_suspicion() {
+    for (seed, pause) in (1_000..2_500).step_by(50).enumerate() {
+        let mut world = World::new(6, seed as u64);
+        world.run(5_000);
+        world.step(Op::Pause { node: 1, paused: true });
+        world.run(1_700);
+        world.step(Op::Pause { node: 1, paused: false });
+        world.step(Op::Pause { node: 0, paused: true });
+        world.run(pause);
+        world.step(Op::Pause { node: 0, paused: false });
+        world.run(500);
+        let state = world.state_at(0, world.node(1));
+        assert_eq!(state, Some(MemberState::Alive), "seed {seed}, pause {pause} ms");
+    }
+}
+
+/// Guards against a node of a large cluster that does not learn that it was declared dead.
+#[test]
+fn the_answer_to_a_dead_member_says_so() {
+    let mut world = World::new(1, 1);
+    let mut member =
+        world.processes[0].as_ref().expect("it runs").machine.members().next().cloned();
+    let mut others: Vec<Member> = (0..300)
+        .map(|n| {
+            let mut other = member.take().expect("a member");
+            other.node.id = Name::from(format!("other-{n}"));
+            member = Some(other.clone());
+            other
+        })
+        .collect();
+    others[150].state = MemberState::Dead;
+    let dead = others[150].clone();
+    let process = world.processes[0].as_mut().expect("it runs");
+    let mut effects = Vec::new();
+    process.machine.handle(world.now, MembershipInput::Seed(others), &mut effects);
+    for sequence in 0..50 {
+        let body = MessageBody::Probe { sequence };
+        let message = Message { body, members: Vec::new(), rumors: Vec::new() };
+        let input = MembershipInput::Received { from: dead.node.clone(), message };
+        effects.clear();
+        process.machine.handle(world.now, input, &mut effects);
+        let told = effects.iter().any(|effect| match effect {
+            MembershipEffect::Send { message, .. } => message.members.contains(&dead),
+            _ => false,
+        });
+        assert!(told, "answer {sequence}");
+    }
+}
+
 /// Guards against requests to a process that was replaced on the same address.
 #[test]
 fn a_restart_ends_the_old_incarnation_at_once() {
