--- a/crates/fireflyhead-core/src/ownership.rs
+++ b/crates/fireflyhead-core/src/ownership.rs
@@ -200,7 +200,7 @@
             }
             OwnershipInput::Members(members) => self.set_members(now, members),
             OwnershipInput::Contact { majority, isolated, views } => {
-                self.authority.set_contact(majority, isolated, views);
+                self.authority.set_contact(now, majority, isolated, views);
             }
             OwnershipInput::Upstreams(upstreams) => {
                 self.upstreams = upstreams.into_iter().map(|u| (u.name.clone(), u)).collect();
--- a/crates/fireflyhead-core/src/ownership/authority.rs
+++ b/crates/fireflyhead-core/src/ownership/authority.rs
@@ -34,6 +34,9 @@
     majority: bool,
     isolated: bool,
     views: StoreViews,
+    /// Since when this node is in contact with most members and no majority of
+    /// their views says that the service is down.
+    agreed_since: Option<Time>,
 }
 
 impl Authority {
@@ -51,6 +54,7 @@
             majority: false,
             isolated: false,
             views: StoreViews::default(),
+            agreed_since: None,
         }
     }
 
@@ -144,7 +148,21 @@
         }
     }
 
-    pub(super) fn set_contact(&mut self, majority: bool, isolated: bool, views: StoreViews) {
+    pub(super) fn set_contact(
+        &mut self,
+        now: Time,
+        majority: bool,
+        isolated: bool,
+        views: StoreViews,
+    ) {
+        let agreed = majority && views.reachable >= views.unreachable;
+        if agreed && self.agreed_since.is_none() {
+            self.agreed_since = Some(now);
+            // An owner without the service may not know yet that the views changed.
+            let settled = self.takeover_from.map(|from| from.max(now + self.cfg.grace));
+            self.takeover_from = settled;
+        }
+        self.agreed_since = self.agreed_since.filter(|_| agreed);
         self.majority = majority;
         self.isolated = isolated;
         self.views = views;
@@ -165,8 +183,7 @@
     pub(super) fn may_take_over(&self, now: Time) -> bool {
         self.has_lease(now)
             && self.takeover_from.is_some_and(|from| now >= from)
-            && self.majority
-            && self.views.reachable >= self.views.unreachable
+            && self.agreed_since.is_some()
     }
 
     /// Extends the right to give orders during an outage, and keeps the lease alive.
--- a/crates/fireflyhead-node/src/members.rs
+++ b/crates/fireflyhead-node/src/members.rs
@@ -227,7 +227,10 @@
         let version = self.cx.table.borrow().version;
         let reachable = *self.cx.store.borrow() == StoreState::Reachable;
         self.run(MembershipInput::Announce(RumorBody::TableVersion(version)));
-        self.run(MembershipInput::Announce(RumorBody::StoreReachable(reachable)));
+        // Before the first answer of the service, silence says nothing about it.
+        if reachable || self.now().since(Time::default()) >= self.cx.settings.lease_ttl {
+            self.run(MembershipInput::Announce(RumorBody::StoreReachable(reachable)));
+        }
     }
 
     fn contact(&self) -> Contact {
