--- a/crates/fireflyhead-core/src/loads.rs
+++ b/crates/fireflyhead-core/src/loads.rs
@@ -81,7 +81,8 @@
         /// Requests that wait for the adapter.
         waiting: u32,
     },
-    /// The owner no longer needs the load. There is no reply.
+    /// The owner no longer needs the load, or returns a grant that it did not use. There is
+    /// no reply.
     Cancel {
         /// Party that asked.
         owner: Name,
@@ -179,7 +180,7 @@
                 self.request(now, (owner, adapter), rank, waiting, effects);
             }
             LoadInput::Cancel { owner, adapter } => {
-                self.pending.remove(&(owner, adapter));
+                self.cancel((owner, adapter));
             }
             LoadInput::Done { owner, adapter, ok } => {
                 self.done(now, (owner, adapter), ok, effects);
@@ -258,6 +259,16 @@
             .or_insert(new);
     }
 
+    fn cancel(&mut self, key: LoadKey) {
+        self.pending.remove(&key);
+        // The latest grant was not used, so the one before it sets the spacing.
+        if let Some(granted) = self.in_flight.remove(&key)
+            && granted + self.interval() == self.next_grant
+        {
+            self.next_grant = granted;
+        }
+    }
+
     fn done(&mut self, now: Time, key: LoadKey, ok: bool, effects: &mut Vec<LoadEffect>) {
         self.in_flight.remove(&key);
         if ok {
--- a/crates/fireflyhead-core/src/loads/tests.rs
+++ b/crates/fireflyhead-core/src/loads/tests.rs
@@ -204,12 +204,12 @@
     running: &mut HashSet<(Name, AdapterKey)>,
     effects: &[LoadEffect],
     now: Time,
-) -> Vec<Time> {
+) -> Vec<(Time, (Name, AdapterKey))> {
     let grants = effects.iter().filter_map(|effect| match effect {
         LoadEffect::Grant { owner, adapter } => Some((owner.clone(), adapter.clone())),
         LoadEffect::Deny { .. } => None,
     });
-    grants.filter(|key| running.insert(key.clone())).map(|_| now).collect()
+    grants.filter(|key| running.insert(key.clone())).map(|key| (now, key)).collect()
 }
 
 proptest! {
@@ -236,7 +236,13 @@
                     waiting.insert((owner.clone(), adapter.clone()));
                 }
                 LoadInput::Cancel { owner, adapter } => {
-                    waiting.remove(&(owner.clone(), adapter.clone()));
+                    let key = (owner.clone(), adapter.clone());
+                    waiting.remove(&key);
+                    // A returned grant was not used and does not count.
+                    if running.remove(&key) {
+                        let last = grants.iter().rposition(|(_, granted)| *granted == key);
+                        grants.remove(last.expect("a running load was granted"));
+                    }
                 }
                 LoadInput::Done { owner, adapter, .. } => {
                     running.remove(&(owner.clone(), adapter.clone()));
@@ -252,7 +258,8 @@
                 let (LoadEffect::Grant { owner, adapter } | LoadEffect::Deny { owner, adapter, .. }) = effect;
                 prop_assert!(waiting.remove(&(owner.clone(), adapter.clone())), "answer without request");
             }
-            grants.extend(fresh_grants(&mut running, &effects, Time::from_millis(ms)));
+            let now = Time::from_millis(ms);
+            grants.extend(fresh_grants(&mut running, &effects, now));
             prop_assert!(running.len() <= max_in_flight);
             prop_assert_eq!(loads.in_flight(), running.len());
             prop_assert_eq!(loads.pending(), waiting.len());
@@ -263,8 +270,8 @@
             grants.extend(fresh_grants(&mut running, std::slice::from_ref(&effect), at));
         }
         prop_assert!(waiting.is_empty(), "without an answer: {:?}", waiting);
-        for (i, from) in grants.iter().enumerate() {
-            for (n, to) in grants[i..].iter().enumerate() {
+        for (i, (from, _)) in grants.iter().enumerate() {
+            for (n, (to, _)) in grants[i..].iter().enumerate() {
                 let allowed = to.since(*from).as_secs_f64() * rate + 1.0;
                 prop_assert!((n + 1) as f64 <= allowed + 1e-6, "{} grants in {:?}", n + 1, to.since(*from));
             }
--- /dev/null
+++ b/crates/fireflyhead-measure/src/policy/figures.rs
@@ -0,0 +1,206 @@
+//! Figures of a run, by rank and by class.
+//!
+//! Requests are counted by their first arrival in the window, goodput by the time at which the
+//! response is complete. Time to first token runs from the first arrival at an entry, so
+//! that it includes the delay of a refused caller's retries. A request that is still
+//! queued at the end of the run is `open`.
+
+use std::time::Duration;
+
+use fireflyhead_core::types::Rank;
+use serde::Serialize;
+
+use crate::policy::deployment::Deployment;
+use crate::policy::scenario::EVENT_AT;
+use crate::policy::scenario::MEASURE_UNTIL;
+use crate::policy::world::Request;
+use crate::policy::world::State;
+use crate::policy::world::World;
+use crate::policy::world::secs;
+
+/// Time after a popularity shift or restart by which service must be as before, in seconds.
+pub const RECOVERY_SECS: f64 = 30.0;
+
+/// Figures of one class, rank or service.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// Requests in the window, synthetic retries and floods included.
+    pub offered: usize,
+    /// Requests of the steady demand in the window.
+    pub fresh: usize,
+    /// Share of the steady demand that was answered.
+    pub fresh_answered: f64,
+    /// Share of all requests that were answered.
+    pub answered: f64,
+    /// Share that was refused for good.
+    pub refused: f64,
+    /// Share still queued at the end.
+    pub open: f64,
+    /// Responses completed a second.
+    pub goodput: f64,
+    /// Responses to steady demand completed a second.
+    pub fresh_goodput: f64,
+    /// The same from 30 s after the event.
+    pub late_goodput: f64,
+    /// Work completed a second: tokens, or milliseconds of service time.
+    pub work: f64,
+    /// Work offered a second.
+    pub offered_work: f64,
+    /// Time to first token of the steady demand in milliseconds: p50, p95, p99.
+    pub ttft_ms: [f64; 3],
+    /// The same of all requests.
+    pub all_ttft_ms: [f64; 3],
+    /// Requests that waited for a load, as a share.
+    pub stalled: f64,
+    /// Mean wait of those, in milliseconds.
+    pub stall_ms: f64,
+}
+
+impl Figures {
+    fn of<'a>(requests: impl Iterator<Item = &'a Request>) -> Figures {
+        let span = MEASURE_UNTIL - EVENT_AT;
+        let late = secs(EVENT_AT + RECOVERY_SECS);
+        let (mut figures, mut ttft, mut fresh_ttft) = (Figures::default(), Vec::new(), Vec::new());
+        let (mut answered, mut fresh_answered, mut refused, mut stalled) = (0, 0, 0, 0);
+        let mut stall = Duration::ZERO;
+        for req in requests {
+            if req.state == State::Answered && World::counts(req.ended) {
+                figures.goodput += 1.0 / span;
+                figures.work += req.work / span;
+                figures.fresh_goodput += f64::from(u8::from(req.fresh)) / span;
+                if req.fresh && req.ended >= late {
+                    figures.late_goodput += 1.0 / (span - RECOVERY_SECS);
+                }
+            }
+            if !World::counts(req.arrived) {
+                continue;
+            }
+            figures.offered += 1;
+            figures.fresh += usize::from(req.fresh);
+            figures.offered_work += req.work / span;
+            stalled += usize::from(req.stalled);
+            stall += req.stall;
+            match req.state {
+                State::Answered => {
+                    answered += 1;
+                    fresh_answered += usize::from(req.fresh);
+                }
+                State::Refused(_) => refused += 1,
+                State::Open => {}
+            }
+            if let Some(first) = req.first {
+                let ms = first.since(req.arrived).as_secs_f64() * 1e3;
+                ttft.push(ms);
+                if req.fresh {
+                    fresh_ttft.push(ms);
+                }
+            }
+        }
+        let share = |count: usize, of: usize| count as f64 / of.max(1) as f64;
+        let offered = figures.offered;
+        Figures {
+            answered: share(answered, offered),
+            fresh_answered: share(fresh_answered, figures.fresh),
+            refused: share(refused, offered),
+            open: share(offered - answered - refused, offered),
+            ttft_ms: percentiles(&mut fresh_ttft),
+            all_ttft_ms: percentiles(&mut ttft),
+            stalled: share(stalled, offered),
+            stall_ms: stall.as_secs_f64() * 1e3 / stalled.max(1) as f64,
+            ..figures
+        }
+    }
+}
+
+fn percentiles(values: &mut [f64]) -> [f64; 3] {
+    values.sort_by(f64::total_cmp);
+    [0.5, 0.95, 0.99].map(|q| {
+        let at = (values.len() as f64 * q) as usize;
+        values.get(at.min(values.len().saturating_sub(1))).copied().unwrap_or(0.0)
+    })
+}
+
+/// Figures of one class.
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassFigures {
+    /// Name of the class.
+    pub class: &'static str,
+    /// Whether the engines do the work.
+    pub engine: bool,
+    /// Urgency.
+    pub rank: Rank,
+    /// Guaranteed share.
+    pub floor: f64,
+    /// Work completed, as a share of the work that all classes of the service completed.
+    pub share: f64,
+    /// Share received divided by the smaller of the floor and the share of the service's
+    /// work that the class asked for; 1 if the class has no floor.
+    pub against_floor: f64,
+    /// Figures.
+    pub figures: Figures,
+}
+
+/// Figures of a whole run.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunFigures {
+    /// Figures by class.
+    pub classes: Vec<ClassFigures>,
+    /// Figures of all classes on the engines.
+    pub engines: Figures,
+    /// Figures of all classes on the plain service.
+    pub plain: Figures,
+    /// Mean batch over the engine steps of the window.
+    pub mean_batch: f64,
+    /// Loads a second in the window.
+    pub loads_per_second: f64,
+    /// Share of the loads that failed.
+    pub failed_loads: f64,
+    /// Shortest time between two loads, in milliseconds.
+    pub min_load_gap_ms: f64,
+    /// Largest number of loads in flight.
+    pub max_loads_in_flight: usize,
+    /// Broken invariants.
+    pub violations: u64,
+    /// Inputs processed by all schedulers.
+    pub decisions: u64,
+}
+
+impl RunFigures {
+    /// Figures of a finished run.
+    pub fn new(dep: &Deployment, world: &World) -> RunFigures {
+        let of_service = |engine: bool| {
+            let requests = world.requests.iter();
+            Figures::of(requests.filter(|req| dep.classes[req.class].engine == engine))
+        };
+        let (engines, plain) = (of_service(true), of_service(false));
+        let classes = dep.classes.iter().enumerate().map(|(i, class)| {
+            let figures = Figures::of(world.requests.iter().filter(|req| req.class == i));
+            let total = if class.engine { &engines } else { &plain };
+            let share = figures.work / total.work.max(1e-9);
+            let demand = figures.offered_work / total.work.max(1e-9);
+            let due = class.floor.min(demand);
+            let against_floor = if due > 0.0 { share / due } else { 1.0 };
+            let (rank, floor, engine) = (class.rank, class.floor, class.engine);
+            ClassFigures { class: class.name, engine, rank, floor, share, against_floor, figures }
+        });
+        let span = MEASURE_UNTIL - EVENT_AT;
+        let counters = &world.counters;
+        RunFigures {
+            classes: classes.collect(),
+            engines,
+            plain,
+            mean_batch: counters.batch_sum as f64 / counters.steps.max(1) as f64,
+            loads_per_second: counters.loads as f64 / span,
+            failed_loads: counters.failed_loads as f64 / counters.loads.max(1) as f64,
+            min_load_gap_ms: counters.min_load_gap.map_or(0.0, |gap| gap.as_secs_f64() * 1e3),
+            max_loads_in_flight: counters.max_loads_in_flight,
+            violations: counters.violations,
+            decisions: counters.decisions,
+        }
+    }
+
+    /// Figures of the classes of one rank on the engines or on the plain service.
+    pub fn rank(&self, engine: bool, rank: Rank) -> impl Iterator<Item = &ClassFigures> {
+        self.classes.iter().filter(move |class| class.engine == engine && class.rank == rank)
+    }
+}
