--- a/crates/fireflyhead-core/src/dispatch/api.rs
+++ b/crates/fireflyhead-core/src/dispatch/api.rs
@@ -73,10 +73,10 @@
             headroom: 0.05,
             latency_target: Duration::from_millis(400),
             report_lag: Duration::from_secs(3),
-            max_load_requests: 3,
+            max_load_requests: 6,
             probation_slots: 1,
-            frequency_half_life: Duration::from_secs(60),
-            waiter_value: Duration::from_secs(2),
+            frequency_half_life: Duration::from_secs(180),
+            waiter_value: Duration::from_secs(4),
             permit_timeout: Duration::from_secs(5),
             load_backoff: Duration::from_millis(500),
         }
@@ -84,7 +84,8 @@
 }
 
 /// Load figures that an upstream reports, some time after the fact.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadReport {
     /// Number that differs for every start of the upstream.
     pub boot_id: u64,
@@ -208,7 +209,8 @@
     },
     /// Stop the run of a job; `Finished` must follow. Without a preceding `Cancel` the upstream has
     /// restarted: nothing is reported to the entry, and after `Finished` with
-    /// [`RunResult::Cancelled`] the job is queued again.
+    /// [`RunResult::Cancelled`] the job is queued again. If output has been passed on in the
+    /// meantime, the run ends with [`RunResult::Failed`] instead.
     CancelRun {
         /// Running job.
         job: JobId,
--- a/crates/fireflyhead-core/src/lib.rs
+++ b/crates/fireflyhead-core/src/lib.rs
@@ -6,6 +6,8 @@
 //! and the policy tool drive the same code.
 
 pub mod dispatch;
+pub mod hostlist;
+pub mod limits;
 pub mod loads;
 pub mod membership;
 pub mod once;
@@ -13,3 +15,4 @@
 pub mod placement;
 pub mod table;
 pub mod types;
+pub mod wire;
--- a/crates/fireflyhead-measure/src/main.rs
+++ b/crates/fireflyhead-measure/src/main.rs
@@ -1,7 +1,23 @@
-//! Load and experiment tool of the serving layer.
+//! Load and experiment tool.
+
+mod control;
 
 use std::process::ExitCode;
 
-fn main() -> anyhow::Result<ExitCode> {
-    fireflyhead_measure::commands::exec()
+use anyhow::Result;
+use clap::Command;
+use fireflyhead_measure::commands::policy;
+
+fn main() -> Result<ExitCode> {
+    let matches = Command::new("fireflyhead-measure")
+        .about("Load and experiment tool of fireflyhead")
+        .subcommand_required(true)
+        .subcommand(control::cli())
+        .subcommand(policy::cli())
+        .get_matches();
+    match matches.subcommand() {
+        Some(("control", matches)) => control::exec(matches),
+        Some(("policy", matches)) => policy::exec(matches),
+        _ => unreachable!("the parser requires a known command"),
+    }
 }
--- a/crates/fireflyhead-measure/src/policy/bounds.rs
+++ b/crates/fireflyhead-measure/src/policy/bounds.rs
@@ -102,8 +102,8 @@
 
 fn always(list: &mut List<'_>) {
     let core = &list.case.core.figures;
-    let interval_ms = 1e3 / list.case.core.loads_per_second;
-    list.at_least("shortest time between loads, ms", core.min_load_gap_ms, interval_ms);
+    // A token bucket that holds one token.
+    list.at_most("loads above the rate in any window from 1 s", core.load_excess, 1.0);
     let in_flight = core.max_loads_in_flight as f64;
     list.at_most("loads in flight", in_flight, MAX_LOADS_IN_FLIGHT as f64);
     list.at_most("broken invariants", core.violations as f64, 0.0);
--- a/crates/fireflyhead-measure/src/policy/engine.rs
+++ b/crates/fireflyhead-measure/src/policy/engine.rs
@@ -2,20 +2,23 @@
 //!
 //! Assumptions: every step generates one token for each running request. The duration of a
 //! step grows linearly with the batch, and each request that joins adds its prompt's
-//! prefill to the step. Requests beyond the largest batch wait inside the engine in order of
-//! arrival. A load does not slow down generation. Prefix caching is not modelled.
+//! prefill to the step. Requests beyond the largest batch wait inside the engine by rank, then
+//! in order of arrival. A load does not slow down generation. Prefix caching is not modelled.
 
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use fireflyhead_core::types::AdapterKey;
+use fireflyhead_core::types::Rank;
 
 /// Request inside an engine.
 #[derive(Clone, Debug)]
 pub struct Run {
     /// Index of the request.
     pub req: usize,
+    /// Urgency.
+    pub rank: Rank,
     /// Adapter.
     pub adapter: AdapterKey,
     /// Tokens still to generate.
@@ -64,6 +67,12 @@
         Self::STEP_MS * (1.0 + Self::STEP_GROWTH * batch.saturating_sub(1) as f64)
     }
 
+    /// Adds a request to those that wait, behind others of its rank.
+    pub fn push(&mut self, run: Run) {
+        let at = self.waiting.partition_point(|other| other.rank <= run.rank);
+        self.waiting.insert(at, run);
+    }
+
     /// Moves waiting requests into the batch; gives the duration of the next step, if any.
     pub fn begin_step(&mut self) -> Option<Duration> {
         let before = self.batch.len();
--- a/crates/fireflyhead-measure/src/policy/figures.rs
+++ b/crates/fireflyhead-measure/src/policy/figures.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use fireflyhead_core::types::Rank;
+use fireflyhead_core::types::Time;
 use serde::Serialize;
 
 use crate::policy::deployment::Deployment;
@@ -120,6 +121,18 @@
     })
 }
 
+/// Largest `loads - rate * time` over all windows of at least one second.
+fn load_excess(orders: &[Time], rate: f64) -> f64 {
+    let mut excess: f64 = 0.0;
+    for (i, from) in orders.iter().enumerate() {
+        for (n, to) in orders[i..].iter().enumerate() {
+            let window = to.since(*from).as_secs_f64().max(1.0);
+            excess = excess.max((n + 1) as f64 - rate * window);
+        }
+    }
+    excess
+}
+
 /// Figures of one class.
 #[derive(Clone, Debug, Serialize)]
 pub struct ClassFigures {
@@ -155,8 +168,8 @@
     pub loads_per_second: f64,
     /// Share of the loads that failed.
     pub failed_loads: f64,
-    /// Shortest time between two loads, in milliseconds.
-    pub min_load_gap_ms: f64,
+    /// Largest number of loads above the rate in any window of at least one second.
+    pub load_excess: f64,
     /// Largest number of loads in flight.
     pub max_loads_in_flight: usize,
     /// Broken invariants.
@@ -192,7 +205,7 @@
             mean_batch: counters.batch_sum as f64 / counters.steps.max(1) as f64,
             loads_per_second: counters.loads as f64 / span,
             failed_loads: counters.failed_loads as f64 / counters.loads.max(1) as f64,
-            min_load_gap_ms: counters.min_load_gap.map_or(0.0, |gap| gap.as_secs_f64() * 1e3),
+            load_excess: load_excess(&counters.load_orders, dep.loads_per_second),
             max_loads_in_flight: counters.max_loads_in_flight,
             violations: counters.violations,
             decisions: counters.decisions,
--- a/crates/fireflyhead-measure/src/policy/service.rs
+++ b/crates/fireflyhead-measure/src/policy/service.rs
@@ -18,5 +18,5 @@
 
 impl ServiceModel {
     /// Requests that run concurrently.
-    pub const CONCURRENCY: usize = 4;
+    pub const CONCURRENCY: usize = 8;
 }
--- a/crates/fireflyhead-measure/src/policy/world.rs
+++ b/crates/fireflyhead-measure/src/policy/world.rs
@@ -76,6 +76,9 @@
 const DOWN: Duration = Duration::from_secs(2);
 /// Upstreams tried for one attempt of a caller.
 const MAX_UPSTREAMS: usize = 3;
+/// Requests that may wait inside an upstream, one for each higher rank, so that the places that
+/// a dispatcher keeps for them do not leave the upstream idle.
+const HEADROOM: usize = 2;
 /// Bits of a job id that number the attempts.
 const ATTEMPT_BITS: u32 = 6;
 
@@ -159,8 +162,8 @@
     pub loads: u64,
     /// Loads that failed in the window.
     pub failed_loads: u64,
-    /// Shortest time between two load orders.
-    pub min_load_gap: Option<Duration>,
+    /// Times of load orders.
+    pub load_orders: Vec<Time>,
     /// Largest number of loads in flight.
     pub max_loads_in_flight: usize,
     /// Engine steps in the window.
@@ -272,7 +275,6 @@
     loads: LoadScheduler,
     load_tick: Option<Time>,
     loads_in_flight: usize,
-    last_load: Option<Time>,
     /// Requests of the run.
     pub requests: Vec<Request>,
     /// Figures of the run.
@@ -314,7 +316,6 @@
             loads: LoadScheduler::new(load_config(&dep, policy)),
             load_tick: None,
             loads_in_flight: 0,
-            last_load: None,
             requests: Vec::new(),
             counters: Counters::default(),
             dep,
@@ -601,7 +602,8 @@
     let mut upstreams = Vec::new();
     for (i, info) in infos.into_iter().enumerate() {
         let engine = matches!(info.kind, UpstreamKind::Engine { .. });
-        let max_in_flight = if engine { EngineModel::MAX_BATCH } else { ServiceModel::CONCURRENCY };
+        let concurrency = if engine { EngineModel::MAX_BATCH } else { ServiceModel::CONCURRENCY };
+        let max_in_flight = concurrency + HEADROOM;
         let controller = match policy {
             PolicyKind::Core => {
                 let cfg = DispatcherConfig {
--- a/crates/fireflyhead-measure/src/policy/world/models.rs
+++ b/crates/fireflyhead-measure/src/policy/world/models.rs
@@ -33,6 +33,7 @@
     /// A job reaches its upstream.
     pub(super) fn reach(&mut self, up: usize, job: JobId) {
         let req = request_of(job);
+        let rank = self.dep.classes[self.requests[req].class].rank;
         match &mut self.upstreams[up].model {
             Model::Engine(engine) => {
                 let Some(adapter) = self.requests[req].adapter.clone() else { return };
@@ -40,7 +41,7 @@
                     self.counters.violations += 1;
                 }
                 let left = (self.requests[req].work as u32).max(1);
-                engine.waiting.push_back(Run { req, adapter, left, unreported: 0, started: false });
+                engine.push(Run { req, rank, adapter, left, unreported: 0, started: false });
                 let boot = engine.boot;
                 if !engine.stepping {
                     self.next_step(up, boot);
@@ -160,11 +161,7 @@
         self.loads_in_flight += 1;
         let in_flight = self.loads_in_flight;
         self.counters.max_loads_in_flight = self.counters.max_loads_in_flight.max(in_flight);
-        if let Some(last) = self.last_load.replace(self.now) {
-            let gap = self.now.since(last);
-            let min = self.counters.min_load_gap.map_or(gap, |min| min.min(gap));
-            self.counters.min_load_gap = Some(min);
-        }
+        self.counters.load_orders.push(self.now);
         let Model::Engine(engine) = &mut self.upstreams[up].model else { return };
         engine.loading += 1;
         let boot = engine.boot;
--- a/crates/fireflyhead-node/src/kv.rs
+++ b/crates/fireflyhead-node/src/kv.rs
@@ -3,12 +3,19 @@
 //! [`Store`] is the edge of the process: what the actors need of the service.
 //! A failed call may have taken effect; callers read back before they decide.
 
+pub mod http;
+mod watch;
+mod wire;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use tokio::sync::mpsc;
 
+pub use http::HttpStore;
+pub use http::HttpStoreConfig;
+
 /// Identifier of a lease.
 pub type LeaseId = i64;
 
@@ -46,7 +53,8 @@
 }
 
 /// Failure of a call to the key-value service.
-#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub enum StoreError {
     /// the key-value service gave no answer in time; the call may have taken effect: {0}
     NoAnswer(String),
--- a/crates/fireflyhead-schema/src/settings.rs
+++ b/crates/fireflyhead-schema/src/settings.rs
@@ -13,6 +13,9 @@
 use crate::NodeSettings;
 use crate::SPECS;
 
+#[cfg(test)]
+mod tests;
+
 /// Prefix of the environment variables.
 const ENV_PREFIX: &str = "FIREFLYHEAD_";
 
@@ -64,7 +67,8 @@
 }
 
 /// setting `{name}` has the invalid value `{value}`: {reason}
-#[derive(Clone, Debug, Eq, PartialEq, displaydoc::Display)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
 pub struct SettingError {
     /// Name of the setting.
     pub name: &'static str,
