--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -60,13 +60,16 @@
 
 mod cluster;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use crate::node::cluster::Cluster;
 
 /// Connections of operators at the same time.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 
+/// Bytes by which an entry may lengthen a caller's body.
+const REWRITTEN_BYTES: u64 = 64 << 10;
+
 /// Time for connections to end after their last response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -228,7 +231,7 @@
             loads,
             owners: cluster.as_ref().map(|cluster| cluster.owners.clone()),
         });
-        let body_limit = cx.settings.body_limit;
+        let body_limit = cx.settings.body_limit + REWRITTEN_BYTES;
         let server = PeerServer { auth, handler, body_limit, stop: stop.clone() };
         tokio::spawn(server.serve(listeners.peer));
         let options = ServeOptions {
@@ -393,6 +396,10 @@
                 call_request::Body::Forward(forward) => entry.serve_forwarded(forward).await,
                 call_request::Body::LoadGrant(request) => loads.answer(request).await,
                 call_request::Body::LoadFinished(finished) => loads.answer_finished(finished),
+                call_request::Body::Usage(usage) => {
+                    entry.learn_usage(from, &usage);
+                    call_answer::Body::Done(Done {})
+                }
                 call_request::Body::Token(_) => match once.issue().await {
                     Some(token) => call_answer::Body::Token(token_to_wire(&token)),
                     None => call_answer::Body::Error("the node stops".to_owned()),
