Keep the floor of each class and refuse retries beyond the budget

Floors are now kept by class and measured in run time; a retry beyond its class's budget runs only in an idle place; places are kept free only where they free up slowly. The floor property submitted jobs of rows without a class; they now belong to the classes whose floors are checked.

--- a/crates/fireflyhead-core/src/dispatch.rs
+++ b/crates/fireflyhead-core/src/dispatch.rs
@@ -31,10 +31,11 @@
 use self::adapters::SlotConfig;
 use self::concurrency::Concurrency;
 use self::floors::Floors;
-use self::floors::floor_shares;
 use self::jobs::JobState;
 use self::rank_queue::RankQueue;
+use crate::table::RowKind;
 use crate::table::Table;
+use crate::table::row_id;
 use crate::types::JobId;
 use crate::types::Rank;
 use crate::types::Role;
@@ -80,6 +81,10 @@
     last_seen: [Option<Time>; 3],
     concurrency: Concurrency,
     service: estimate::Service,
+    /// Run times by row of a plain service.
+    row_times: HashMap<RowId, estimate::Service>,
+    /// Retries that each class may make now.
+    budgets: HashMap<RowId, f64>,
     loads: estimate::Loads,
     adapters: Adapters,
 }
@@ -100,7 +105,7 @@
         let mut dispatcher = Dispatcher {
             concurrency: Concurrency::new(cfg.max_in_flight, cfg.latency_target, cfg.report_lag),
             adapters: Adapters::new(slot_cfg),
-            floors: Floors::new([0.0; 3]),
+            floors: Floors::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             cfg,
             table: Arc::clone(&table),
@@ -117,6 +122,8 @@
             has_class: [false; 3],
             last_seen: [None; 3],
             service: estimate::Service::default(),
+            row_times: HashMap::new(),
+            budgets: HashMap::new(),
             loads: estimate::Loads::default(),
         };
         dispatcher.set_table(table);
@@ -125,7 +132,7 @@
 
     /// Puts another version of the table in force.
     pub fn set_table(&mut self, table: Arc<Table>) {
-        self.floors.set_shares(floor_shares(&table, &self.cfg.service, self.cfg.min_floor));
+        self.floors = Floors::from_table(&table, &self.cfg.service, self.cfg.min_floor);
         self.has_class = [false; 3];
         for row in table.classes().filter(|row| row.service == self.cfg.service) {
             self.has_class[row.terms.rank.index()] = true;
@@ -224,6 +231,14 @@
         }
     }
 
+    /// Class of a row; the row itself if the table does not name it.
+    fn class_of(&self, row: RowId) -> RowId {
+        self.table.row(row).map_or(row, |found| match found.kind {
+            RowKind::Class => row,
+            RowKind::Adapter => row_id(RowKind::Class, &found.class),
+        })
+    }
+
     /// Weight of a row in fair queueing.
     fn weight_of(&self, row: RowId) -> f64 {
         weight_in(&self.table, row)
--- a/crates/fireflyhead-core/src/dispatch/estimate.rs
+++ b/crates/fireflyhead-core/src/dispatch/estimate.rs
@@ -19,6 +19,7 @@
 /// Decayed sums over finished jobs.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Service {
+    jobs: f64,
     cost: f64,
     seconds: f64,
 }
@@ -26,10 +27,16 @@
 impl Service {
     /// Counts a job of `cost` that ran for `span`.
     pub(super) fn record(&mut self, cost: u32, span: Duration) {
+        self.jobs = self.jobs * SAMPLE_DECAY + 1.0;
         self.cost = self.cost * SAMPLE_DECAY + f64::from(cost);
         self.seconds = self.seconds * SAMPLE_DECAY + span.as_secs_f64();
     }
 
+    /// Mean time of a run; `None` while unknown.
+    pub(super) fn mean(&self) -> Option<Duration> {
+        (self.jobs > 0.0).then(|| seconds(self.seconds / self.jobs))
+    }
+
     /// Time to serve `cost` with `capacity` jobs at once; zero while unknown.
     pub(super) fn time_for(&self, cost: f64, capacity: usize) -> Duration {
         if self.cost <= 0.0 {
--- a/crates/fireflyhead-core/src/dispatch/floors.rs
+++ b/crates/fireflyhead-core/src/dispatch/floors.rs
@@ -1,77 +1,96 @@
-//! Guaranteed shares of the lower ranks, by deficit counters.
+//! Guaranteed shares of classes and lower ranks, by deficit counters.
 //!
-//! While a rank has work, it earns its share of everything that is served and
-//! pays for what it is served itself. A rank with credit goes first. Work
-//! beyond the share never turns into debt larger than one job, and a rank
-//! without work earns nothing, so unused shares go to the other ranks.
+//! While a class has work, it earns its share of everything that is served and
+//! pays for what it is served itself. A class with credit goes first. Work
+//! beyond the share never turns into debt larger than one job, and a class
+//! without work earns nothing, so unused shares go to the others.
 
 use crate::table::Table;
 use crate::types::Name;
 use crate::types::Rank;
+use crate::types::RowId;
 
 /// Upper bound of the sum of all floors; the rest is served in rank order.
 const MAX_TOTAL_FLOOR: f64 = 0.9;
 
-/// Deficit counters of the ranks for one resource.
+/// Receiver of a floor.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Receiver {
+    pub(super) rank: Rank,
+    /// Row of the class; `None` for all classes of the rank.
+    pub(super) class: Option<RowId>,
+}
+
 #[derive(Clone, Debug)]
+struct Floor {
+    receiver: Receiver,
+    share: f64,
+    credit: f64,
+}
+
+/// Deficit counters of all receivers.
+#[derive(Clone, Debug, Default)]
 pub(super) struct Floors {
-    share: [f64; 3],
-    credit: [f64; 3],
+    floors: Vec<Floor>,
 }
 
 impl Floors {
-    /// Counters without credit; see [`floor_shares`].
-    pub(super) fn new(share: [f64; 3]) -> Floors {
-        Floors { share, credit: [0.0; 3] }
-    }
-
-    /// Puts other shares in force.
-    pub(super) fn set_shares(&mut self, share: [f64; 3]) {
-        self.share = share;
+    /// Floors of the class rows of `service`, or of all class rows if it is empty. A lower
+    /// rank without a floor gets `min_floor`.
+    pub(super) fn from_table(table: &Table, service: &Name, min_floor: f64) -> Floors {
+        let here = |row: &Name| service.as_str().is_empty() || row == service;
+        let classes = table.classes().filter(|row| here(&row.service) && row.terms.floor > 0.0);
+        let of_class = |(rank, id, share)| Floor {
+            receiver: Receiver { rank, class: Some(id) },
+            share,
+            credit: 0.0,
+        };
+        let mut floors: Vec<Floor> =
+            classes.map(|row| of_class((row.terms.rank, row.id(), row.terms.floor))).collect();
+        for rank in [Rank::Standard, Rank::Background] {
+            if !floors.iter().any(|floor| floor.receiver.rank == rank) {
+                let receiver = Receiver { rank, class: None };
+                floors.push(Floor { receiver, share: min_floor, credit: 0.0 });
+            }
+        }
+        let total: f64 = floors.iter().map(|floor| floor.share).sum();
+        let scale = (MAX_TOTAL_FLOOR / total.max(f64::MIN_POSITIVE)).min(1.0);
+        floors.iter_mut().for_each(|floor| floor.share *= scale);
+        Floors { floors }
     }
 
-    /// Share of a rank.
+    /// Sum of the shares of a rank.
     pub(super) fn share(&self, rank: Rank) -> f64 {
-        self.share[rank.index()]
+        let of_rank = self.floors.iter().filter(|floor| floor.receiver.rank == rank);
+        of_rank.map(|floor| floor.share).sum()
     }
 
-    /// Rank that is below its share; `ready` says which ranks have work that can run.
-    pub(super) fn due(&self, ready: [bool; 3]) -> Option<Rank> {
-        let is_due = |rank: &Rank| {
-            let i = rank.index();
-            ready[i] && self.share[i] > 0.0 && self.credit[i] >= 0.0
-        };
-        let by_credit = |a: &Rank, b: &Rank| {
-            self.credit[a.index()].total_cmp(&self.credit[b.index()]).then(b.cmp(a))
-        };
-        Rank::ALL.into_iter().filter(is_due).max_by(by_credit)
+    /// Receiver that is below its share; `ready` says which have work that can run.
+    pub(super) fn due(&self, ready: impl Fn(&Receiver) -> bool) -> Option<Receiver> {
+        let due = self
+            .floors
+            .iter()
+            .filter(|floor| floor.share > 0.0 && floor.credit >= 0.0 && ready(&floor.receiver));
+        due.max_by(|a, b| a.credit.total_cmp(&b.credit)).map(|floor| floor.receiver)
     }
 
-    /// Counts work of `cost` that `rank` was given.
-    pub(super) fn charge(&mut self, rank: Rank, cost: f64, ready: [bool; 3]) {
-        for ((credit, share), ready) in self.credit.iter_mut().zip(self.share).zip(ready) {
-            *credit = if ready { *credit + share * cost } else { credit.min(0.0) };
+    /// Counts work of `cost` that a class of `rank` was given.
+    pub(super) fn charge(
+        &mut self,
+        rank: Rank,
+        class: RowId,
+        cost: f64,
+        ready: impl Fn(&Receiver) -> bool,
+    ) {
+        for floor in &mut self.floors {
+            floor.credit = match ready(&floor.receiver) {
+                true => floor.credit + floor.share * cost,
+                false => floor.credit.min(0.0),
+            };
+            let receiver = floor.receiver;
+            if receiver.rank == rank && receiver.class.is_none_or(|id| id == class) {
+                floor.credit = (floor.credit - cost).max(-cost);
+            }
         }
-        let credit = &mut self.credit[rank.index()];
-        *credit = (*credit - cost).max(-cost);
-    }
-}
-
-/// Floors of the ranks from the class rows of `service`, or of all class rows if it is empty.
-pub(super) fn floor_shares(table: &Table, service: &Name, min_floor: f64) -> [f64; 3] {
-    let mut share = [0.0; 3];
-    let here = |row: &Name| service.as_str().is_empty() || row == service;
-    for row in table.classes().filter(|row| here(&row.service)) {
-        share[row.terms.rank.index()] += row.terms.floor;
-    }
-    for rank in [Rank::Standard, Rank::Background] {
-        share[rank.index()] = f64::max(share[rank.index()], min_floor);
-    }
-    let total: f64 = share.iter().sum();
-    if total > MAX_TOTAL_FLOOR {
-        share = share.map(|part| part * MAX_TOTAL_FLOOR / total);
     }
-    // The top rank goes first anyway.
-    share[Rank::Urgent.index()] = 0.0;
-    share
 }
--- a/crates/fireflyhead-core/src/dispatch/jobs.rs
+++ b/crates/fireflyhead-core/src/dispatch/jobs.rs
@@ -8,6 +8,7 @@
 use crate::types::JobId;
 use crate::types::Rank;
 use crate::types::RefuseReason;
+use crate::types::RowId;
 use crate::types::Time;
 use crate::types::UpstreamKind;
 
@@ -15,6 +16,7 @@
 use super::Dispatcher;
 use super::RunResult;
 use super::adapters::Waiter;
+use super::floors::Receiver;
 use super::queue::JobKey;
 use super::queue::Ticket;
 use super::rank_queue::RankQueue;
@@ -28,6 +30,15 @@
 /// Period after its last job in which a rank has headroom without a class row.
 const HEADROOM_MEMORY: Duration = Duration::from_secs(60);
 
+/// Retries that a class may save up for a burst.
+const MAX_SAVED_RETRIES: f64 = 10.0;
+
+/// Retries as a fraction of fresh requests for rows that the table does not name.
+const DEFAULT_RETRY_BUDGET: f64 = 0.2;
+
+/// Time until a place becomes free above which places are kept free for higher ranks.
+const HEADROOM_WAIT: Duration = Duration::from_millis(50);
+
 /// Weight of a retry's demand for a load in proportion to that of a fresh request.
 const RETRY_DEMAND: f64 = 0.1;
 
@@ -92,6 +103,12 @@
     }
 }
 
+/// Whether the receiver of a floor has a job that could run now.
+fn has_ready(queues: &[RankQueue; 3], receiver: &Receiver) -> bool {
+    let queue = &queues[receiver.rank.index()];
+    receiver.class.map_or_else(|| queue.has_ready(), |class| queue.has_ready_class(class))
+}
+
 impl Dispatcher {
     /// Queues a new job, or ends it at once.
     pub(super) fn submit(&mut self, now: Time, job: &Job, effects: &mut Vec<DispatchEffect>) {
@@ -109,6 +126,11 @@
         if self.is_out_of_reach(lane) {
             return effects.push(DispatchEffect::Redirect { job: job.id });
         }
+        let within_budget = self.count_retry(job);
+        if !within_budget && !self.has_idle_place(now, job.rank, lane) {
+            let wait = self.predicted_queue_wait(job.rank, |q| q.ready_cost() as f64);
+            return self.refuse(job.id, RefuseReason::RetryBudget, wait, effects);
+        }
         let objection = self.objection(now, job, lane);
         // Refused work of the lowest rank is usually a flood and must not make its adapters look hot.
         let counts = objection.is_none() || job.rank < Rank::Background;
@@ -122,6 +144,34 @@
         self.enqueue(now, state);
     }
 
+    /// Expected run time of a job of a plain service, by the earlier jobs of its row.
+    fn expected_millis(&self, row: RowId) -> u32 {
+        let mean = self.row_times.get(&row).unwrap_or(&self.service).mean();
+        mean.map_or(1, |mean| u32::try_from(mean.as_millis()).unwrap_or(u32::MAX))
+    }
+
+    /// Counts a job for the retry budget of its class; false for a retry beyond the budget.
+    fn count_retry(&mut self, job: &Job) -> bool {
+        let class = self.class_of(job.row);
+        let budget =
+            self.table.row(class).map_or(DEFAULT_RETRY_BUDGET, |row| row.terms.retry_budget);
+        let left = self.budgets.entry(class).or_insert(MAX_SAVED_RETRIES);
+        match job.retry {
+            false => *left = (*left + budget).min(MAX_SAVED_RETRIES),
+            true if *left < 1.0 => return false,
+            true => *left -= 1.0,
+        }
+        true
+    }
+
+    /// Whether a job could start at once without delaying any other.
+    fn has_idle_place(&self, now: Time, rank: Rank, lane: Option<u32>) -> bool {
+        let place = self.concurrency.in_flight() + self.headroom_above(now, rank);
+        place < self.concurrency.capacity()
+            && lane.is_none_or(|idx| self.adapters.get(idx).is_ready())
+            && !self.queues.iter().any(RankQueue::has_ready)
+    }
+
     /// Whether a substitute dispatcher has to leave the job to others.
     pub(super) fn is_out_of_reach(&self, lane: Option<u32>) -> bool {
         let loaded = lane.is_none_or(|idx| self.adapters.get(idx).is_ready());
@@ -133,11 +183,12 @@
         let key = JobKey { deadline: now + job.deadline, seq: self.seq };
         let cost = match self.cfg.kind {
             UpstreamKind::Engine { .. } => job.prompt_tokens.saturating_add(job.output_tokens),
-            UpstreamKind::Service => 1,
+            UpstreamKind::Service => self.expected_millis(job.row),
         };
         let (id, row, cost) = (job.id, job.row, cost.max(1));
+        let class = self.class_of(row);
         JobState {
-            ticket: Ticket { id, row, lane, key, submitted: now, retry: job.retry, cost },
+            ticket: Ticket { id, row, class, lane, key, submitted: now, retry: job.retry, cost },
             rank: job.rank,
             weight: self.weight_of(job.row),
             due: now + job.deadline / 2,
@@ -254,12 +305,13 @@
 
     /// Starts jobs while there is capacity.
     pub(super) fn dispatch(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
-        while let Some((rank, ready)) = self.next_rank(now) {
-            let Some(id) = self.queues[rank.index()].peek(now, self.cfg.age_bound) else { return };
+        while let Some(id) = self.next_job(now) {
             let Some(mut state) = self.jobs.remove(&id) else { return };
             let ticket = state.ticket;
-            self.queues[rank.index()].charge(&ticket);
-            self.floors.charge(rank, f64::from(ticket.cost), ready);
+            let queues = &self.queues;
+            let ready = |receiver: &Receiver| has_ready(queues, receiver);
+            self.floors.charge(state.rank, ticket.class, f64::from(ticket.cost), ready);
+            self.queues[state.rank.index()].charge(&ticket);
             self.dequeue(now, &state);
             self.concurrency.acquire(now);
             if let Some(idx) = ticket.lane {
@@ -285,23 +337,35 @@
         }
     }
 
-    /// Rank that is served next, and which ranks had jobs to choose from.
-    fn next_rank(&self, now: Time) -> Option<(Rank, [bool; 3])> {
+    /// Job that is served next: for a floor first, else in the order of the ranks.
+    fn next_job(&self, now: Time) -> Option<JobId> {
         let (in_flight, capacity) = (self.concurrency.in_flight(), self.concurrency.capacity());
         if in_flight >= capacity {
             return None;
         }
-        let ready = [0, 1, 2].map(|i: usize| self.queues[i].has_ready());
+        let age_bound = self.cfg.age_bound;
+        if let Some(due) = self.floors.due(|receiver| has_ready(&self.queues, receiver)) {
+            let queue = &self.queues[due.rank.index()];
+            return match due.class {
+                Some(class) => queue.peek_class(class, now, age_bound),
+                None => queue.peek(now, age_bound),
+            };
+        }
         let fits = |rank: &Rank| {
-            ready[rank.index()] && in_flight + self.headroom_above(now, *rank) < capacity
+            self.queues[rank.index()].has_ready()
+                && in_flight + self.headroom_above(now, *rank) < capacity
         };
-        let rank = self.floors.due(ready).or_else(|| Rank::ALL.into_iter().find(fits));
-        rank.map(|rank| (rank, ready))
+        let rank = Rank::ALL.into_iter().find(fits)?;
+        self.queues[rank.index()].peek(now, age_bound)
     }
 
     /// Places that jobs of `rank` leave free for more urgent ones.
     fn headroom_above(&self, now: Time, rank: Rank) -> usize {
         let capacity = self.concurrency.capacity();
+        let wait = self.service.mean().map(|mean| mean.div_f64(capacity as f64));
+        if wait.is_some_and(|wait| wait < HEADROOM_WAIT) {
+            return 0;
+        }
         let each = ((capacity as f64 * self.cfg.headroom).ceil() as usize).max(1);
         let seen = |i: usize| self.last_seen[i].is_some_and(|at| now.since(at) < HEADROOM_MEMORY);
         let ranks = (0..rank.index()).filter(|&i| self.has_class[i] || seen(i)).count();
@@ -371,6 +435,9 @@
         let span = now.since(state.ran_at);
         if result == RunResult::Ok && !state.orphaned {
             self.service.record(state.ticket.cost, span);
+            if self.cfg.kind == UpstreamKind::Service {
+                self.row_times.entry(state.ticket.row).or_default().record(1, span);
+            }
             if !state.started {
                 self.concurrency.on_latency(now, span);
             }
--- a/crates/fireflyhead-core/src/dispatch/queue.rs
+++ b/crates/fireflyhead-core/src/dispatch/queue.rs
@@ -35,6 +35,8 @@
 pub(super) struct Ticket {
     pub(super) id: JobId,
     pub(super) row: RowId,
+    /// Class of the row.
+    pub(super) class: RowId,
     pub(super) lane: LaneId,
     pub(super) key: JobKey,
     pub(super) submitted: Time,
@@ -53,6 +55,7 @@
 
 #[derive(Debug)]
 struct Row {
+    class: RowId,
     weight: f64,
     tag: u64,
     /// Cost of the jobs in ready lanes.
@@ -70,6 +73,8 @@
     rows: HashMap<RowId, Row>,
     /// Rows with ready jobs, by tag.
     active: BTreeSet<(u64, RowId)>,
+    /// The same rows by class.
+    by_class: BTreeSet<(RowId, u64, RowId)>,
     active_weight: f64,
     virtual_time: u64,
     ready_cost: u64,
@@ -106,7 +111,8 @@
     pub(super) fn insert(&mut self, ticket: &Ticket, weight: f64, ready: bool) {
         self.sweep();
         let tag = self.virtual_time;
-        let row = self.rows.entry(ticket.row).or_insert_with(|| Row::new(weight, tag));
+        let row =
+            self.rows.entry(ticket.row).or_insert_with(|| Row::new(ticket.class, weight, tag));
         let was = row.begin_change(ticket.lane);
         let lane = row.lanes.entry(ticket.lane).or_default();
         lane.ready = ready;
@@ -141,10 +147,29 @@
         self.end_change(id, lane_id, was);
     }
 
+    /// Whether a job of a class could run now.
+    pub(super) fn has_ready_class(&self, class: RowId) -> bool {
+        self.first_of(class).is_some()
+    }
+
     /// Job to run next. A job older than `age_bound` goes before the others of its row.
     pub(super) fn peek(&self, now: Time, age_bound: Duration) -> Option<JobId> {
-        let (_, id) = self.active.first()?;
-        let row = self.rows.get(id)?;
+        self.active.first().and_then(|(_, id)| self.peek_row(*id, now, age_bound))
+    }
+
+    /// Job of a class to run next.
+    pub(super) fn peek_class(&self, class: RowId, now: Time, age_bound: Duration) -> Option<JobId> {
+        self.first_of(class).and_then(|id| self.peek_row(id, now, age_bound))
+    }
+
+    fn first_of(&self, class: RowId) -> Option<RowId> {
+        let first = (class, 0, RowId(0));
+        let last = (class, u64::MAX, RowId(u64::MAX));
+        self.by_class.range(first..=last).next().map(|(_, _, row)| *row)
+    }
+
+    fn peek_row(&self, id: RowId, now: Time, age_bound: Duration) -> Option<JobId> {
+        let row = self.rows.get(&id)?;
         if let Some(&(submitted, seq, lane)) = row.oldest.first()
             && now.since(submitted) >= age_bound
         {
@@ -156,12 +181,16 @@
 
     /// Charges a row for a job that is about to start; call before [`FairQueue::remove`].
     pub(super) fn charge(&mut self, id: RowId, cost: u32) {
+        // A row that is served for its floor may be ahead of the others.
+        let first = self.active.first().map_or(0, |(tag, _)| *tag);
+        self.virtual_time = self.virtual_time.max(first);
         let Some(row) = self.rows.get_mut(&id) else { return };
         let active = self.active.remove(&(row.tag, id));
-        self.virtual_time = self.virtual_time.max(row.tag);
+        self.by_class.remove(&(row.class, row.tag, id));
         row.tag = row.tag.saturating_add((f64::from(cost) * TAG_SCALE / row.weight) as u64);
         if active {
             self.active.insert((row.tag, id));
+            self.by_class.insert((row.class, row.tag, id));
         }
     }
 
@@ -182,10 +211,12 @@
             (false, true) => {
                 row.tag = row.tag.max(self.virtual_time);
                 self.active.insert((row.tag, id));
+                self.by_class.insert((row.class, row.tag, id));
                 self.active_weight += row.weight;
             }
             (true, false) => {
                 self.active.remove(&(row.tag, id));
+                self.by_class.remove(&(row.class, row.tag, id));
                 self.active_weight -= row.weight;
                 if self.active.is_empty() {
                     self.active_weight = 0.0;
@@ -213,8 +244,9 @@
 }
 
 impl Row {
-    fn new(weight: f64, tag: u64) -> Row {
+    fn new(class: RowId, weight: f64, tag: u64) -> Row {
         Row {
+            class,
             weight,
             tag,
             ready_cost: 0,
--- a/crates/fireflyhead-core/src/dispatch/rank_queue.rs
+++ b/crates/fireflyhead-core/src/dispatch/rank_queue.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    /// Whether a job of a class could run now.
+    pub(super) fn has_ready_class(&self, class: RowId) -> bool {
+        self.fresh.has_ready_class(class) || self.retries.has_ready_class(class)
+    }
+
+    /// Job of a class to run next.
+    pub(super) fn peek_class(&self, class: RowId, now: Time, age_bound: Duration) -> Option<JobId> {
+        let fresh = self.fresh.peek_class(class, now, age_bound);
+        fresh.or_else(|| self.retries.peek_class(class, now, age_bound))
+    }
+
     /// Charges a job that is about to start; call before [`RankQueue::remove`].
     pub(super) fn charge(&mut self, ticket: &Ticket) {
         let cost = f64::from(ticket.cost);
--- a/crates/fireflyhead-core/src/dispatch/tests/properties.rs
+++ b/crates/fireflyhead-core/src/dispatch/tests/properties.rs
@@ -214,9 +214,10 @@
              class,s,,svc,GET /s,,standard,,{standard},,,,,,\n\
              class,b,,svc,GET /b,,background,,{background},,,,,,\n");
         let mut model = service(4, &rows);
-        for rank in Rank::ALL {
+        for (rank, class) in Rank::ALL.into_iter().zip(["u", "s", "b"]) {
             for _ in 0..600 {
                 model.submit(|job| {
+                    job.row = row_id(RowKind::Class, &class.into());
                     job.rank = rank;
                     job.deadline = Duration::from_secs(100_000);
                 });
