--- a/crates/fireflyhead-core/src/loads.rs
+++ b/crates/fireflyhead-core/src/loads.rs
@@ -44,6 +44,8 @@
     pub max_wait: Duration,
     /// Time after which a granted load without a result no longer counts as in flight.
     pub load_timeout: Duration,
+    /// Time after which a request for a granted load means that the grant was lost.
+    pub regrant_after: Duration,
     /// Delay after the first failed load of an adapter; doubles with each further failure.
     pub backoff: Duration,
     /// Largest delay after failed loads of an adapter.
@@ -58,6 +60,7 @@
             floors: [0.0, 0.2, 0.1],
             max_wait: Duration::from_secs(10),
             load_timeout: Duration::from_secs(30),
+            regrant_after: Duration::from_secs(1),
             backoff: Duration::from_millis(500),
             max_backoff: Duration::from_secs(30),
         }
@@ -236,9 +239,12 @@
         waiting: u32,
         effects: &mut Vec<LoadEffect>,
     ) {
-        // The owner asks again although its load was granted: the grant was lost.
-        if self.in_flight.contains_key(&key) {
-            effects.push(grant_effect(key));
+        // A repeated request that crossed its grant needs no answer. If it comes later, the
+        // grant was lost.
+        if let Some(granted) = self.in_flight.get(&key) {
+            if now.since(*granted) >= self.cfg.regrant_after {
+                effects.push(grant_effect(key));
+            }
             return;
         }
         match self.backoffs.get(&key.1) {
--- a/crates/fireflyhead-measure/src/policy/bounds.rs
+++ b/crates/fireflyhead-measure/src/policy/bounds.rs
@@ -148,6 +148,9 @@
 }
 
 /// Work completed on the flooded services, against their capacity.
+///
+/// A flood of retries is refused beyond the retry budget of its row, so that the service need
+/// not be full: there the fresh work is the limit.
 fn total_goodput(list: &mut List<'_>) {
     let (case, core) = (list.case, &list.case.core.figures);
     let floods = &case.scenario.floods;
@@ -157,7 +160,8 @@
     }
     if floods.iter().any(|flood| !flood.engine) {
         let capacity_ms = case.core.plain_concurrency as f64 * 1e3;
-        let of_capacity = core.plain.work / capacity_ms;
+        let demand_ms = core.plain.offered_work.min(capacity_ms);
+        let of_capacity = core.plain.work / demand_ms;
         list.at_least("plain service: goodput against capacity", of_capacity, 0.95);
     }
 }
--- a/crates/fireflyhead-measure/src/policy/scenario.rs
+++ b/crates/fireflyhead-measure/src/policy/scenario.rs
@@ -95,6 +95,11 @@
         ]
     }
 
+    /// Work beyond the steady demand, roughly in multiples of it.
+    pub fn extra_work(&self) -> f64 {
+        self.floods.iter().map(|flood| flood.factor).sum::<f64>() + self.retries
+    }
+
     /// Arrivals of all classes.
     pub fn sources(&self, dep: &Deployment, cap: &Capacity, seed: u64) -> Vec<Source> {
         let mut sources = Vec::new();
--- a/crates/fireflyhead-measure/src/policy/world/models.rs
+++ b/crates/fireflyhead-measure/src/policy/world/models.rs
@@ -114,6 +114,7 @@
     }
 
     fn answered(&mut self, up: usize, req: usize) {
+        self.release(req);
         self.requests[req].state = State::Answered;
         self.requests[req].ended = self.now;
         let job = self.job(req);
