--- a/crates/fireflyhead-core/src/dispatch/queue.rs
+++ b/crates/fireflyhead-core/src/dispatch/queue.rs
@@ -1,4 +1,4 @@
-//! Queue of one rank: weighted fair queueing over table rows.
+//! Weighted fair queueing over table rows.
 //!
 //! A row holds a lane per adapter. A lane is ready while its adapter can run
 //! jobs; only ready lanes take part in the choice, so that a decision never
@@ -23,10 +23,9 @@
 /// Lane of a row: the index of its adapter, or `None` for jobs without one.
 pub(super) type LaneId = Option<u32>;
 
-/// Position of a job within its row: fresh before retries, then earliest deadline.
+/// Position of a job within its row: earliest deadline first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct JobKey {
-    pub(super) retry: bool,
     pub(super) deadline: Time,
     pub(super) seq: u64,
 }
@@ -36,9 +35,12 @@
 pub(super) struct Ticket {
     pub(super) id: JobId,
     pub(super) row: RowId,
+    /// Class of the row.
+    pub(super) class: RowId,
     pub(super) lane: LaneId,
     pub(super) key: JobKey,
     pub(super) submitted: Time,
+    pub(super) retry: bool,
     pub(super) cost: u32,
 }
 
@@ -53,6 +55,7 @@
 
 #[derive(Debug)]
 struct Row {
+    class: RowId,
     weight: f64,
     tag: u64,
     /// Cost of the jobs in ready lanes.
@@ -64,31 +67,27 @@
     oldest: BTreeSet<(Time, u64, LaneId)>,
 }
 
-/// Jobs of one rank.
+/// Jobs in the order of fair shares of their rows.
 #[derive(Debug, Default)]
-pub(super) struct RankQueue {
+pub(super) struct FairQueue {
     rows: HashMap<RowId, Row>,
     /// Rows with ready jobs, by tag.
     active: BTreeSet<(u64, RowId)>,
+    /// The same rows by class.
+    by_class: BTreeSet<(RowId, u64, RowId)>,
     active_weight: f64,
     virtual_time: u64,
     ready_cost: u64,
     queued: usize,
-    retries: usize,
     sweep_at: usize,
 }
 
-impl RankQueue {
+impl FairQueue {
     /// Queued jobs.
     pub(super) fn len(&self) -> usize {
         self.queued
     }
 
-    /// Queued retries.
-    pub(super) fn retries(&self) -> usize {
-        self.retries
-    }
-
     /// Whether a job could run now.
     pub(super) fn has_ready(&self) -> bool {
         !self.active.is_empty()
@@ -112,7 +111,8 @@
     pub(super) fn insert(&mut self, ticket: &Ticket, weight: f64, ready: bool) {
         self.sweep();
         let tag = self.virtual_time;
-        let row = self.rows.entry(ticket.row).or_insert_with(|| Row::new(weight, tag));
+        let row =
+            self.rows.entry(ticket.row).or_insert_with(|| Row::new(ticket.class, weight, tag));
         let was = row.begin_change(ticket.lane);
         let lane = row.lanes.entry(ticket.lane).or_default();
         lane.ready = ready;
@@ -120,7 +120,6 @@
         lane.jobs.insert(ticket.key, ticket.id);
         lane.ages.insert((ticket.submitted, ticket.key.seq), ticket.id);
         self.queued += 1;
-        self.retries += usize::from(ticket.key.retry);
         self.end_change(ticket.row, ticket.lane, was);
     }
 
@@ -134,7 +133,6 @@
             lane.ages.remove(&(ticket.submitted, ticket.key.seq));
             lane.cost -= u64::from(ticket.cost);
             self.queued -= 1;
-            self.retries -= usize::from(ticket.key.retry);
         }
         self.end_change(ticket.row, ticket.lane, was);
     }
@@ -149,10 +147,29 @@
         self.end_change(id, lane_id, was);
     }
 
+    /// Whether a job of a class could run now.
+    pub(super) fn has_ready_class(&self, class: RowId) -> bool {
+        self.first_of(class).is_some()
+    }
+
     /// Job to run next. A job older than `age_bound` goes before the others of its row.
     pub(super) fn peek(&self, now: Time, age_bound: Duration) -> Option<JobId> {
-        let (_, id) = self.active.first()?;
-        let row = self.rows.get(id)?;
+        self.active.first().and_then(|(_, id)| self.peek_row(*id, now, age_bound))
+    }
+
+    /// Job of a class to run next.
+    pub(super) fn peek_class(&self, class: RowId, now: Time, age_bound: Duration) -> Option<JobId> {
+        self.first_of(class).and_then(|id| self.peek_row(id, now, age_bound))
+    }
+
+    fn first_of(&self, class: RowId) -> Option<RowId> {
+        let first = (class, 0, RowId(0));
+        let last = (class, u64::MAX, RowId(u64::MAX));
+        self.by_class.range(first..=last).next().map(|(_, _, row)| *row)
+    }
+
+    fn peek_row(&self, id: RowId, now: Time, age_bound: Duration) -> Option<JobId> {
+        let row = self.rows.get(&id)?;
         if let Some(&(submitted, seq, lane)) = row.oldest.first()
             && now.since(submitted) >= age_bound
         {
@@ -162,14 +179,18 @@
         row.lanes[lane].jobs.get(key).copied()
     }
 
-    /// Charges a row for a job that is about to start; call before [`RankQueue::remove`].
+    /// Charges a row for a job that is about to start; call before [`FairQueue::remove`].
     pub(super) fn charge(&mut self, id: RowId, cost: u32) {
+        // A row that is served for its floor may be ahead of the others.
+        let first = self.active.first().map_or(0, |(tag, _)| *tag);
+        self.virtual_time = self.virtual_time.max(first);
         let Some(row) = self.rows.get_mut(&id) else { return };
         let active = self.active.remove(&(row.tag, id));
-        self.virtual_time = self.virtual_time.max(row.tag);
+        self.by_class.remove(&(row.class, row.tag, id));
         row.tag = row.tag.saturating_add((f64::from(cost) * TAG_SCALE / row.weight) as u64);
         if active {
             self.active.insert((row.tag, id));
+            self.by_class.insert((row.class, row.tag, id));
         }
     }
 
@@ -190,10 +211,12 @@
             (false, true) => {
                 row.tag = row.tag.max(self.virtual_time);
                 self.active.insert((row.tag, id));
+                self.by_class.insert((row.class, row.tag, id));
                 self.active_weight += row.weight;
             }
             (true, false) => {
                 self.active.remove(&(row.tag, id));
+                self.by_class.remove(&(row.class, row.tag, id));
                 self.active_weight -= row.weight;
                 if self.active.is_empty() {
                     self.active_weight = 0.0;
@@ -221,8 +244,9 @@
 }
 
 impl Row {
-    fn new(weight: f64, tag: u64) -> Row {
+    fn new(class: RowId, weight: f64, tag: u64) -> Row {
         Row {
+            class,
             weight,
             tag,
             ready_cost: 0,
