--- a/src/ops/demo/workload.rs
+++ b/src/ops/demo/workload.rs
@@ -24,8 +24,8 @@
 use crate::ops::demo::deployment::Work;
 
 /// Times that a request without an answer is sent, with the same id.
-const ATTEMPTS: usize = 4;
-/// Delay before a request is sent again.
+const ATTEMPTS: usize = 6;
+/// Delay before a request is sent again, multiplied by the number of attempts so far.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time after which a request is given up, above the longest deadline in the table.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(150);
@@ -206,7 +206,7 @@
         for attempt in 0..ATTEMPTS {
             if attempt > 0 {
                 self.forget();
-                tokio::time::sleep(RETRY_DELAY).await;
+                tokio::time::sleep(RETRY_DELAY * u32::try_from(attempt).unwrap_or(1)).await;
             }
             let resolved = match self.resolve().await {
                 Ok(resolved) => resolved,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,9 @@
 //! Integration tests: one module per interface or failure.
 
+mod cluster;
 mod demo;
+mod edits;
+mod faults;
 mod kv;
 mod standin;
 mod tables;
