--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests: one module per interface or failure.
 
+mod callers;
 mod cluster;
 mod demo;
 mod edits;
