--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,10 @@
 //! Integration tests: one module per interface or failure.
 
+mod callers;
+mod cluster;
 mod demo;
+mod edits;
+mod faults;
 mod kv;
 mod standin;
 mod tables;
