--- a/crates/fireflyhead-measure/src/policy.rs
+++ b/crates/fireflyhead-measure/src/policy.rs
@@ -62,7 +62,8 @@
 }
 
 /// Result of one run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct RunResult {
     /// Deployment.
     pub deployment: &'static str,
--- a/crates/fireflyhead-measure/src/policy/bounds.rs
+++ b/crates/fireflyhead-measure/src/policy/bounds.rs
@@ -10,7 +10,8 @@
 use crate::policy::world::PolicyKind;
 
 /// Bound with the figure that it was checked against.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Bound {
     /// Deployment.
     pub deployment: &'static str,
--- a/crates/fireflyhead-measure/src/policy/figures.rs
+++ b/crates/fireflyhead-measure/src/policy/figures.rs
@@ -23,7 +23,8 @@
 pub const RECOVERY_SECS: f64 = 30.0;
 
 /// Figures of one class, rank or service.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Figures {
     /// Requests in the window, synthetic retries and floods included.
     pub offered: usize,
@@ -134,7 +135,8 @@
 }
 
 /// Figures of one class.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct ClassFigures {
     /// Name of the class.
     pub class: &'static str,
@@ -154,7 +156,8 @@
 }
 
 /// Figures of a whole run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct RunFigures {
     /// Figures by class.
     pub classes: Vec<ClassFigures>,
