--- a/crates/fireflyhead-node/src/node/cluster/tests.rs
+++ b/crates/fireflyhead-node/src/node/cluster/tests.rs
@@ -245,3 +245,79 @@
     }
     assert_eq!(cluster.ledger.duplicates(), 0);
 }
+
+/// What the callers of one entry saw.
+#[derive(Default)]
+struct Seen {
+    idempotent: u32,
+    answered: u32,
+    orders: Vec<(String, u16, Value)>,
+}
+
+async fn call_until(cluster: Arc<Cluster>, node: usize, caller: usize, end: Instant) -> Seen {
+    let mut seen = Seen::default();
+    for i in 0.. {
+        if Instant::now() > end {
+            break;
+        }
+        let model = ["haiku@1", "haiku@2", "sonnet@1"][(caller + i) % 3];
+        let draft = cluster.complete(node, model).await.unwrap();
+        let text = expected_text(model, "spring", 6);
+        seen.idempotent += 1;
+        match draft["choices"][0]["text"].as_str() {
+            Some(found) => {
+                assert_eq!(found, text, "{draft}");
+                seen.answered += 1;
+            }
+            None => assert!(draft["error"]["outcome"].is_string(), "{draft}"),
+        }
+        let url = cluster.url(node, &format!("/svc/desk/orders/{i}"));
+        let status = cluster.http.get(url).send().await.unwrap();
+        seen.idempotent += 1;
+        seen.answered += u32::from(status.status() == 200);
+        let id = cluster.id(node, &format!("o-{node}-{caller}-{i}")).await;
+        let (status, body) = cluster.order(node, &id).await.unwrap();
+        seen.orders.push((id, status, body));
+    }
+    seen
+}
+
+/// Guards the bound for nodes that are killed one after another during orders and drafts.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_killed_one_after_another_cause_no_duplicate_and_lose_no_outcome() {
+    let cluster = Arc::new(Cluster::start(4).await);
+    let end = Instant::now() + Duration::from_secs(9);
+    let callers: Vec<_> = (0..12)
+        .map(|i| tokio::spawn(call_until(cluster.clone(), if i % 2 == 0 { 0 } else { 3 }, i, end)))
+        .collect();
+    for victim in [1, 2] {
+        sleep(Duration::from_millis(1_500)).await;
+        cluster.nodes[victim].kill();
+        sleep(Duration::from_millis(2_500)).await;
+    }
+    let (mut idempotent, mut answered, mut orders, mut unknown) = (0, 0, 0, 0);
+    for caller in callers {
+        let seen = caller.await.unwrap();
+        idempotent += seen.idempotent;
+        answered += seen.answered;
+        for (id, status, body) in seen.orders {
+            orders += 1;
+            let runs = cluster.ledger.runs(&id);
+            match (status, body["error"]["outcome"].as_str()) {
+                (200, None) => assert_eq!(runs, 1, "{id}"),
+                (_, Some("not_run")) => assert_eq!(runs, 0, "{id}: {body}"),
+                (_, Some("outcome_unknown")) => unknown += 1,
+                other => panic!("{id}: {other:?} {body}"),
+            }
+        }
+    }
+    assert_eq!(cluster.ledger.duplicates(), 0);
+    let share = f64::from(answered) / f64::from(idempotent);
+    assert!(share >= 0.99, "{answered} of {idempotent} idempotent requests answered");
+    // At most the orders that ran at an owner when it was killed: one of each caller, twice.
+    assert!(unknown <= 24, "{unknown} of {orders} orders with an unknown outcome");
+    for node in [0, 3] {
+        assert!(cluster.nodes[node].counts().balanced());
+        assert_eq!(cluster.nodes[node].counts().in_flight, 0);
+    }
+}
