--- a/crates/fireflyhead-node/src/dispatchers/loads.rs
+++ b/crates/fireflyhead-node/src/dispatchers/loads.rs
@@ -85,8 +85,17 @@
     cx: NodeContext,
     peers: Peers,
     schedulers: Mutex<HashMap<Scope, Scheduler>>,
-    /// Requests of this node that wait for an answer, with the rank they were sent with.
-    pending: Mutex<HashMap<Key, (Rank, u32)>>,
+    /// Requests of this node that wait for an answer.
+    pending: Mutex<HashMap<Key, Pending>>,
+}
+
+/// Newest request for one load.
+#[derive(Clone, Copy)]
+struct Pending {
+    rank: Rank,
+    waiting: u32,
+    /// Number of requests for the load before this one.
+    generation: u64,
 }
 
 impl Loads {
@@ -119,37 +128,52 @@
     /// Asks for a load; a repeated request with another rank or far more waiters updates the first.
     pub(crate) fn request(&self, request: LoadRequest) {
         let key = (request.upstream.clone(), request.adapter.clone());
-        {
-            let mut pending = self.inner.pending.lock().expect("no holder of this lock panics");
-            let now = (request.rank, request.waiting);
-            match pending.get(&key) {
-                Some((rank, waiting))
-                    if *rank == request.rank && request.waiting < waiting.saturating_mul(2) =>
-                {
-                    return;
-                }
-                _ => pending.insert(key.clone(), now),
-            };
-        }
+        let Some(generation) = self.note(&key, &request) else { return };
         let this = self.clone();
         tokio::spawn(async move {
-            let Some(verdict) = this.verdict(&request).await else { return };
-            let mut pending = this.inner.pending.lock().expect("no holder of this lock panics");
-            // A withdrawn request has no receiver for its verdict: a grant must be returned.
-            let wanted = pending.remove(&key).is_some();
-            drop(pending);
-            match (wanted, verdict) {
-                (true, verdict) => request.reply.send(request.adapter, verdict),
-                (false, Ok(())) => {
+            let verdict = this.verdict(&request).await;
+            let newest = this.settle(&key, generation, verdict.is_ok());
+            match (newest, verdict) {
+                (Some(_), Ok(())) => request.reply.send(request.adapter, Ok(())),
+                // A withdrawn request has no receiver for its grant.
+                (None, Ok(())) => {
                     this.withdraw(&request.service, &request.upstream, &request.adapter);
                 }
-                (false, Err(_)) => {}
+                (Some(true), Err(delay)) => request.reply.send(request.adapter, Err(delay)),
+                // A newer request is still on its way.
+                (Some(false) | None, Err(_)) => {}
             }
         });
     }
 
-    /// Verdict on a request; `None` if a newer request of the same party replaced it.
-    async fn verdict(&self, request: &LoadRequest) -> Option<LoadVerdict> {
+    /// Generation of a request that must be sent; `None` if the one in flight says the same.
+    fn note(&self, key: &Key, request: &LoadRequest) -> Option<u64> {
+        let mut pending = self.inner.pending.lock().expect("no holder of this lock panics");
+        let (rank, waiting) = (request.rank, request.waiting);
+        let generation = match pending.get(key) {
+            Some(old) if old.rank == rank && waiting < old.waiting.saturating_mul(2) => {
+                return None;
+            }
+            Some(old) => old.generation + 1,
+            None => 0,
+        };
+        pending.insert(key.clone(), Pending { rank, waiting, generation });
+        Some(generation)
+    }
+
+    /// Whether the answered request is the newest one; `None` if all were withdrawn. A grant
+    /// settles the newer ones as well.
+    fn settle(&self, key: &Key, generation: u64, granted: bool) -> Option<bool> {
+        let mut pending = self.inner.pending.lock().expect("no holder of this lock panics");
+        let newest = pending.get(key)?.generation == generation;
+        if newest || granted {
+            pending.remove(key);
+        }
+        Some(newest)
+    }
+
+    /// Verdict on a request; a request that a newer one replaced is denied.
+    async fn verdict(&self, request: &LoadRequest) -> LoadVerdict {
         let Some(peer) = self.remote(&request.service) else {
             let scope = Scope::Store(request.service.clone());
             return self.local(scope, request).await;
@@ -162,11 +186,11 @@
             waiting: request.waiting.max(1),
         });
         match self.inner.peers.call(&peer, body, GRANT_TIMEOUT).await {
-            Ok(call_answer::Body::LoadGrant(LoadGrantAnswer { granted: true, .. })) => Some(Ok(())),
+            Ok(call_answer::Body::LoadGrant(LoadGrantAnswer { granted: true, .. })) => Ok(()),
             Ok(call_answer::Body::LoadGrant(LoadGrantAnswer { retry_after_ms, .. })) => {
-                Some(Err(Duration::from_millis(retry_after_ms)))
+                Err(Duration::from_millis(retry_after_ms))
             }
-            Ok(_) => None,
+            Ok(_) => Err(SUPERSEDED_RETRY),
             Err(e) => {
                 tracing::warn!(error = %e, "load scheduler unreachable; using the fair share");
                 self.local(Scope::Share(request.service.clone()), request).await
@@ -174,9 +198,10 @@
         }
     }
 
-    async fn local(&self, scope: Scope, request: &LoadRequest) -> Option<LoadVerdict> {
+    async fn local(&self, scope: Scope, request: &LoadRequest) -> LoadVerdict {
         let key = (request.upstream.clone(), request.adapter.clone());
-        self.enqueue(scope, key, request.rank, request.waiting).await.ok()
+        let verdict = self.enqueue(scope, key, request.rank, request.waiting).await;
+        verdict.unwrap_or(Err(SUPERSEDED_RETRY))
     }
 
     fn enqueue(
--- a/crates/fireflyhead-node/src/entry.rs
+++ b/crates/fireflyhead-node/src/entry.rs
@@ -6,6 +6,7 @@
 //! (see [`calls`]), and its response is passed on once it is complete.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -76,6 +77,10 @@
 const OWN_HEADERS: [&str; 6] =
     ["host", "expect", REQUEST_ID_HEADER, CLASS_HEADER, RETRY_HEADER, "traceparent"];
 
+/// Time between two looks at the load figures. Those of a large fleet change far more often
+/// than a choice between upstreams needs.
+const ADVERT_POLL: Duration = Duration::from_millis(50);
+
 /// Time between two refreshes of the load figures in the placement.
 const ADVERT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -192,6 +197,8 @@
 struct Inner {
     parts: EntryParts,
     placement: Mutex<Placement>,
+    /// Services that the placement has upstreams of.
+    services: Mutex<HashSet<Name>>,
     keys: keys::Keys,
     admission: Admission,
 }
@@ -204,7 +211,15 @@
         let placement = Mutex::new(Placement::new(cfg, rand::random()));
         let keys = keys::Keys::new(parts.store.clone(), parts.cx.settings.request_retention);
         let admission = Admission::new(&parts.cx);
-        let entry = Entry { inner: Arc::new(Inner { parts, placement, keys, admission }) };
+        let entry = Entry {
+            inner: Arc::new(Inner {
+                parts,
+                placement,
+                services: Mutex::default(),
+                keys,
+                admission,
+            }),
+        };
         tokio::spawn(entry.clone().follow());
         tokio::spawn(entry.clone().share_usage());
         entry
@@ -236,12 +251,11 @@
                     Ok(()) => self.set_upstreams(&upstreams.borrow_and_update().clone()),
                     Err(_) => return,
                 },
-                changed = adverts.changed() => if changed.is_err() { return },
                 changed = members.changed() => match changed {
                     Ok(()) => self.inner.admission.set_members(&members.borrow_and_update()),
                     Err(_) => return,
                 },
-                () = tokio::time::sleep(ADVERT_INTERVAL) => {}
+                () = tokio::time::sleep(ADVERT_POLL) => {}
             }
             let all = adverts.borrow_and_update().clone();
             let stale = refreshed.elapsed() >= ADVERT_INTERVAL;
@@ -266,6 +280,11 @@
             services.entry(&info.service).or_default().push(info.clone());
         }
         let mut placement = self.placement();
+        let mut known = self.inner.services.lock().expect("no holder of this lock panics");
+        for gone in known.iter().filter(|service| !services.contains_key(service)) {
+            placement.set_upstreams(gone, Vec::new());
+        }
+        *known = services.keys().map(|service| (*service).clone()).collect();
         for (service, mut list) in services {
             list.sort_by(|a, b| a.name.cmp(&b.name));
             placement.set_upstreams(service, list);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests: one module per interface or failure.
 
+mod daemon;
 mod demo;
 mod kv;
 mod standin;
