--- a/crates/fireflyhead-core/src/ownership.rs
+++ b/crates/fireflyhead-core/src/ownership.rs
@@ -171,8 +171,9 @@
     pub fn handle(&mut self, now: Time, input: OwnershipInput, effects: &mut Vec<OwnershipEffect>) {
         match input {
             OwnershipInput::LeaseGranted { lease, sent } => {
-                self.authority.granted(now, lease, sent);
-                effects.push(OwnershipEffect::Register { lease });
+                if self.authority.granted(now, lease, sent) {
+                    effects.push(OwnershipEffect::Register { lease });
+                }
             }
             OwnershipInput::KeptAlive { lease, sent } => self.authority.kept_alive(lease, sent),
             OwnershipInput::LeaseLost { lease } => self.lease_lost(now, lease, effects),
--- a/crates/fireflyhead-core/src/ownership/authority.rs
+++ b/crates/fireflyhead-core/src/ownership/authority.rs
@@ -91,10 +91,16 @@
         leased.max(self.extended_until)
     }
 
-    pub(super) fn granted(&mut self, now: Time, id: i64, sent: Time) {
+    /// Takes a new lease; false if there is one already. Records are bound to the
+    /// first, so the late answer to a repeated call must not replace it.
+    pub(super) fn granted(&mut self, now: Time, id: i64, sent: Time) -> bool {
         self.lease_call = None;
+        if self.lease.is_some() {
+            return false;
+        }
         self.next_lease_call = now + self.cfg.keep_alive;
         self.lease = Some(Lease { id, ends: sent + self.cfg.lease_ttl, registered: false });
+        true
     }
 
     pub(super) fn kept_alive(&mut self, id: i64, sent: Time) {
--- a/crates/fireflyhead-core/src/ownership/tests.rs
+++ b/crates/fireflyhead-core/src/ownership/tests.rs
@@ -62,6 +62,8 @@
     start: Time,
     paused_since: Option<Time>,
     stopped: bool,
+    /// Members that the process was told last.
+    members: Vec<Member>,
 }
 
 impl Process {
@@ -156,8 +158,8 @@
         let id = Name::from(format!("node-{at}"));
         let node = NodeRef { id, incarnation: self.incarnation };
         let machine = Ownership::new(config(), node.clone());
-        let (start, paused_since) = (self.now, None);
-        let process = Process { machine, node, at, start, paused_since, stopped: false };
+        let (start, paused_since, members) = (self.now, None, Vec::new());
+        let process = Process { machine, node, at, start, paused_since, stopped: false, members };
         self.processes.push(process);
         self.input(self.processes.len() - 1, OwnershipInput::Upstreams(upstreams()));
     }
@@ -187,7 +189,6 @@
                 effect => self.push(Event::Call { from: to, effect, sent }),
             }
         }
-        self.check_orders();
     }
 
     fn push(&mut self, event: Event) {
@@ -294,6 +295,7 @@
             // A process that resumes may act before it reads anything.
             self.check_orders();
             self.observe();
+            self.check_orders();
             let due: Vec<(Time, Event)> = {
                 let (now, processes) = (self.now, &self.processes);
                 let ready = |(due, event): &mut (Time, Event)| {
@@ -306,7 +308,10 @@
                 match event {
                     Event::Call { from, effect, sent } => self.run_call(from, effect, sent),
                     Event::Reply { to, inputs } => {
-                        inputs.into_iter().for_each(|input| self.input(to, input));
+                        for input in inputs {
+                            self.input(to, input);
+                            self.check_orders();
+                        }
                     }
                 }
             }
@@ -380,7 +385,10 @@
             }
             let majority = 2 * (answering + 1) > answering + 1 + silent;
             let isolated = answering == 0 && silent > 0;
-            self.input(at, OwnershipInput::Members(listed.clone()));
+            if self.processes[at].members != listed {
+                self.processes[at].members.clone_from(&listed);
+                self.input(at, OwnershipInput::Members(listed.clone()));
+            }
             self.input(at, OwnershipInput::Contact { majority, isolated, views: seen });
         }
     }
