Widen the tests of execution and ownership

Processes miss ticks while they are paused, ids may be refused before they begin, and a handover counts for the pins even if the lease ended first.

--- a/crates/fireflyhead-core/src/once/tests.rs
+++ b/crates/fireflyhead-core/src/once/tests.rs
@@ -30,7 +30,7 @@
 
 #[derive(Clone, Debug)]
 enum Op {
-    New { home: usize, witness: Option<usize> },
+    New { home: usize, witness: Option<usize>, refuse: bool },
     Retry { id: usize, at: usize, lookup: bool },
     Refuse { id: usize },
     Deliver { at: usize, repeat: bool, old: bool },
@@ -40,14 +40,14 @@
     OwnerLost { job: usize },
     WitnessUnreachable { id: usize },
     Restart { node: usize },
-    Wait { millis: u64, ticks: bool },
+    Wait { millis: u64, ticks: u64 },
 }
 
 fn op() -> impl Strategy<Value = Op> {
     let at = 0_usize..1_000;
     prop_oneof![
-        3 => (0..NODES, prop::option::weighted(0.9, 1..NODES))
-            .prop_map(|(home, witness)| Op::New { home, witness }),
+        3 => (0..NODES, prop::option::weighted(0.9, 1..NODES), prop::bool::weighted(0.2))
+            .prop_map(|(home, witness, refuse)| Op::New { home, witness, refuse }),
         4 => (at.clone(), 0..NODES, any::<bool>())
             .prop_map(|(id, at, lookup)| Op::Retry { id, at, lookup }),
         1 => at.clone().prop_map(|id| Op::Refuse { id }),
@@ -59,7 +59,7 @@
         2 => at.clone().prop_map(|job| Op::OwnerLost { job }),
         1 => at.prop_map(|id| Op::WitnessUnreachable { id }),
         1 => (0..NODES).prop_map(|node| Op::Restart { node }),
-        2 => (1_u64..4_000, any::<bool>()).prop_map(|(millis, ticks)| Op::Wait { millis, ticks }),
+        2 => (1_u64..4_000, any::<u64>()).prop_map(|(millis, ticks)| Op::Wait { millis, ticks }),
     ]
 }
 
@@ -262,25 +262,32 @@
         self.packets.push(Packet::Node { to: home, input });
     }
 
+    /// A caller with a fresh token calls home, or the entry refuses the call.
+    fn new_id(&mut self, home: usize, witness: Option<usize>, refuse: bool) {
+        let witness = witness.map(|step| self.current((home + step) % NODES));
+        let witness = witness.map(|node| {
+            let start = self.processes[&node].start;
+            let tick = u64::try_from(self.now.since(start).as_millis()).unwrap_or(0);
+            (node, tick)
+        });
+        let home = self.current(home);
+        let process = self.processes.get_mut(&home).expect("current nodes run");
+        let local = Time::default() + self.now.since(process.start);
+        let token = process.once.issue(local, witness);
+        let id = RequestId::new(token, &self.ids.len().to_string()).expect("valid suffix");
+        self.ids.push(id.clone());
+        let caller = self.caller();
+        let input = match refuse {
+            true => OnceInput::Refuse { id, caller },
+            false => OnceInput::Begin { id, caller },
+        };
+        self.input(&home, input);
+    }
+
     fn step(&mut self, op: Op) {
         let jobs = self.jobs.len().max(1);
         match op {
-            Op::New { home, witness } => {
-                let witness = witness.map(|step| self.current((home + step) % NODES));
-                let witness = witness.map(|node| {
-                    let start = self.processes[&node].start;
-                    let tick = u64::try_from(self.now.since(start).as_millis()).unwrap_or(0);
-                    (node, tick)
-                });
-                let home = self.current(home);
-                let process = self.processes.get_mut(&home).expect("current nodes run");
-                let local = Time::default() + self.now.since(process.start);
-                let token = process.once.issue(local, witness);
-                let id = RequestId::new(token, &self.ids.len().to_string()).expect("valid suffix");
-                self.ids.push(id.clone());
-                let caller = self.caller();
-                self.input(&home, OnceInput::Begin { id, caller });
-            }
+            Op::New { home, witness, refuse } => self.new_id(home, witness, refuse),
             Op::Retry { id, at, lookup } => {
                 let Some(id) = self.pick_id(id) else { return };
                 let node = match (&id.token().witness, lookup) {
@@ -337,9 +344,12 @@
             Op::Restart { node } => self.restart(node),
             Op::Wait { millis, ticks } => {
                 self.now = self.now + Duration::from_millis(millis);
-                if ticks {
-                    let nodes: Vec<NodeRef> = self.processes.keys().cloned().collect();
-                    nodes.iter().for_each(|node| self.input(node, OnceInput::Tick));
+                // Paused processes miss ticks.
+                let nodes: Vec<NodeRef> = self.processes.keys().cloned().collect();
+                for (at, node) in nodes.iter().enumerate() {
+                    if ticks >> (at % 64) & 1 == 1 {
+                        self.input(node, OnceInput::Tick);
+                    }
                 }
             }
         }
@@ -431,13 +441,13 @@
 fn ids_are_discarded_after_retention() {
     let mut world = World::new(OnceConfig::default());
     for _ in 0..50 {
-        world.step(Op::New { home: 0, witness: Some(1) });
+        world.step(Op::New { home: 0, witness: Some(1), refuse: false });
     }
     world.finish();
     let (home, witness) = (world.current(0), world.current(1));
     assert_eq!(world.processes[&home].once.entries().0, 50);
     assert_eq!(world.processes[&witness].once.entries().1, 50);
-    world.step(Op::Wait { millis: 2 * 15 * 60 * 1_000, ticks: true });
+    world.step(Op::Wait { millis: 2 * 15 * 60 * 1_000, ticks: u64::MAX });
     assert_eq!(world.processes[&home].once.entries().0, 0);
     assert_eq!(world.processes[&witness].once.entries().1, 0);
 }
--- a/crates/fireflyhead-core/src/ownership/tests.rs
+++ b/crates/fireflyhead-core/src/ownership/tests.rs
@@ -125,8 +125,10 @@
     ordered: BTreeMap<Name, u64>,
     last_owner: BTreeMap<Name, NodeRef>,
     released: BTreeSet<Name>,
-    /// Last takeovers without a handover.
-    taken: BTreeMap<Name, Time>,
+    /// Handovers that arrived: upstream, old and new owner.
+    handed: BTreeSet<(Name, NodeRef, NodeRef)>,
+    /// Last takeovers with the previous owner, unless it handed over.
+    taken: BTreeMap<Name, (Time, NodeRef)>,
 }
 
 impl World {
@@ -147,6 +149,7 @@
             ordered: BTreeMap::new(),
             last_owner: BTreeMap::new(),
             released: BTreeSet::new(),
+            handed: BTreeSet::new(),
             taken: BTreeMap::new(),
         };
         (0..NODES).for_each(|at| world.start(at));
@@ -170,6 +173,13 @@
     }
 
     fn input(&mut self, to: usize, input: OwnershipInput) {
+        if let OwnershipInput::Handover { upstream, from, .. } = &input {
+            if self.taken.get(upstream).is_some_and(|(_, last)| last == from) {
+                self.taken.remove(upstream);
+            }
+            let to = self.processes[to].node.clone();
+            self.handed.insert((upstream.clone(), from.clone(), to));
+        }
         let process = &mut self.processes[to];
         let mut effects = Vec::new();
         let sent = process.local(self.now);
@@ -414,7 +424,7 @@
             let pinned = self
                 .taken
                 .get(name)
-                .is_some_and(|at| !upstream.fencing && self.now.since(*at) < config().pin_for);
+                .is_some_and(|(at, _)| !upstream.fencing && self.now.since(*at) < config().pin_for);
             let unloads = process.orders(self.now, name, true);
             assert!(!pinned || !unloads, "{name}: unload right after a takeover");
         }
@@ -436,12 +446,14 @@
                 now.since(end)
             );
         }
-        let handed = self.released.remove(upstream);
-        match other && !handed {
-            true => self.taken.insert(upstream.clone(), now),
-            false => self.taken.remove(upstream),
-        };
-        self.last_owner.insert(upstream.clone(), owner);
+        self.released.remove(upstream);
+        self.taken.remove(upstream);
+        if let Some(last) = self.last_owner.insert(upstream.clone(), owner.clone())
+            && last != owner
+            && !self.handed.contains(&(upstream.clone(), last.clone(), owner))
+        {
+            self.taken.insert(upstream.clone(), (now, last));
+        }
     }
 }
 
@@ -490,7 +502,12 @@
                 self.processes[old].stopped = !keep;
                 self.start(node);
             }
-            Op::Drain { node } => self.input(self.current(node), OwnershipInput::Drain),
+            Op::Drain { node } => {
+                let current = self.current(node);
+                if self.processes[current].running() {
+                    self.input(current, OwnershipInput::Drain);
+                }
+            }
         }
     }
 
