--- a/crates/fireflyhead-core/src/dispatch/api.rs
+++ b/crates/fireflyhead-core/src/dispatch/api.rs
@@ -73,10 +73,10 @@
             headroom: 0.05,
             latency_target: Duration::from_millis(400),
             report_lag: Duration::from_secs(3),
-            max_load_requests: 3,
+            max_load_requests: 6,
             probation_slots: 1,
-            frequency_half_life: Duration::from_secs(60),
-            waiter_value: Duration::from_secs(2),
+            frequency_half_life: Duration::from_secs(180),
+            waiter_value: Duration::from_secs(4),
             permit_timeout: Duration::from_secs(5),
             load_backoff: Duration::from_millis(500),
         }
@@ -209,7 +209,8 @@
     },
     /// Stop the run of a job; `Finished` must follow. Without a preceding `Cancel` the upstream has
     /// restarted: nothing is reported to the entry, and after `Finished` with
-    /// [`RunResult::Cancelled`] the job is queued again.
+    /// [`RunResult::Cancelled`] the job is queued again. If output has been passed on in the
+    /// meantime, the run ends with [`RunResult::Failed`] instead.
     CancelRun {
         /// Running job.
         job: JobId,
@@ -218,9 +219,9 @@
     RequestLoad {
         /// Adapter wanted.
         adapter: AdapterKey,
-        /// Most urgent rank that waits for it, raised if that rank is below its floor.
+        /// Rank of the most urgent demand; a retry counts as the next lower rank.
         rank: Rank,
-        /// Jobs that wait for it.
+        /// Waiting jobs with this demand.
         waiting: u32,
     },
     /// Withdraw a load request, or return a grant that is not used.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Integration tests: one module per interface or failure.
+
+mod callers;
+mod cluster;
+mod demo;
+mod edits;
+mod faults;
+mod kv;
+mod standin;
+mod tables;
+mod upstream;
