--- a/src/ops/demo/workload.rs
+++ b/src/ops/demo/workload.rs
@@ -68,6 +68,14 @@
     pub order: Option<String>,
 }
 
+impl Record {
+    /// Whether the request was rejected only because of its id.
+    fn needs_new_id(&self) -> bool {
+        let code = self.code.as_deref();
+        self.ended == Ended::NotRun && matches!(code, Some("closed_id" | "expired_id"))
+    }
+}
+
 /// Request to send.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -198,10 +206,10 @@
         Err(reason)
     }
 
-    /// Sends `req` until it has an outcome, with one id for all attempts.
+    /// Sends `req` until it has an outcome, with the same id as long as that may run.
     pub async fn run(&self, req: &Request, stalled: bool) -> Record {
         let start = Instant::now();
-        let mut id: Option<String> = None;
+        let mut current: Option<String> = None;
         let mut detail = String::new();
         for attempt in 0..ATTEMPTS {
             if attempt > 0 {
@@ -220,10 +228,15 @@
                 "no address".clone_into(&mut detail);
                 continue;
             };
-            let id = id.get_or_insert_with(|| {
-                format!("{}.{}-{}", address.placement, self.plan.name, req.number)
+            let id = current.get_or_insert_with(|| {
+                format!("{}.{}-{}-{attempt}", address.placement, self.plan.name, req.number)
             });
             match self.attempt(req, &address.url, id, start).await {
+                // The id never runs, so that the request may be sent under a new one.
+                Attempt::Ended(record) if record.needs_new_id() && attempt + 1 < ATTEMPTS => {
+                    detail = "the id is closed".to_owned();
+                    current = None;
+                }
                 Attempt::Ended(record) => return Record { stalled, ..record },
                 Attempt::Broken(reason) => detail = reason,
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,8 @@
 mod edits;
 mod faults;
 mod kv;
+mod orders;
 mod standin;
 mod tables;
+
 mod upstream;
