--- a/crates/fireflyhead-core/src/loads.rs
+++ b/crates/fireflyhead-core/src/loads.rs
@@ -44,6 +44,8 @@
     pub max_wait: Duration,
     /// Time after which a granted load without a result no longer counts as in flight.
     pub load_timeout: Duration,
+    /// Time after which a request for a granted load means that the grant was lost.
+    pub regrant_after: Duration,
     /// Delay after the first failed load of an adapter; doubles with each further failure.
     pub backoff: Duration,
     /// Largest delay after failed loads of an adapter.
@@ -58,6 +60,7 @@
             floors: [0.0, 0.2, 0.1],
             max_wait: Duration::from_secs(10),
             load_timeout: Duration::from_secs(30),
+            regrant_after: Duration::from_secs(1),
             backoff: Duration::from_millis(500),
             max_backoff: Duration::from_secs(30),
         }
@@ -81,7 +84,8 @@
         /// Requests that wait for the adapter.
         waiting: u32,
     },
-    /// The owner no longer needs the load. There is no reply.
+    /// The owner no longer needs the load, or returns a grant that it did not use. There is
+    /// no reply.
     Cancel {
         /// Party that asked.
         owner: Name,
@@ -179,7 +183,7 @@
                 self.request(now, (owner, adapter), rank, waiting, effects);
             }
             LoadInput::Cancel { owner, adapter } => {
-                self.pending.remove(&(owner, adapter));
+                self.cancel((owner, adapter));
             }
             LoadInput::Done { owner, adapter, ok } => {
                 self.done(now, (owner, adapter), ok, effects);
@@ -235,9 +239,12 @@
         waiting: u32,
         effects: &mut Vec<LoadEffect>,
     ) {
-        // The owner asks again although its load was granted: the grant was lost.
-        if self.in_flight.contains_key(&key) {
-            effects.push(grant_effect(key));
+        // A repeated request that crossed its grant needs no answer. If it comes later, the
+        // grant was lost.
+        if let Some(granted) = self.in_flight.get(&key) {
+            if now.since(*granted) >= self.cfg.regrant_after {
+                effects.push(grant_effect(key));
+            }
             return;
         }
         match self.backoffs.get(&key.1) {
@@ -258,6 +265,16 @@
             .or_insert(new);
     }
 
+    fn cancel(&mut self, key: LoadKey) {
+        self.pending.remove(&key);
+        // The latest grant was not used, so the one before it sets the spacing.
+        if let Some(granted) = self.in_flight.remove(&key)
+            && granted + self.interval() == self.next_grant
+        {
+            self.next_grant = granted;
+        }
+    }
+
     fn done(&mut self, now: Time, key: LoadKey, ok: bool, effects: &mut Vec<LoadEffect>) {
         self.in_flight.remove(&key);
         if ok {
--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -60,13 +60,16 @@
 
 mod cluster;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
-use cluster::Cluster;
+use crate::node::cluster::Cluster;
 
 /// Connections of operators at the same time.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 
+/// Bytes by which an entry may lengthen a caller's body.
+const REWRITTEN_BYTES: u64 = 64 << 10;
+
 /// Time for connections to end after their last response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -114,6 +117,10 @@
     Ok(listener)
 }
 
+/// Probe intervals in which the other nodes learn that a node is leaving. A change
+/// reaches 330 nodes in about 6 intervals; a busy host takes longer.
+const LEAVE_INTERVALS: u32 = 10;
+
 /// What a stop interrupted.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StopReport {
@@ -224,7 +231,7 @@
             loads,
             owners: cluster.as_ref().map(|cluster| cluster.owners.clone()),
         });
-        let body_limit = cx.settings.body_limit;
+        let body_limit = cx.settings.body_limit + REWRITTEN_BYTES;
         let server = PeerServer { auth, handler, body_limit, stop: stop.clone() };
         tokio::spawn(server.serve(listeners.peer));
         let options = ServeOptions {
@@ -294,7 +301,9 @@
     }
 
     async fn finish_work(&self) {
-        let expired = sleep(self.cx.settings.resolve_ttl);
+        // Until then callers may hold ids that name this node as home or witness.
+        let settings = &self.cx.settings;
+        let expired = sleep(settings.resolve_ttl + settings.probe_interval * LEAVE_INTERVALS);
         let others =
             self.cx.members.borrow().iter().any(|member| {
                 member.state == MemberState::Alive && member.node.id != self.cx.me.id
@@ -387,6 +396,10 @@
                 call_request::Body::Forward(forward) => entry.serve_forwarded(forward).await,
                 call_request::Body::LoadGrant(request) => loads.answer(request).await,
                 call_request::Body::LoadFinished(finished) => loads.answer_finished(finished),
+                call_request::Body::Usage(usage) => {
+                    entry.learn_usage(from, &usage);
+                    call_answer::Body::Done(Done {})
+                }
                 call_request::Body::Token(_) => match once.issue().await {
                     Some(token) => call_answer::Body::Token(token_to_wire(&token)),
                     None => call_answer::Body::Error("the node stops".to_owned()),
