Free a slot before requesting a load

A grant that waited for a slot in use let loads follow each other within a millisecond, above the rate of the weight store. A load is now requested only for a slot that is already free, the grant is used at once, and at most two slots of a worker stay open.

--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -31,38 +31,42 @@
 }
 
 impl Adapters {
-    /// Idle adapters that may be unloaded for `candidate`, least frequent first.
-    pub(in crate::dispatch) fn victims(&self, cx: &Eviction, candidate: u32) -> Vec<u32> {
+    /// Idle adapter that may be unloaded for `candidate`: the least frequent one.
+    pub(in crate::dispatch) fn victim(
+        &self,
+        cx: &Eviction,
+        order: &[(f64, u32)],
+        candidate: u32,
+    ) -> Option<u32> {
         let wanted = self.frequency_of(cx, candidate);
-        let order = self.by_frequency(cx);
-        let replaces = |place: usize, frequency: f64| {
-            place < self.cfg.probation || wanted > frequency * REPLACE_RATIO
-        };
-        let may_go = |adapter: &Adapter| {
-            adapter.in_use == 0
-                && (adapter.closing || adapter.due.is_empty())
-                && is_evictable(adapter, cx)
+        let probation = self.probation_left();
+        let may_go = |place: usize, frequency: f64, adapter: &Adapter| {
+            let gives_way =
+                place < probation || adapter.closing || wanted > frequency * REPLACE_RATIO;
+            let idle = adapter.in_use == 0 && (adapter.closing || adapter.due.is_empty());
+            idle && gives_way && is_evictable(adapter, cx)
         };
         order
             .iter()
             .enumerate()
-            .filter(|(place, (frequency, idx))| {
-                let adapter = self.get(*idx);
-                may_go(adapter) && (adapter.closing || replaces(*place, *frequency))
-            })
+            .filter(|(place, (frequency, idx))| may_go(*place, *frequency, self.get(*idx)))
             .map(|(_, (_, idx))| *idx)
-            .collect()
+            .next()
     }
 
     /// Adapter in use that should take no more jobs, so that `candidate` gets its slot.
-    pub(in crate::dispatch) fn closable(&self, cx: &Eviction, candidate: u32) -> Option<u32> {
+    pub(in crate::dispatch) fn closable(
+        &self,
+        cx: &Eviction,
+        order: &[(f64, u32)],
+        candidate: u32,
+    ) -> Option<u32> {
         let wanted = self.frequency_of(cx, candidate);
         let overdue = self.get(candidate).is_overdue(cx.now, cx.lead);
-        let order = self.by_frequency(cx);
+        let probation = self.probation_left();
         let open = || {
             order.iter().enumerate().filter(|(place, (frequency, idx))| {
-                let gives_way =
-                    (overdue && *place < self.cfg.probation) || wanted > frequency * CLOSE_RATIO;
+                let gives_way = (overdue && *place < probation) || wanted > frequency * CLOSE_RATIO;
                 gives_way && is_evictable(self.get(*idx), cx)
             })
         };
@@ -75,18 +79,30 @@
         self.resident.iter().copied().find(|idx| self.get(*idx).closing)
     }
 
-    /// Resident adapters that are being unloaded.
-    pub(in crate::dispatch) fn unloading(&self) -> usize {
-        self.resident.iter().filter(|idx| self.get(**idx).state == State::Unloading).count()
+    /// Slots that no adapter occupies.
+    pub(in crate::dispatch) fn free_slots(&self) -> usize {
+        self.cfg.slots.saturating_sub(self.resident.len())
+    }
+
+    /// Slots that are free or are being freed.
+    pub(in crate::dispatch) fn open_slots(&self) -> usize {
+        let unloading = |idx: &&u32| self.get(**idx).state == State::Unloading;
+        self.free_slots() + self.resident.iter().filter(unloading).count()
+    }
+
+    /// Probationary slots that adapters occupy; open slots count as the first of them.
+    fn probation_left(&self) -> usize {
+        self.cfg.probation.saturating_sub(self.open_slots())
     }
 
     fn frequency_of(&self, cx: &Eviction, idx: u32) -> f64 {
         self.get(idx).frequency(cx.now, self.cfg.half_life)
     }
 
-    fn by_frequency(&self, cx: &Eviction) -> Vec<(f64, u32)> {
-        let mut order: Vec<_> =
-            self.resident.iter().map(|idx| (self.frequency_of(cx, *idx), *idx)).collect();
+    /// Resident adapters with their frequencies, least frequent first.
+    pub(in crate::dispatch) fn by_frequency(&self, cx: &Eviction) -> Vec<(f64, u32)> {
+        let held = self.resident.iter().filter(|idx| self.get(**idx).state != State::Unloading);
+        let mut order: Vec<_> = held.map(|idx| (self.frequency_of(cx, *idx), *idx)).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         order
     }
--- a/crates/fireflyhead-core/src/dispatch/api.rs
+++ b/crates/fireflyhead-core/src/dispatch/api.rs
@@ -43,7 +43,7 @@
     pub latency_target: Duration,
     /// Longest lag of load reports.
     pub report_lag: Duration,
-    /// Load requests that may wait for a grant at the same time.
+    /// Slots that may be kept free for load requests that wait for a grant.
     pub max_load_requests: usize,
     /// Slots that one-off cold adapters may use.
     pub probation_slots: usize,
@@ -73,7 +73,7 @@
             headroom: 0.05,
             latency_target: Duration::from_millis(400),
             report_lag: Duration::from_secs(3),
-            max_load_requests: 6,
+            max_load_requests: 2,
             probation_slots: 1,
             frequency_half_life: Duration::from_secs(180),
             waiter_value: Duration::from_secs(4),
--- a/crates/fireflyhead-core/src/dispatch/residency.rs
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -36,9 +36,6 @@
 /// Longest backoff after failed loads.
 const MAX_LOAD_BACKOFF: Duration = Duration::from_secs(30);
 
-/// Wait for a grant below which a slot in use is closed before the grant arrives.
-const PROMPT_GRANT: Duration = Duration::from_secs(1);
-
 impl Dispatcher {
     /// Requests, orders and withdraws loads as the waiting jobs demand.
     pub(super) fn manage_slots(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
@@ -52,8 +49,7 @@
             self.refresh_requests(now, effects);
         }
         if let Some(idx) = self.adapters.closing()
-            && self.adapters.requested.is_empty()
-            && self.adapters.granted.is_empty()
+            && !self.adapters.candidate_ranks().contains(&true)
         {
             self.adapters.get_mut(idx).closing = false;
             self.update_lanes(idx);
@@ -326,22 +322,17 @@
         Eviction { now, pinned_until: self.cfg.pinned_until, lead: self.loads.wait() }
     }
 
-    /// Orders granted loads into free slots, and frees slots for the others.
+    /// Orders granted loads. Slots are freed before a load is requested, because a grant
+    /// that is held back would let loads follow each other faster than the weight store allows.
     fn use_grants(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
         for idx in self.adapters.granted.clone() {
-            if self.adapters.resident.len() < self.adapters.cfg.slots {
-                self.adapters.set_state(now, idx, State::Loading);
-                let adapter = self.adapters.get(idx).key.clone();
-                effects.push(DispatchEffect::Load { adapter });
+            if self.adapters.free_slots() == 0 {
+                self.withdraw(now, idx, effects);
                 continue;
             }
-            if self.adapters.unloading() >= self.adapters.granted.len() {
-                return;
-            }
-            match self.adapters.victims(&self.eviction(now), idx).first() {
-                Some(&victim) => self.unload(now, victim, effects),
-                None => self.close_for(now, idx),
-            }
+            self.adapters.set_state(now, idx, State::Loading);
+            let adapter = self.adapters.get(idx).key.clone();
+            effects.push(DispatchEffect::Load { adapter });
         }
     }
 
@@ -352,39 +343,54 @@
         effects.push(DispatchEffect::Unload { adapter });
     }
 
-    /// Stops new jobs on a slot in use, so that it becomes free for `idx`.
-    fn close_for(&mut self, now: Time, idx: u32) {
-        if self.adapters.closing().is_some() {
-            return;
-        }
-        if let Some(victim) = self.adapters.closable(&self.eviction(now), idx) {
-            self.adapters.get_mut(victim).closing = true;
-            self.update_lanes(victim);
-        }
-    }
-
-    /// Requests loads for the best candidates that have a slot in prospect.
+    /// Requests loads for the best candidates, one for each free slot, and frees slots for more.
     fn request_loads(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
-        while self.adapters.candidate_ranks().contains(&true) {
-            let Some(idx) = self.next_candidate(now) else { return };
-            let full = self.adapters.requested.len() >= self.cfg.max_load_requests;
+        while let Some(idx) = self.next_candidate() {
+            let used = self.adapters.requested.len() + self.adapters.granted.len();
             match self.displaced_by(idx) {
-                Some(other) if full => self.withdraw(now, other, effects),
-                None if full => return,
+                Some(other) if used >= self.adapters.free_slots() => {
+                    self.withdraw(now, other, effects);
+                }
+                _ if used >= self.adapters.free_slots() => break,
                 _ => {}
             }
-            if self.loads.wait() < PROMPT_GRANT && !self.has_slot(now, idx) {
-                self.close_for(now, idx);
-            }
             self.adapters.set_state(now, idx, State::Requested);
             self.adapters.get_mut(idx).requested_at = now;
             self.loads.on_request(now);
             self.announce(now, idx, effects);
         }
+        self.open_slot(now, effects);
     }
 
-    /// Best candidate with a slot in prospect. One request is kept for ranks below the first.
-    fn next_candidate(&self, now: Time) -> Option<u32> {
+    /// Frees a slot for the first candidate that deserves one, up to the limit of open slots.
+    fn open_slot(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
+        let cx = self.eviction(now);
+        while self.adapters.open_slots() < self.cfg.max_load_requests {
+            if !self.adapters.candidate_ranks().contains(&true) {
+                return;
+            }
+            let order = self.adapters.by_frequency(&cx);
+            let waiting = || {
+                let examined = |rank| self.adapters.candidates(rank).take(CANDIDATES_EXAMINED);
+                Rank::ALL.into_iter().flat_map(examined)
+            };
+            let victim = waiting().find_map(|idx| self.adapters.victim(&cx, &order, idx));
+            if let Some(victim) = victim {
+                self.unload(now, victim, effects);
+                continue;
+            }
+            let closable = match self.adapters.closing() {
+                None => waiting().find_map(|idx| self.adapters.closable(&cx, &order, idx)),
+                Some(_) => None,
+            };
+            let Some(victim) = closable else { return };
+            self.adapters.get_mut(victim).closing = true;
+            self.update_lanes(victim);
+        }
+    }
+
+    /// Best candidate. One request is kept for ranks below the first.
+    fn next_candidate(&self) -> Option<u32> {
         let max = self.cfg.max_load_requests;
         let ranks = self.adapters.candidate_ranks();
         for rank in Rank::ALL.into_iter().filter(|rank| ranks[rank.index()]) {
@@ -392,12 +398,8 @@
             let own = |idx: &&u32| rank_of(idx).is_some_and(|other| other <= rank);
             let used = self.adapters.requested.iter().filter(own).count();
             let lower = ranks[rank.index() + 1..].contains(&true);
-            if used + usize::from(lower && max > 1) >= max {
-                continue;
-            }
-            let examined = self.adapters.candidates(rank).take(CANDIDATES_EXAMINED);
-            if let Some(idx) = examined.into_iter().find(|idx| self.has_prospect(now, *idx)) {
-                return Some(idx);
+            if used + usize::from(lower && max > 1) < max {
+                return self.adapters.candidates(rank).next();
             }
         }
         None
@@ -411,30 +413,6 @@
         (rank_of(last) > rank_of(idx) && same.count() > 1).then_some(last)
     }
 
-    /// Whether a slot is free or idle for a candidate beside the loads already requested.
-    fn has_slot(&self, now: Time, idx: u32) -> bool {
-        let outstanding = self.outstanding(idx);
-        let free = self.adapters.cfg.slots.saturating_sub(self.adapters.resident.len());
-        let soon = free + self.adapters.unloading();
-        soon > outstanding
-            || soon + self.adapters.victims(&self.eviction(now), idx).len() > outstanding
-    }
-
-    /// Granted loads and requests that are at least as urgent as a candidate.
-    fn outstanding(&self, idx: u32) -> usize {
-        let rank_of = |idx: u32| self.adapters.get(idx).waiting_rank();
-        let ahead = |other: &&u32| rank_of(**other) <= rank_of(idx);
-        self.adapters.granted.len() + self.adapters.requested.iter().filter(ahead).count()
-    }
-
-    /// Whether a slot is or can be made free for a candidate.
-    fn has_prospect(&self, now: Time, idx: u32) -> bool {
-        if self.has_slot(now, idx) {
-            return true;
-        }
-        self.outstanding(idx) == 0 && self.adapters.closable(&self.eviction(now), idx).is_some()
-    }
-
     /// Repeats requests whose demand has doubled or that have waited for long.
     fn refresh_requests(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
         let stale = |idx: &u32| {
