Raise load requests of ranks below their floor

Under a flood of urgent work on the engines the lower ranks got too few loads. A rank that was served less than its floor of late now requests loads with the next higher rank and keeps one request.

--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -66,7 +66,7 @@
         let probation = self.probation_left();
         let open = || {
             order.iter().enumerate().filter(|(place, (frequency, idx))| {
-                let gives_way = (overdue && *place < probation) || wanted > frequency * CLOSE_RATIO;
+                let gives_way = *place < probation || wanted > frequency * CLOSE_RATIO;
                 gives_way && is_evictable(self.get(*idx), cx)
             })
         };
--- a/crates/fireflyhead-core/src/dispatch/floors.rs
+++ b/crates/fireflyhead-core/src/dispatch/floors.rs
@@ -13,6 +13,9 @@
 /// Upper bound of the sum of all floors; the rest is served in rank order.
 const MAX_TOTAL_FLOOR: f64 = 0.9;
 
+/// Factor by which older jobs lose weight in the recent cost with each new one.
+const SERVED_DECAY: f64 = 0.99;
+
 /// Receiver of a floor.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Receiver {
@@ -32,6 +35,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Floors {
     floors: Vec<Floor>,
+    /// Recent cost by rank.
+    served: [f64; 3],
 }
 
 impl Floors {
@@ -56,7 +61,7 @@
         let total: f64 = floors.iter().map(|floor| floor.share).sum();
         let scale = (MAX_TOTAL_FLOOR / total.max(f64::MIN_POSITIVE)).min(1.0);
         floors.iter_mut().for_each(|floor| floor.share *= scale);
-        Floors { floors }
+        Floors { floors, served: [0.0; 3] }
     }
 
     /// Sum of the shares of a rank.
@@ -65,6 +70,12 @@
         of_rank.map(|floor| floor.share).sum()
     }
 
+    /// Whether a rank was served less than its share of late, with or without work to run.
+    pub(super) fn is_below(&self, rank: Rank) -> bool {
+        let total: f64 = self.served.iter().sum();
+        self.served[rank.index()] < self.share(rank) * total
+    }
+
     /// Receiver that is below its share; `ready` says which have work that can run.
     pub(super) fn due(&self, ready: impl Fn(&Receiver) -> bool) -> Option<Receiver> {
         let due = self
@@ -82,6 +93,8 @@
         cost: f64,
         ready: impl Fn(&Receiver) -> bool,
     ) {
+        self.served = self.served.map(|served| served * SERVED_DECAY);
+        self.served[rank.index()] += cost;
         for floor in &mut self.floors {
             floor.credit = match ready(&floor.receiver) {
                 true => floor.credit + floor.share * cost,
--- a/crates/fireflyhead-core/src/dispatch/residency.rs
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -393,6 +393,16 @@
     fn next_candidate(&self) -> Option<u32> {
         let max = self.cfg.max_load_requests;
         let ranks = self.adapters.candidate_ranks();
+        let below = |rank: &Rank| ranks[rank.index()] && self.floors.is_below(*rank);
+        if let Some(rank) = Rank::ALL.into_iter().skip(1).find(below)
+            && !self
+                .adapters
+                .requested
+                .iter()
+                .any(|idx| self.adapters.get(*idx).waiting_rank() == Some(rank))
+        {
+            return self.adapters.candidates(rank).next();
+        }
         for rank in Rank::ALL.into_iter().filter(|rank| ranks[rank.index()]) {
             let rank_of = |idx: &u32| self.adapters.get(*idx).waiting_rank();
             let own = |idx: &&u32| rank_of(idx).is_some_and(|other| other <= rank);
@@ -427,13 +437,18 @@
     }
 
     fn announce(&mut self, now: Time, idx: u32, effects: &mut Vec<DispatchEffect>) {
+        let Some(rank) = self.adapters.get(idx).waiting_rank() else { return };
+        let raised = match rank {
+            Rank::Standard if self.floors.is_below(rank) => Rank::Urgent,
+            Rank::Background if self.floors.is_below(rank) => Rank::Standard,
+            _ => rank,
+        };
         let adapter = self.adapters.get_mut(idx);
-        let Some(rank) = adapter.waiting_rank() else { return };
         adapter.announced = adapter.waiting_first();
         adapter.request_rank = rank;
         adapter.announced_at = now;
         let waiting = adapter.announced;
         let adapter = adapter.key.clone();
-        effects.push(DispatchEffect::RequestLoad { adapter, rank, waiting });
+        effects.push(DispatchEffect::RequestLoad { adapter, rank: raised, waiting });
     }
 }
