Let the next owner take over without a grace period when no view can have changed

When the last but one node failed, its survivor regained the majority by declaring the other dead and then waited a grace period for views of the key-value service to spread, although no contact had returned: the takeover came after 6.5 s or more. Now the wait applies only if a member was heard again or some view named the service unreachable.

--- a/crates/fireflyhead-core/src/ownership/authority.rs
+++ b/crates/fireflyhead-core/src/ownership/authority.rs
@@ -39,6 +39,11 @@
     /// Since when this node is in contact with most members and no majority of
     /// their views says that the service is down.
     agreed_since: Option<Time>,
+    /// Whether views may have differed since the last agreement: a member that was
+    /// not heard before, or one that does not reach the service.
+    views_differed: bool,
+    /// Fewest members heard since the last agreement.
+    heard: usize,
 }
 
 impl Authority {
@@ -58,6 +63,8 @@
             isolated: false,
             views: StoreViews::default(),
             agreed_since: None,
+            views_differed: true,
+            heard: 0,
         }
     }
 
@@ -167,11 +174,22 @@
         views: StoreViews,
     ) {
         let agreed = majority && views.reachable >= views.unreachable;
+        let heard = views.reachable + views.unreachable;
+        self.views_differed |= views.unreachable > 0 || heard > self.heard;
+        self.heard = self.heard.min(heard);
         if agreed && self.agreed_since.is_none() {
             self.agreed_since = Some(now);
-            // An owner without the service may not know yet that the views changed.
-            let settled = self.takeover_from.map(|from| from.max(now + self.cfg.grace));
-            self.takeover_from = settled;
+            // An owner without the service may not know yet that the views changed. If
+            // no contact returned and the silent members were declared dead meanwhile,
+            // nobody's view changes, and the wait would only delay the next owner.
+            if self.views_differed {
+                let settled = self.takeover_from.map(|from| from.max(now + self.cfg.grace));
+                self.takeover_from = settled;
+            }
+        }
+        if agreed {
+            self.views_differed = false;
+            self.heard = heard;
         }
         self.agreed_since = self.agreed_since.filter(|_| agreed);
         self.majority = majority;
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -78,6 +78,8 @@
         tune: fn(&mut NodeSettings),
         prepare: impl FnOnce(&Fleet),
     ) -> Cluster {
+        // The log is shown with a failed test.
+        let _already_set = tracing_subscriber::fmt().with_test_writer().try_init();
         let plan = Arc::new(plan());
         let options = FleetOptions { warm_slots: 7, ..FleetOptions::default() };
         let fleet = Fleet::start(&plan, &options).await.expect("free ports");
