Read a short call to its end before answering it

A node that answered before the end of the request had arrived reset the stream, and its peer could take the answered call for a lost one.

--- a/crates/fireflyhead-node/src/peer/client.rs
+++ b/crates/fireflyhead-node/src/peer/client.rs
@@ -153,7 +153,8 @@
         let lost = |reason: String| PeerError::Lost { address: address.clone(), reason };
         let exchange = async {
             writer.send(&CallRequest { body: Some(body) }).await?;
-            writer.finish()?;
+            // The peer may have answered and closed the stream already.
+            let _closed = writer.finish();
             let response = response.await?;
             let status = response.status();
             let mut reader = FrameReader::new(response.into_body(), MAX_CALL_BYTES);
--- a/crates/fireflyhead-node/src/peer/frame.rs
+++ b/crates/fireflyhead-node/src/peer/frame.rs
@@ -147,7 +147,8 @@
             match self.body.data().await {
                 Some(data) => {
                     let data = data?;
-                    self.body.flow_control().release_capacity(data.len())?;
+                    // Fails only if the peer has closed the stream, which needs no window then.
+                    let _closed = self.body.flow_control().release_capacity(data.len());
                     self.decoder.push(&data);
                 }
                 None if self.decoder.is_empty() => return Ok(None),
--- a/crates/fireflyhead-node/src/peer/server.rs
+++ b/crates/fireflyhead-node/src/peer/server.rs
@@ -147,8 +147,15 @@
         mut respond: SendResponse<Bytes>,
     ) -> Result<(), FrameError> {
         let mut reader = FrameReader::new(body, MAX_CALL_BYTES);
-        let received = timeout(RECEIVE_TIMEOUT, reader.next::<CallRequest>()).await;
-        let Ok(Ok(Some(CallRequest { body: Some(body) }))) = received else {
+        // The end of the request is awaited as well: dropping an unfinished request resets
+        // its stream, which the peer could take for a lost call.
+        let receive = async {
+            let message = reader.next::<CallRequest>().await?;
+            let trailing = reader.next::<CallRequest>().await?;
+            Ok::<_, FrameError>((message, trailing))
+        };
+        let received = timeout(RECEIVE_TIMEOUT, receive).await;
+        let Ok(Ok((Some(CallRequest { body: Some(body) }), None))) = received else {
             return reject(&mut respond, StatusCode::BAD_REQUEST);
         };
         let answer = self.handler.call(from, body).await;
