Leave the wait inside an upstream out of the cost of plain calls

Also removes the check for used-up slack, which no longer decides anything: candidates are ordered by it.

--- a/crates/fireflyhead-core/src/dispatch/adapters.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters.rs
@@ -158,11 +158,6 @@
         Rank::ALL.into_iter().find(|rank| self.waiting[rank.index()] > 0)
     }
 
-    /// Whether the slack of its first waiting job is used up, given the time that a load takes.
-    pub(super) fn is_overdue(&self, now: Time, lead: Duration) -> bool {
-        self.due.first_key_value().is_some_and(|((due, _), _)| *due <= now + lead)
-    }
-
     /// Requests within about one half-life, weighted by rank.
     pub(super) fn frequency(&self, now: Time, half_life: Duration) -> f64 {
         let idle = now.since(self.frequency_at).as_secs_f64() / half_life.as_secs_f64();
--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -5,8 +5,6 @@
 //! frequent slots are the probationary ones: a cold adapter that is requested
 //! less often than the others may replace only these.
 
-use std::time::Duration;
-
 use crate::types::Time;
 
 use super::Adapter;
@@ -26,8 +24,6 @@
     pub(in crate::dispatch) now: Time,
     /// Until then found adapters stay.
     pub(in crate::dispatch) pinned_until: Time,
-    /// Time that a load takes; slack shorter than this is used up.
-    pub(in crate::dispatch) lead: Duration,
 }
 
 impl Adapters {
@@ -62,7 +58,6 @@
         candidate: u32,
     ) -> Option<u32> {
         let wanted = self.frequency_of(cx, candidate);
-        let overdue = self.get(candidate).is_overdue(cx.now, cx.lead);
         let probation = self.probation_left();
         let open = || {
             order.iter().enumerate().filter(|(place, (frequency, idx))| {
--- a/crates/fireflyhead-core/src/dispatch/concurrency.rs
+++ b/crates/fireflyhead-core/src/dispatch/concurrency.rs
@@ -42,6 +42,8 @@
     peaks_since: Time,
     foreign: usize,
     in_flight: usize,
+    /// Average share of the reported requests that wait inside the upstream.
+    waiting_share: f64,
 }
 
 impl Concurrency {
@@ -59,6 +61,7 @@
             peaks_since: Time::default(),
             foreign: 0,
             in_flight: 0,
+            waiting_share: 0.0,
         }
     }
 
@@ -72,6 +75,11 @@
         (self.limit as usize).saturating_sub(self.foreign).max(1)
     }
 
+    /// Average share of the requests at the upstream that wait inside it.
+    pub(super) fn waiting_share(&self) -> f64 {
+        self.waiting_share
+    }
+
     /// Counts a job that starts.
     pub(super) fn acquire(&mut self, now: Time) {
         self.in_flight += 1;
@@ -105,6 +113,8 @@
     pub(super) fn on_report(&mut self, now: Time, running: u32, waiting: u32) {
         self.rotate(now);
         let reported = (running as usize).saturating_add(waiting as usize);
+        let share = f64::from(waiting) / reported.max(1) as f64;
+        self.waiting_share += SAMPLE_WEIGHT * (share - self.waiting_share);
         self.foreign = reported.saturating_sub(self.peaks[0].max(self.peaks[1]));
         if f64::from(waiting) > (self.limit / 8.0).max(1.0) {
             self.decrease(now);
--- a/crates/fireflyhead-core/src/dispatch/jobs.rs
+++ b/crates/fireflyhead-core/src/dispatch/jobs.rs
@@ -16,6 +16,7 @@
 use super::Dispatcher;
 use super::RunResult;
 use super::adapters::Waiter;
+use super::estimate;
 use super::floors::Receiver;
 use super::queue::JobKey;
 use super::queue::Ticket;
@@ -144,10 +145,14 @@
         self.enqueue(now, state);
     }
 
-    /// Expected run time of a job of a plain service, by the earlier jobs of its row.
+    /// Expected service time of a job of a plain service, by the earlier jobs of its row. The
+    /// wait inside the upstream is the same for all rows and is left out: it would make short
+    /// jobs look expensive.
     fn expected_millis(&self, row: RowId) -> u32 {
-        let mean = self.row_times.get(&row).unwrap_or(&self.service).mean();
-        mean.map_or(1, |mean| u32::try_from(mean.as_millis()).unwrap_or(u32::MAX))
+        let of_all = self.service.mean().unwrap_or_default();
+        let of_row = self.row_times.get(&row).and_then(estimate::Service::mean).unwrap_or(of_all);
+        let wait = of_all.mul_f64(self.concurrency.waiting_share());
+        u32::try_from(of_row.saturating_sub(wait).as_millis()).unwrap_or(u32::MAX)
     }
 
     /// Counts a job for the retry budget of its class; false for a retry beyond the budget.
--- a/crates/fireflyhead-core/src/dispatch/residency.rs
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -62,18 +62,15 @@
         known && self.orders_allowed && !self.cfg.caretaker && !self.draining
     }
 
-    /// Time at which a load may be requested again or a slot may have to be closed.
+    /// Time at which a load may be requested or an unload ordered again.
     pub(super) fn next_load_tick(&self) -> Option<Time> {
         let refresh = |idx: &u32| self.adapters.get(*idx).announced_at + REQUEST_REFRESH;
         let refresh = self.adapters.requested.iter().map(refresh).min();
         let grace = self.boot_id.is_none().then_some(self.started_at + REPORT_GRACE);
-        let lead = self.loads.wait();
-        let due = Rank::ALL.into_iter().filter_map(|rank| {
-            let idx = self.adapters.candidates(rank).next()?;
-            self.adapters.get(idx).due.first_key_value().map(|((at, _), _)| *at - lead)
-        });
-        let times = [self.adapters.next_backoff(), refresh, grace];
-        times.into_iter().flatten().chain(due).filter(|at| *at > self.now).min()
+        let hold = self.adapters.resident.iter().map(|idx| self.adapters.get(*idx).hold_until);
+        let pin = Some(self.cfg.pinned_until);
+        let times = [self.adapters.next_backoff(), refresh, grace, pin];
+        times.into_iter().flatten().chain(hold).filter(|at| *at > self.now).min()
     }
 
     /// Expected time until jobs of an adapter that is not ready can start.
@@ -319,7 +316,7 @@
     }
 
     fn eviction(&self, now: Time) -> Eviction {
-        Eviction { now, pinned_until: self.cfg.pinned_until, lead: self.loads.wait() }
+        Eviction { now, pinned_until: self.cfg.pinned_until }
     }
 
     /// Orders granted loads. Slots are freed before a load is requested, because a grant
