--- a/crates/fireflyhead-core/src/membership/gossip.rs
+++ b/crates/fireflyhead-core/src/membership/gossip.rs
@@ -1,5 +1,6 @@
 //! Content of messages: recent changes first, then members in turn.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -172,11 +173,12 @@
         (content.members, content.rumors)
     }
 
-    /// Adds the changes that the fewest messages carried.
+    /// Adds the changes of members and of rumors that the fewest messages carried.
     fn add_changes(&mut self, roster: &Roster, content: &mut Content) {
         let mut order: Vec<(u32, Item)> =
             self.changes.iter().map(|(item, left)| (*left, item.clone())).collect();
-        order.sort_by(|a, b| b.cmp(a));
+        // Changes of members go before rumors, which may be many.
+        order.sort_by_key(|(left, item)| (matches!(item, Item::Rumor(..)), Reverse(*left)));
         for (left, item) in order {
             let added = match &item {
                 Item::Member(node) if content.members.iter().any(|m| m.node == *node) => true,
