--- a/crates/fireflyhead-measure/src/policy/world.rs
+++ b/crates/fireflyhead-measure/src/policy/world.rs
@@ -42,6 +42,7 @@
 use fireflyhead_core::types::Job;
 use fireflyhead_core::types::JobId;
 use fireflyhead_core::types::Name;
+use fireflyhead_core::types::Rank;
 use fireflyhead_core::types::RefuseReason;
 use fireflyhead_core::types::Time;
 use fireflyhead_core::types::UpstreamAdvert;
@@ -615,9 +616,14 @@
 }
 
 fn load_config(dep: &Deployment, policy: PolicyKind) -> LoadConfig {
+    let floor = |rank: Rank| {
+        let classes = dep.classes.iter().filter(|class| class.engine && class.rank == rank);
+        classes.map(|class| class.floor).sum()
+    };
     let cfg = LoadConfig {
         loads_per_second: dep.loads_per_second,
         max_in_flight: MAX_LOADS_IN_FLIGHT,
+        floors: Rank::ALL.map(floor),
         ..LoadConfig::default()
     };
     match policy {
