--- a/crates/fireflyhead-measure/src/policy.rs
+++ b/crates/fireflyhead-measure/src/policy.rs
@@ -38,7 +38,6 @@
 use crate::policy::deployment::Deployment;
 use crate::policy::figures::RunFigures;
 use crate::policy::scenario::Scenario;
-use crate::policy::service::ServiceModel;
 use crate::policy::world::PolicyKind;
 use crate::policy::world::World;
 
@@ -74,8 +73,6 @@
     pub policy: &'static str,
     /// Loads a second that the weight store allows.
     pub loads_per_second: f64,
-    /// Requests that the plain service runs concurrently.
-    pub plain_concurrency: usize,
     /// Duration of the run in real time, in seconds.
     pub wall_secs: f64,
     /// Figures.
@@ -210,8 +207,7 @@
         exponent: capacity.exponent,
         policy: policy.as_str(),
         loads_per_second: dep.loads_per_second,
-        plain_concurrency: dep.instances * ServiceModel::CONCURRENCY,
         wall_secs: start.elapsed().as_secs_f64(),
-        figures: RunFigures::new(dep, &world),
+        figures: RunFigures::new(dep, capacity, &world),
     }
 }
--- a/crates/fireflyhead-measure/src/policy/bounds.rs
+++ b/crates/fireflyhead-measure/src/policy/bounds.rs
@@ -159,7 +159,7 @@
         list.at_least("engines: goodput against capacity", of_capacity, 0.95);
     }
     if floods.iter().any(|flood| !flood.engine) {
-        let capacity_ms = case.core.plain_concurrency as f64 * 1e3;
+        let capacity_ms = case.capacity.plain_ms();
         let demand_ms = core.plain.offered_work.min(capacity_ms);
         let of_capacity = core.plain.work / demand_ms;
         list.at_least("plain service: goodput against capacity", of_capacity, 0.95);
--- a/crates/fireflyhead-measure/src/policy/capacity.rs
+++ b/crates/fireflyhead-measure/src/policy/capacity.rs
@@ -36,6 +36,8 @@
     pub batched_load_rps: f64,
     /// Requests a second that the plain service can serve.
     pub plain_rps: f64,
+    /// Requests that the plain service runs concurrently.
+    pub plain_concurrency: usize,
 }
 
 impl Capacity {
@@ -58,6 +60,7 @@
             load_rps: dep.loads_per_second / miss_ratio,
             batched_load_rps: batched(&weights[dep.slots()..], dep.loads_per_second),
             plain_rps: dep.instances as f64 * 1e3 / plain_ms,
+            plain_concurrency: dep.instances * ServiceModel::CONCURRENCY,
         }
     }
 
@@ -66,6 +69,11 @@
         self.token_rps.min(self.batched_load_rps)
     }
 
+    /// Service time that the plain service can provide in a second, in milliseconds.
+    pub fn plain_ms(&self) -> f64 {
+        self.plain_concurrency as f64 * 1e3
+    }
+
     /// Generated tokens a second at that rate.
     pub fn engine_tokens(&self) -> f64 {
         self.engine_rps() * self.mean_tokens
--- a/crates/fireflyhead-measure/src/policy/figures.rs
+++ b/crates/fireflyhead-measure/src/policy/figures.rs
@@ -1,7 +1,9 @@
 //! Figures of a run, by rank and by class.
 //!
-//! Requests are counted by their first arrival in the window, goodput by the time at which the
-//! response is complete. Time to first token runs from the first arrival at an entry, so
+//! Requests are counted by their first arrival in the window. Work and total goodput are counted
+//! at the time at which the response is complete. The goodput of the steady demand counts the
+//! requests that arrived in the window and started within the deadline of their class: by
+//! completion, a rise of the latency would show as a loss although nothing is lost. Time to first token runs from the first arrival at an entry, so
 //! that it includes the delay of a refused caller's retries. A request that is still
 //! queued at the end of the run is `open`.
 
@@ -11,6 +13,7 @@
 use fireflyhead_core::types::Time;
 use serde::Serialize;
 
+use crate::policy::capacity::Capacity;
 use crate::policy::deployment::Deployment;
 use crate::policy::scenario::EVENT_AT;
 use crate::policy::scenario::MEASURE_UNTIL;
@@ -39,7 +42,8 @@
     pub open: f64,
     /// Responses completed a second.
     pub goodput: f64,
-    /// Responses to steady demand completed a second.
+    /// Requests of the steady demand a second that were answered and started within their
+    /// deadline, counted by arrival.
     pub fresh_goodput: f64,
     /// The same from 30 s after the event.
     pub late_goodput: f64,
@@ -58,20 +62,20 @@
 }
 
 impl Figures {
-    fn of<'a>(requests: impl Iterator<Item = &'a Request>) -> Figures {
+    fn of<'a>(dep: &Deployment, requests: impl Iterator<Item = &'a Request>) -> Figures {
         let span = MEASURE_UNTIL - EVENT_AT;
         let late = secs(EVENT_AT + RECOVERY_SECS);
         let (mut figures, mut ttft, mut fresh_ttft) = (Figures::default(), Vec::new(), Vec::new());
+        let in_time = |req: &Request| {
+            let deadline = Duration::from_millis(dep.classes[req.class].deadline_ms);
+            req.first.is_some_and(|first| first.since(req.arrived) <= deadline)
+        };
         let (mut answered, mut fresh_answered, mut refused, mut stalled) = (0, 0, 0, 0);
         let mut stall = Duration::ZERO;
         for req in requests {
             if req.state == State::Answered && World::counts(req.ended) {
                 figures.goodput += 1.0 / span;
                 figures.work += req.work / span;
-                figures.fresh_goodput += f64::from(u8::from(req.fresh)) / span;
-                if req.fresh && req.ended >= late {
-                    figures.late_goodput += 1.0 / (span - RECOVERY_SECS);
-                }
             }
             if !World::counts(req.arrived) {
                 continue;
@@ -85,6 +89,12 @@
                 State::Answered => {
                     answered += 1;
                     fresh_answered += usize::from(req.fresh);
+                    if req.fresh && in_time(req) {
+                        figures.fresh_goodput += 1.0 / span;
+                        if req.arrived >= late {
+                            figures.late_goodput += 1.0 / (span - RECOVERY_SECS);
+                        }
+                    }
                 }
                 State::Refused(_) => refused += 1,
                 State::Open => {}
@@ -146,8 +156,8 @@
     pub floor: f64,
     /// Work completed, as a share of the work that all classes of the service completed.
     pub share: f64,
-    /// Share received divided by the smaller of the floor and the share of the service's
-    /// work that the class asked for; 1 if the class has no floor.
+    /// Work completed divided by the smaller of the floor's part of the capacity and the work
+    /// that the class asked for; 1 if the class has no floor.
     pub against_floor: f64,
     /// Figures.
     pub figures: Figures,
@@ -180,19 +190,19 @@
 
 impl RunFigures {
     /// Figures of a finished run.
-    pub fn new(dep: &Deployment, world: &World) -> RunFigures {
+    pub fn new(dep: &Deployment, cap: &Capacity, world: &World) -> RunFigures {
         let of_service = |engine: bool| {
             let requests = world.requests.iter();
-            Figures::of(requests.filter(|req| dep.classes[req.class].engine == engine))
+            Figures::of(dep, requests.filter(|req| dep.classes[req.class].engine == engine))
         };
         let (engines, plain) = (of_service(true), of_service(false));
         let classes = dep.classes.iter().enumerate().map(|(i, class)| {
-            let figures = Figures::of(world.requests.iter().filter(|req| req.class == i));
+            let figures = Figures::of(dep, world.requests.iter().filter(|req| req.class == i));
             let total = if class.engine { &engines } else { &plain };
             let share = figures.work / total.work.max(1e-9);
-            let demand = figures.offered_work / total.work.max(1e-9);
-            let due = class.floor.min(demand);
-            let against_floor = if due > 0.0 { share / due } else { 1.0 };
+            let capacity = if class.engine { cap.engine_tokens() } else { cap.plain_ms() };
+            let due = (class.floor * capacity).min(figures.offered_work);
+            let against_floor = if due > 0.0 { figures.work / due } else { 1.0 };
             let (rank, floor, engine) = (class.rank, class.floor, class.engine);
             ClassFigures { class: class.name, engine, rank, floor, share, against_floor, figures }
         });
