--- a/crates/fireflyhead-node/src/entry/account.rs
+++ b/crates/fireflyhead-node/src/entry/account.rs
@@ -29,9 +29,15 @@
 }
 
 impl Counts {
+    /// Difference between the accepted requests and those with an outcome or in flight.
+    pub fn unaccounted(&self) -> u64 {
+        let accounted = self.answered + self.not_run + self.outcome_unknown + self.in_flight;
+        self.accepted.abs_diff(accounted)
+    }
+
     /// Whether every accepted request has exactly one outcome or is in flight.
     pub fn balanced(&self) -> bool {
-        self.accepted == self.answered + self.not_run + self.outcome_unknown + self.in_flight
+        self.unaccounted() == 0
     }
 }
 
--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -56,6 +56,7 @@
 use crate::peer::client::Peers;
 use crate::peer::server::PeerServer;
 use crate::peer::stream::RunPort;
+use crate::telemetry;
 use crate::telemetry::Metrics;
 
 mod cluster;
@@ -212,14 +213,16 @@
         let dispatchers = Dispatchers::start(cx.clone(), loads.clone(), gate, stop.clone());
         let (submit, submissions) = mpsc::unbounded_channel();
         let once = OnceHandle::start(&cx, &peers, auth.clone(), submit, stop.clone());
-        let metrics = Metrics::new(&opentelemetry::global::meter("fireflyhead"));
+        let meter = opentelemetry::global::meter("fireflyhead");
+        let accounting = Accounting::new(Metrics::new(&meter));
+        telemetry::observe_node(&meter, &cx, &accounting);
         let entry = Entry::start(EntryParts {
             cx: cx.clone(),
             dispatchers: dispatchers.clone(),
             peers: peers.clone(),
             once: once.clone(),
             store,
-            accounting: Accounting::new(metrics),
+            accounting,
             stop: stop.clone(),
         });
         tokio::spawn(entry.clone().run_submissions(submissions));
--- a/crates/fireflyhead-node/src/telemetry.rs
+++ b/crates/fireflyhead-node/src/telemetry.rs
@@ -4,6 +4,7 @@
 //! trace context travels from the caller through the peer stream to the upstream.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fireflyhead_core::types::Name;
@@ -30,6 +31,9 @@
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
+use crate::context::NodeContext;
+use crate::entry::account::Accounting;
+
 #[cfg(test)]
 mod tests;
 
@@ -77,6 +81,21 @@
     }
 }
 
+/// Registers the figures of a node that are read when metrics are collected: the table in
+/// force, and requests accepted without an outcome and not in flight, which must be 0.
+pub(crate) fn observe_node(meter: &Meter, cx: &NodeContext, accounting: &Arc<Accounting>) {
+    let table = cx.table.clone();
+    meter
+        .u64_observable_gauge("fireflyhead.table.version")
+        .with_callback(move |gauge| gauge.observe(table.borrow().version, &[]))
+        .build();
+    let accounting = accounting.clone();
+    meter
+        .u64_observable_gauge("fireflyhead.requests.unaccounted")
+        .with_callback(move |gauge| gauge.observe(accounting.counts().unaccounted(), &[]))
+        .build();
+}
+
 fn labels(rank: Rank, class: &Name) -> [KeyValue; 2] {
     [KeyValue::new("rank", rank.as_str()), KeyValue::new("class", class.to_string())]
 }
--- a/tests/testsuite/daemon.rs
+++ b/tests/testsuite/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon as a process: settings, signals and exit status.
 
+use std::collections::HashSet;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -9,9 +10,14 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
+use axum::Router;
+use axum::http::Uri;
+
 /// Daemon without settings from the environment of the test.
 fn daemon(args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_fireflyhead-node"));
@@ -20,7 +26,7 @@
 }
 
 /// Starts a daemon and waits until it runs; its address for callers.
-fn start(resolve_ttl: &str) -> (Child, String) {
+fn start(resolve_ttl: &str, more: &[&str]) -> (Child, String) {
     let loopback = "127.0.0.1:0";
     let args = [
         "--caller-address",
@@ -32,7 +38,7 @@
         "--resolve-ttl",
         resolve_ttl,
     ];
-    let mut child = daemon(&args).env("FIREFLYHEAD_PEER_KEY", "k").spawn().unwrap();
+    let mut child = daemon(&args).args(more).env("FIREFLYHEAD_PEER_KEY", "k").spawn().unwrap();
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
     let address = lines.by_ref().find_map(|line| {
         let line: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
@@ -91,7 +97,7 @@
 /// Guards against a planned stop that never ends, and a second signal that is ignored.
 #[test]
 fn signals_stop_the_daemon_as_planned_or_at_once() {
-    let (mut planned, address) = start("1s");
+    let (mut planned, address) = start("1s", &[]);
     let mut socket = TcpStream::connect(&address).unwrap();
     socket.write_all(b"GET /readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").unwrap();
     let mut answer = String::new();
@@ -99,10 +105,39 @@
     assert!(answer.contains("503") && answer.contains("not_ready"), "{answer}");
     terminate(&planned);
     assert_eq!(exit_code(&mut planned, Duration::from_secs(15)), Some(0));
-    let (mut twice, _) = start("1m");
+    let (mut twice, _) = start("1m", &[]);
     terminate(&twice);
     std::thread::sleep(Duration::from_millis(300));
     assert!(twice.try_wait().unwrap().is_none(), "the planned stop lasts as long as the answers");
     terminate(&twice);
     assert_eq!(exit_code(&mut twice, Duration::from_secs(3)), Some(0));
 }
+
+/// Guards against traces and metrics that are lost when the daemon stops.
+#[tokio::test(flavor = "multi_thread")]
+async fn traces_and_metrics_reach_the_collector() {
+    let paths: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let seen = paths.clone();
+    let collector = Router::new().fallback(move |uri: Uri| async move {
+        seen.lock().unwrap().insert(uri.path().to_owned());
+    });
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let endpoint = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move { axum::serve(listener, collector).await });
+    let run = tokio::task::spawn_blocking(move || {
+        let (mut child, address) =
+            start("1s", &["--telemetry", "otlp", "--otlp-endpoint", &endpoint]);
+        let mut socket = TcpStream::connect(&address).unwrap();
+        let head = "GET /svc/desk/orders HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        socket.write_all(head.as_bytes()).unwrap();
+        let mut answer = String::new();
+        socket.read_to_string(&mut answer).unwrap();
+        assert!(answer.contains("not_ready"), "{answer}");
+        terminate(&child);
+        exit_code(&mut child, Duration::from_secs(20))
+    });
+    assert_eq!(run.await.unwrap(), Some(0));
+    let paths = paths.lock().unwrap().clone();
+    assert!(paths.contains("/v1/traces"), "{paths:?}");
+    assert!(paths.contains("/v1/metrics"), "{paths:?}");
+}
