Limit the frequency that background requests alone give an adapter

Cause: at 10x background work its adapters had a higher frequency than the cold adapters of standard work, which then waited for a slot until half of the deadline.

--- a/crates/fireflyhead-core/src/dispatch/adapters.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters.rs
@@ -20,6 +20,10 @@
 /// flood of a lower rank does not evict the adapters of a higher one.
 const RANK_VALUE: [f64; 3] = [4.0, 1.0, 0.1];
 
+/// Frequency that requests of the lowest rank alone approach. One request of a higher rank
+/// outweighs it, so that a flood cannot hold all slots by the number of its requests.
+const BACKGROUND_LIMIT: f64 = 0.6;
+
 /// Requests that a frequency may let expect in a time without any; a higher
 /// frequency is taken to have fallen. The frequency of an adapter that is no
 /// longer requested would otherwise outlast a popularity shift by several half-lives.
@@ -107,7 +111,9 @@
     pub(super) due: BTreeMap<(Time, u64), JobId>,
     /// Rows with waiting jobs, and their number.
     pub(super) lanes: Vec<(Rank, RowId, u32)>,
+    /// Requests of the ranks above the lowest one, and of the lowest one.
     frequency: f64,
+    background: f64,
     frequency_at: Time,
     /// Value of the last request.
     last_value: f64,
@@ -137,6 +143,7 @@
             due: BTreeMap::new(),
             lanes: Vec::new(),
             frequency: 0.0,
+            background: 0.0,
             frequency_at: Time::default(),
             last_value: 0.0,
             position: None,
@@ -166,7 +173,9 @@
     /// Requests within about one half-life, weighted by rank.
     pub(super) fn frequency(&self, now: Time, half_life: Duration) -> f64 {
         let idle = now.since(self.frequency_at).as_secs_f64() / half_life.as_secs_f64();
-        let decayed = self.frequency * (-idle).exp2();
+        let background = self.background * (-idle).exp2();
+        let limited = BACKGROUND_LIMIT * background / (BACKGROUND_LIMIT + background);
+        let decayed = self.frequency * (-idle).exp2() + limited;
         if idle <= 0.0 {
             return decayed;
         }
@@ -258,9 +267,15 @@
 
     /// Counts a request for the eviction order.
     pub(super) fn touch(&mut self, now: Time, idx: u32, rank: Rank) {
-        let half_life = self.cfg.half_life;
+        let half_life = self.cfg.half_life.as_secs_f64();
         let adapter = self.get_mut(idx);
-        adapter.frequency = adapter.frequency(now, half_life) + RANK_VALUE[rank.index()];
+        let decay = (-now.since(adapter.frequency_at).as_secs_f64() / half_life).exp2();
+        adapter.frequency *= decay;
+        adapter.background *= decay;
+        match rank {
+            Rank::Background => adapter.background += RANK_VALUE[rank.index()],
+            Rank::Urgent | Rank::Standard => adapter.frequency += RANK_VALUE[rank.index()],
+        }
         adapter.last_value = RANK_VALUE[rank.index()];
         adapter.frequency_at = now;
     }
