Check the connections of streamed completions after 3 s without a token

The time was six times the target of the row, 30 s for drafts with a target of 5 s, so that drafts on a silent connection passed their deadline. A stream is now checked after 3 s without a token, other completions after twice the time that their tokens take, plain calls as before.

--- a/crates/fireflyhead-node/src/dispatchers/actor.rs
+++ b/crates/fireflyhead-node/src/dispatchers/actor.rs
@@ -22,6 +22,7 @@
 use fireflyhead_core::types::RowId;
 use fireflyhead_core::types::Time;
 use fireflyhead_core::types::UpstreamInfo;
+use fireflyhead_core::types::UpstreamKind;
 use fireflyhead_core::wire::rank_from_wire;
 use fireflyhead_schema::messages;
 use fireflyhead_schema::messages::Dispatch;
@@ -65,12 +66,15 @@
 /// Time between two reads of an upstream's load figures and two adverts.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Shortest time without progress after which a connection may be silent. With the time to
-/// find that out it stays below the 5 s within which such connections are replaced.
-const MIN_PATIENCE: Duration = Duration::from_secs(3);
+/// Shortest time without progress after which a connection is checked. With the time of
+/// the check it stays below the 5 s within which silent connections are replaced.
+const MIN_CHECK_AFTER: Duration = Duration::from_secs(3);
 
-/// Targets to first output that pass before a connection may be silent.
-const PATIENCE_TARGETS: u32 = 6;
+/// Targets to first output that pass before a connection to a plain service is checked.
+const CHECK_TARGETS: u32 = 6;
+
+/// Time of one token above which an engine is slow: about twice the target of 46 ms.
+const SLOW_TOKEN: Duration = Duration::from_millis(100);
 
 /// Message to the actor of an upstream.
 pub(crate) enum DispatcherMsg {
@@ -452,16 +456,23 @@
             body: dispatch.body.clone(),
             adapter,
             resume_from: dispatch.resume_from,
-            patience: dispatch.idempotent.then(|| self.patience(job.row)),
+            check_after: dispatch.idempotent.then(|| self.check_after(dispatch, job.row)),
         };
         Some((job, request))
     }
 
-    /// Time without progress after which a connection may be silent: well above the target
-    /// of the row, so that slow work is not taken for a silent connection.
-    fn patience(&self, row: RowId) -> Duration {
-        let target = self.cx.table.borrow().row(row).map_or(Duration::ZERO, |row| row.terms.target);
-        MIN_PATIENCE.max(target * PATIENCE_TARGETS)
+    /// Time without progress after which the connection is checked. It is longer for
+    /// responses that come as a whole, so that slow work is not taken for a silent connection.
+    fn check_after(&self, dispatch: &Dispatch, row: RowId) -> Duration {
+        let expected = match self.info.kind {
+            UpstreamKind::Engine { .. } if dispatch.streamed => Duration::ZERO,
+            UpstreamKind::Engine { .. } => SLOW_TOKEN.saturating_mul(dispatch.output_tokens),
+            UpstreamKind::Service => {
+                let table = self.cx.table.borrow();
+                table.row(row).map_or(Duration::ZERO, |row| row.terms.target * CHECK_TARGETS)
+            }
+        };
+        MIN_CHECK_AFTER.max(expected)
     }
 
     /// Engines get an id of our own, because two callers may choose the same one. Plain
--- a/crates/fireflyhead-node/src/entry.rs
+++ b/crates/fireflyhead-node/src/entry.rs
@@ -127,6 +127,7 @@
     prompt_tokens: u32,
     output_tokens: u32,
     prefix: Option<u64>,
+    streamed: bool,
     retry: bool,
     request_id: String,
     traceparent: String,
@@ -156,6 +157,7 @@
             body: self.body.clone(),
             traceparent: self.traceparent.clone(),
             resume_from,
+            streamed: self.streamed,
             body_bytes: self.body.len() as u64,
         }
     }
@@ -345,6 +347,7 @@
         Ok(JobSpec {
             prompt_tokens: parsed.prompt_tokens,
             output_tokens: parsed.output_tokens,
+            streamed: parsed.streamed,
             prefix: parsed.prefix,
             ..self.spec(table, request, policy, body)
         })
@@ -369,6 +372,7 @@
             body,
             prompt_tokens: 0,
             output_tokens: 0,
+            streamed: false,
             prefix: None,
             retry,
             request_id: id.to_owned(),
--- a/crates/fireflyhead-node/src/entry/model.rs
+++ b/crates/fireflyhead-node/src/entry/model.rs
@@ -29,6 +29,7 @@
     pub(super) prompt_tokens: u32,
     pub(super) output_tokens: u32,
     pub(super) prefix: Option<u64>,
+    pub(super) streamed: bool,
     object: Map<String, Value>,
 }
 
@@ -77,7 +78,8 @@
     }
     let prefix = (text.bytes >= PREFIX_BYTES).then(|| text.hasher.finish());
     let prompt_tokens = u32::try_from(text.bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
-    Ok(ModelRequest { model: model.clone(), prompt_tokens, output_tokens, prefix, object })
+    let (model, streamed) = (model.clone(), object.get("stream") == Some(&Value::Bool(true)));
+    Ok(ModelRequest { model, prompt_tokens, output_tokens, prefix, streamed, object })
 }
 
 /// Length and beginning of the text of a prompt.
--- a/crates/fireflyhead-node/src/upstream/run.rs
+++ b/crates/fireflyhead-node/src/upstream/run.rs
@@ -66,7 +66,7 @@
     pub resume_from: u32,
     /// Time without progress after which a connection that may be silent is given up,
     /// if the upstream responds on a new one; `None` if the request must not run twice.
-    pub patience: Option<Duration>,
+    pub check_after: Option<Duration>,
 }
 
 /// Progress of a run.
@@ -110,7 +110,7 @@
     response: reqwest::Response,
     /// Client whose connection carries the response.
     http: Arc<reqwest::Client>,
-    patience: Option<Duration>,
+    check_after: Option<Duration>,
 }
 
 /// Receiver of a run's output.
@@ -183,15 +183,16 @@
         let status = response.status().as_u16();
         match &request.adapter {
             None => {
-                let patience = request.patience;
-                self.pass(Source { response, http, patience }, sink).await
+                let check_after = request.check_after;
+                self.pass(Source { response, http, check_after }, sink).await
             }
             Some(_) if !(200..300).contains(&status) => {
-                self.engine_error(Source { response, http, patience: request.patience }, sink).await
+                self.engine_error(Source { response, http, check_after: request.check_after }, sink)
+                    .await
             }
             Some(adapter) => {
                 let events = is_event_stream(response.headers());
-                let source = Source { response, http, patience: request.patience };
+                let source = Source { response, http, check_after: request.check_after };
                 match events {
                     true => self.stream(source, request, adapter, sink).await,
                     false => self.json(source, request, adapter, sink).await,
@@ -214,7 +215,7 @@
             .headers(request.headers.clone())
             .header(REQUEST_ID_HEADER, &request.id)
             .body(body);
-        match self.watched(http, request.patience, built.send()).await {
+        match self.watched(http, request.check_after, built.send()).await {
             Some(Ok(response)) => Ok(response),
             Some(Err(e)) => {
                 let sent = !e.is_connect() && !e.is_builder();
@@ -228,20 +229,20 @@
     async fn watched<T>(
         &self,
         http: &Arc<reqwest::Client>,
-        patience: Option<Duration>,
+        check_after: Option<Duration>,
         progress: impl Future<Output = T>,
     ) -> Option<T> {
         tokio::pin!(progress);
         let limit = self.timeouts.progress;
-        let Some(patience) = patience.filter(|patience| *patience < limit) else {
+        let Some(check_after) = check_after.filter(|check_after| *check_after < limit) else {
             return timeout(limit, progress).await.ok();
         };
-        match timeout(patience, &mut progress).await {
+        match timeout(check_after, &mut progress).await {
             Ok(done) => return Some(done),
             Err(_) if self.is_connection_silent(http).await => return None,
             Err(_) => {}
         }
-        timeout(limit - patience, progress).await.ok()
+        timeout(limit - check_after, progress).await.ok()
     }
 
     /// Passes the response of a plain service on as it is.
@@ -340,8 +341,8 @@
     }
 
     async fn next(&self, source: &mut Source) -> Result<Option<Bytes>, RunEnd> {
-        let Source { response, http, patience } = source;
-        match self.watched(http, *patience, response.chunk()).await {
+        let Source { response, http, check_after } = source;
+        match self.watched(http, *check_after, response.chunk()).await {
             Some(Ok(bytes)) => Ok(bytes),
             Some(Err(e)) => Err(RunEnd::failed(e.to_string())),
             None => Err(RunEnd::failed("no progress, or the connection is silent")),
--- a/crates/fireflyhead-node/src/upstream/tests.rs
+++ b/crates/fireflyhead-node/src/upstream/tests.rs
@@ -27,7 +27,7 @@
         body: Bytes::new(),
         adapter: Some(AdapterKey::new("haiku", "2")),
         resume_from,
-        patience: None,
+        check_after: None,
     }
 }
 
--- a/tests/testsuite/upstream.rs
+++ b/tests/testsuite/upstream.rs
@@ -69,7 +69,7 @@
         body: Bytes::from(body.to_string()),
         adapter: AdapterKey::parse(model),
         resume_from: 0,
-        patience: None,
+        check_after: None,
     }
 }
 
@@ -252,7 +252,7 @@
             body: Bytes::from(json!({"order_id": name}).to_string()),
             adapter: None,
             resume_from: 0,
-            patience: None,
+            check_after: None,
         };
         let (end, _) = run(&client, &request).await;
         check(name, wanted, &end);
