Model the watch in the tests of ownership, and test outages end to end

Owners keep their rights through a minute without the service and reclaim their records; the next node serves until a dead owner's lease ends.

--- a/crates/fireflyhead-core/src/ownership/tests.rs
+++ b/crates/fireflyhead-core/src/ownership/tests.rs
@@ -64,6 +64,8 @@
     stopped: bool,
     /// Members that the process was told last.
     members: Vec<Member>,
+    /// Arrival of the last event of its watch, which keeps the order of events.
+    watched: Time,
 }
 
 impl Process {
@@ -161,8 +163,16 @@
         let id = Name::from(format!("node-{at}"));
         let node = NodeRef { id, incarnation: self.incarnation };
         let machine = Ownership::new(config(), node.clone());
-        let (start, paused_since, members) = (self.now, None, Vec::new());
-        let process = Process { machine, node, at, start, paused_since, stopped: false, members };
+        let process = Process {
+            machine,
+            node,
+            at,
+            start: self.now,
+            paused_since: None,
+            stopped: false,
+            members: Vec::new(),
+            watched: self.now,
+        };
         self.processes.push(process);
         self.input(self.processes.len() - 1, OwnershipInput::Upstreams(upstreams()));
     }
@@ -206,6 +216,23 @@
         self.events.push((self.now + delay, event));
     }
 
+    /// Tells every process that reaches the service of a change.
+    fn tell(&mut self, upstream: &Name) {
+        let stored = self.service.records.get(upstream).cloned();
+        for to in 0..self.processes.len() {
+            let delay = Duration::from_millis(self.rng.random_range(0..=self.max_delay_ms));
+            let process = &mut self.processes[to];
+            process.watched = process.watched.max(self.now + delay);
+            let lost = self.cut[process.at] || self.rng.random_bool(self.loss);
+            let (upstream, stored) = (upstream.clone(), stored.clone());
+            let input = match lost {
+                true => OwnershipInput::WatchLost,
+                false => OwnershipInput::Read { upstream, stored, sent: Time::default() },
+            };
+            self.events.push((process.watched, Event::Reply { to, inputs: vec![input] }));
+        }
+    }
+
     /// One call at the service: its result, or `None` if there is no answer.
     fn call(
         &mut self,
@@ -253,12 +280,14 @@
                 let stored = StoredRecord { record: record.clone(), revision, lease };
                 service.records.insert(upstream.clone(), stored);
                 self.check_grace(from, &upstream);
+                self.tell(&upstream);
                 OwnershipInput::SwapDone { upstream, operation, revision }
             }
             OwnershipEffect::Release { upstream, revision } => {
                 if service.records.get(upstream).is_some_and(|s| s.revision == *revision) {
                     service.records.remove(upstream);
                     self.released.insert(upstream.clone());
+                    self.tell(upstream);
                 }
                 let stored = self.service.records.get(upstream).cloned();
                 OwnershipInput::Read { upstream: upstream.clone(), stored, sent }
@@ -334,7 +363,13 @@
         if service.down_since.is_none() {
             service.leases.retain(|_, ends| *ends > now);
             let leases = &service.leases;
-            service.records.retain(|_, stored| leases.contains_key(&stored.lease));
+            let ended = |(name, stored): (&Name, &StoredRecord)| {
+                (!leases.contains_key(&stored.lease)).then(|| name.clone())
+            };
+            for name in service.records.iter().filter_map(ended).collect::<Vec<_>>() {
+                self.service.records.remove(&name);
+                self.tell(&name);
+            }
         }
     }
 
@@ -584,3 +619,46 @@
         world.check_owned();
     }
 }
+
+/// Guards against loads and evictions that end with an outage of the service, and
+/// against upstreams that change hands because of it.
+#[test]
+fn owners_go_on_through_an_outage() {
+    let mut world = World::new(1);
+    world.run(30_000);
+    world.check_owned();
+    let owners = world.last_owner.clone();
+    world.step(Op::Service { up: false });
+    for _ in 0..600 {
+        world.run(100);
+        for upstream in upstreams() {
+            let at = world.processes.iter().position(|p| p.node == owners[&upstream.name]);
+            let owner = &world.processes[at.expect("owners run")];
+            assert!(owner.orders(world.now, &upstream.name, false), "{}", upstream.name);
+        }
+    }
+    world.step(Op::Service { up: true });
+    world.run(30_000);
+    world.check_owned();
+    assert_eq!(world.last_owner, owners);
+}
+
+/// Guards against a killed owner whose adapters nobody uses until its lease ends.
+#[test]
+fn the_next_node_serves_from_loaded_adapters_until_the_lease_ends() {
+    let mut world = World::new(2);
+    world.run(10_000);
+    let upstream = upstreams().swap_remove(0).name;
+    let owner = world.last_owner[&upstream].clone();
+    let at = world.processes.iter().position(|p| p.node == owner).expect("owners run");
+    world.processes[at].stopped = true;
+    world.run(500);
+    let caretakers = |world: &World| {
+        let is = |p: &&Process| p.running() && p.role(world.now, &upstream) == Role::Caretaker;
+        world.processes.iter().filter(is).count()
+    };
+    assert_eq!(caretakers(&world), 1);
+    world.run(8_000);
+    assert_eq!(caretakers(&world), 0);
+    assert_ne!(world.last_owner[&upstream], owner);
+}
