--- a/crates/fireflyhead-core/src/ownership/tests.rs
+++ b/crates/fireflyhead-core/src/ownership/tests.rs
@@ -629,15 +629,21 @@
     world.check_owned();
     let owners = world.last_owner.clone();
     world.step(Op::Service { up: false });
-    for _ in 0..600 {
-        world.run(100);
+    let check = |world: &World| {
         for upstream in upstreams() {
             let at = world.processes.iter().position(|p| p.node == owners[&upstream.name]);
             let owner = &world.processes[at.expect("owners run")];
             assert!(owner.orders(world.now, &upstream.name, false), "{}", upstream.name);
         }
+    };
+    for _ in 0..600 {
+        world.run(100);
+        check(&world);
     }
     world.step(Op::Service { up: true });
+    // Others wait for the grace period, the owners don't.
+    world.run(3_000);
+    check(&world);
     world.run(30_000);
     world.check_owned();
     assert_eq!(world.last_owner, owners);
