--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,10 +2,13 @@
 
 mod callers;
 mod cluster;
+mod daemon;
 mod demo;
 mod edits;
 mod faults;
 mod kv;
+mod orders;
 mod standin;
 mod tables;
+
 mod upstream;
