--- a/crates/fireflyhead-core/src/ownership.rs
+++ b/crates/fireflyhead-core/src/ownership.rs
@@ -22,6 +22,7 @@
 
 use std::collections::BTreeMap;
 use std::hash::Hasher;
+use std::time::Duration;
 
 use siphasher::sip::SipHasher13;
 
@@ -40,6 +41,9 @@
 pub use events::OwnershipInput;
 pub use events::StoredRecord;
 
+/// Time between two scans for upstreams without an owner.
+const SCAN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Upstream owned by this node.
 #[derive(Clone, Debug)]
 struct Owned {
@@ -48,6 +52,13 @@
     pinned_until: Time,
 }
 
+/// State of the decisions of [`Ownership`]; equal values mean equal decisions.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Revision {
+    version: u64,
+    flags: [bool; 4],
+}
+
 /// Last record known of an upstream.
 #[derive(Clone, Debug)]
 struct Known {
@@ -96,7 +107,9 @@
     listed: bool,
     next_read: Time,
     next_check: Time,
+    next_scan: Time,
     next_rebalance: Time,
+    version: u64,
     operations: u64,
     draining: bool,
 }
@@ -117,7 +130,9 @@
             listed: false,
             next_read: Time::default(),
             next_check: Time::default(),
+            next_scan: Time::default(),
             next_rebalance: Time::default(),
+            version: 0,
             operations: 0,
             draining: false,
             node,
@@ -147,6 +162,19 @@
         }
     }
 
+    /// Value that changes whenever [`Ownership::owner_of`] or [`Ownership::role`] may.
+    pub fn revision(&self, now: Time) -> Revision {
+        Revision {
+            version: self.version,
+            flags: [
+                self.authority.orders_allowed(now),
+                self.authority.isolated(),
+                self.authority.majority(),
+                self.authority.store_reachable(),
+            ],
+        }
+    }
+
     /// Whether the service answers this node.
     pub fn store_reachable(&self) -> bool {
         self.authority.store_reachable()
@@ -204,13 +232,17 @@
                 self.authority.set_contact(now, majority, isolated, views);
             }
             OwnershipInput::Upstreams(upstreams) => {
+                self.version += 1;
                 self.upstreams = upstreams.into_iter().map(|u| (u.name.clone(), u)).collect();
             }
             OwnershipInput::Handover { upstream, from, in_use, .. } => {
                 self.handovers.insert(upstream.clone(), (from, in_use, now));
                 effects.push(OwnershipEffect::Read { upstream });
             }
-            OwnershipInput::Drain => self.draining = true,
+            OwnershipInput::Drain => {
+                self.draining = true;
+                self.version += 1;
+            }
             OwnershipInput::Tick => {}
         }
         self.advance(now, effects);
@@ -225,9 +257,13 @@
         }
         self.repeat_calls(now, effects);
         self.hand_over(now, effects);
-        if self.listed && self.authority.has_lease(now) && !self.draining {
+        if now >= self.next_scan && self.listed && self.authority.has_lease(now) && !self.draining {
+            self.next_scan = now + SCAN_INTERVAL;
             let allowed = self.authority.may_take_over(now);
-            let names: Vec<Name> = self.upstreams.keys().cloned().collect();
+            let ownerless = |name: &&Name| {
+                self.known.get(*name).is_none_or(|known| known.absent_since.is_some())
+            };
+            let names: Vec<Name> = self.upstreams.keys().filter(ownerless).cloned().collect();
             for upstream in names {
                 if allowed || self.may_reclaim(now, &upstream) {
                     self.take_over(now, upstream, effects);
@@ -244,6 +280,7 @@
     }
 
     fn set_members(&mut self, now: Time, members: Vec<Member>) {
+        self.version += 1;
         let old = std::mem::take(&mut self.members);
         self.members = members
             .into_iter()
@@ -263,6 +300,7 @@
             return;
         }
         let reclaim = self.authority.lost(now);
+        self.version += 1;
         self.attempts.clear();
         self.releases.clear();
         for (upstream, owned) in std::mem::take(&mut self.owned) {
@@ -353,6 +391,7 @@
 
     fn stop(&mut self, upstream: Name, effects: &mut Vec<OwnershipEffect>) -> Option<Owned> {
         let owned = self.owned.remove(&upstream)?;
+        self.version += 1;
         self.given_up.insert(upstream.clone(), owned.revision);
         effects.push(OwnershipEffect::Stop { upstream });
         Some(owned)
@@ -387,6 +426,9 @@
         }
         match self.known.get_mut(upstream) {
             Some(known) if of_watch || sent >= known.seen => {
+                if known.absent_since.is_none() {
+                    self.version += 1;
+                }
                 known.absent_since.get_or_insert(now);
             }
             _ => {}
@@ -396,7 +438,9 @@
     fn note(&mut self, now: Time, upstream: &Name, record: OwnerRecord, revision: i64) {
         let record = OwnerRecord { fencing: fencing(revision), ..record };
         let known = Known { record, revision, seen: now, absent_since: None };
-        self.known.insert(upstream.clone(), known);
+        let before = self.known.insert(upstream.clone(), known);
+        let same = before.is_some_and(|b| b.revision == revision && b.absent_since.is_none());
+        self.version += u64::from(!same);
     }
 
     fn created(
@@ -437,6 +481,7 @@
         };
         let fencing = self.upstreams.get(&upstream).is_some_and(|info| info.fencing);
         let pinned_until = if in_use && !fencing { now + self.cfg.pin_for } else { now };
+        self.version += 1;
         self.owned.insert(upstream.clone(), Owned { revision, since: now, pinned_until });
         effects.push(OwnershipEffect::Start { upstream });
     }
@@ -517,14 +562,19 @@
         if !self.authority.store_reachable() || self.authority.lease().is_none() {
             return;
         }
+        if !self.draining && now < self.next_rebalance {
+            return;
+        }
+        self.next_rebalance = now + self.cfg.call_timeout;
         let owned: Vec<Name> = self.owned.keys().cloned().collect();
+        let mut moved = false;
         for upstream in owned {
             let listed = self.upstreams.contains_key(&upstream) || self.upstreams.is_empty();
             match self.successor(now, &upstream) {
                 next if self.draining => self.release(now, upstream, next, effects),
                 _ if !listed => self.release(now, upstream, None, effects),
-                Some(next) if now >= self.next_rebalance && self.authority.may_take_over(now) => {
-                    self.next_rebalance = now + self.cfg.call_timeout;
+                Some(next) if !moved && self.authority.may_take_over(now) => {
+                    moved = true;
                     self.release(now, upstream, Some(next), effects);
                 }
                 _ => {}
@@ -564,7 +614,7 @@
         let alive = |member: &&Member| member.state == MemberState::Alive;
         let mut order: Vec<&Member> =
             self.members.values().map(|(member, _)| member).filter(alive).collect();
-        order.sort_by_key(|m| (std::cmp::Reverse(score(upstream, &m.node)), m.node.clone()));
+        order.sort_by_cached_key(|m| (std::cmp::Reverse(score(upstream, &m.node)), &m.node));
         order
     }
 
--- a/crates/fireflyhead-node/src/owners.rs
+++ b/crates/fireflyhead-node/src/owners.rs
@@ -18,6 +18,7 @@
 use fireflyhead_core::ownership::OwnershipConfig;
 use fireflyhead_core::ownership::OwnershipEffect;
 use fireflyhead_core::ownership::OwnershipInput;
+use fireflyhead_core::ownership::Revision;
 use fireflyhead_core::types::Member;
 use fireflyhead_core::types::MemberState;
 use fireflyhead_core::types::Name;
@@ -55,7 +56,7 @@
 pub const NODE_PREFIX: &str = "/fireflyhead/node/";
 
 /// Ticks of the state machine in the time to live of the lease.
-const TICKS_PER_LEASE: u32 = 60;
+const TICKS_PER_LEASE: u32 = 40;
 /// Time between two reads of the node list while something is uncertain.
 const NODES_FAST_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two reads of the node list otherwise.
@@ -96,6 +97,7 @@
         upstreams_seen: cx.upstreams.subscribe(),
         next_nodes: Time::default(),
         reading_nodes: false,
+        published: Revision::default(),
         cx,
     });
     tokio::spawn(tick(actor.clone(), members, interval));
@@ -114,6 +116,8 @@
     upstreams_seen: watch::Receiver<Arc<HashMap<Name, UpstreamInfo>>>,
     next_nodes: Time,
     reading_nodes: bool,
+    /// State at the last publication.
+    published: Revision,
 }
 
 /// Handover that must be sent to the next owner with the adapters in use.
@@ -230,9 +234,13 @@
         }
     }
 
-    /// Publishes owners, roles and the state of the service.
-    fn publish(&self) {
+    /// Publishes owners, roles and the state of the service if they may have changed.
+    fn publish(&mut self) {
         let now = self.cx.clock.now();
+        let revision = self.machine.revision(now);
+        if std::mem::replace(&mut self.published, revision) == revision {
+            return;
+        }
         let owners: HashMap<Name, Ownership> = self
             .cx
             .upstreams
