--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -62,16 +62,16 @@
         let open = || {
             order.iter().enumerate().filter(|(place, (frequency, idx))| {
                 let gives_way = *place < probation || wanted > frequency * CLOSE_RATIO;
-                gives_way && is_evictable(self.get(*idx), cx)
+                gives_way && !self.get(*idx).closing && is_evictable(self.get(*idx), cx)
             })
         };
         let without_waiters = open().find(|(_, (_, idx))| self.get(*idx).due.is_empty());
         without_waiters.or_else(|| open().next()).map(|(_, (_, idx))| *idx)
     }
 
-    /// Adapter that is being closed.
-    pub(in crate::dispatch) fn closing(&self) -> Option<u32> {
-        self.resident.iter().copied().find(|idx| self.get(*idx).closing)
+    /// Adapters that take no more jobs.
+    pub(in crate::dispatch) fn closing(&self) -> impl Iterator<Item = u32> + '_ {
+        self.resident.iter().copied().filter(|idx| self.get(*idx).closing)
     }
 
     /// Slots that no adapter occupies.
--- a/crates/fireflyhead-core/src/dispatch/residency.rs
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -48,11 +48,11 @@
             self.request_loads(now, effects);
             self.refresh_requests(now, effects);
         }
-        if let Some(idx) = self.adapters.closing()
-            && !self.adapters.candidate_ranks().contains(&true)
-        {
-            self.adapters.get_mut(idx).closing = false;
-            self.update_lanes(idx);
+        if !self.adapters.candidate_ranks().contains(&true) {
+            for idx in self.adapters.closing().collect::<Vec<_>>() {
+                self.adapters.get_mut(idx).closing = false;
+                self.update_lanes(idx);
+            }
         }
     }
 
@@ -376,10 +376,11 @@
                 self.unload(now, victim, effects);
                 continue;
             }
-            let closable = match self.adapters.closing() {
-                None => waiting().find_map(|idx| self.adapters.closable(&cx, &order, idx)),
-                Some(_) => None,
-            };
+            let opening = self.adapters.open_slots() + self.adapters.closing().count();
+            if opening >= self.cfg.max_load_requests {
+                return;
+            }
+            let closable = waiting().find_map(|idx| self.adapters.closable(&cx, &order, idx));
             let Some(victim) = closable else { return };
             self.adapters.get_mut(victim).closing = true;
             self.update_lanes(victim);
