--- a/crates/fireflyhead-core/benches/dispatch.rs
+++ b/crates/fireflyhead-core/benches/dispatch.rs
@@ -167,6 +167,9 @@
             group.bench_function(BenchmarkId::from_parameter(queued), |b| {
                 b.iter(|| step(black_box(&mut bench)));
             });
+            let advert = bench.dispatcher.advert(bench.now);
+            assert_eq!(u64::from(advert.in_flight), IN_FLIGHT, "all places are in use");
+            assert_eq!(advert.queued as usize, queued, "the queue keeps its length");
         }
         group.finish();
     }
