--- a/crates/fireflyhead-core/src/membership/gossip.rs
+++ b/crates/fireflyhead-core/src/membership/gossip.rs
@@ -1,5 +1,6 @@
 //! Content of messages: recent changes first, then members in turn.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -145,11 +146,20 @@
         views
     }
 
-    /// Members and rumors of the next message, at most `budget` bytes.
-    pub(super) fn compose(&mut self, roster: &Roster, budget: usize) -> (Vec<Member>, Vec<Rumor>) {
+    /// Members and rumors of the next message, at most `budget` bytes. This node goes
+    /// first, then the member `first`.
+    pub(super) fn compose(
+        &mut self,
+        roster: &Roster,
+        first: Option<&NodeRef>,
+        budget: usize,
+    ) -> (Vec<Member>, Vec<Rumor>) {
         let mut content = Content { left: budget, members: Vec::new(), rumors: Vec::new() };
         content.members.extend(roster.wire(&self.me));
         content.left = content.left.saturating_sub(content.members.iter().map(member_size).sum());
+        if let Some(member) = first.and_then(|node| roster.wire(node)) {
+            content.add_member(member);
+        }
         if self.table_version > 0 {
             let rumor = self.own(RumorBody::TableVersion(self.table_version));
             content.add_rumor(rumor);
@@ -163,14 +173,15 @@
         (content.members, content.rumors)
     }
 
-    /// Adds the changes that the fewest messages carried.
+    /// Adds the changes of members and of rumors that the fewest messages carried.
     fn add_changes(&mut self, roster: &Roster, content: &mut Content) {
         let mut order: Vec<(u32, Item)> =
             self.changes.iter().map(|(item, left)| (*left, item.clone())).collect();
-        order.sort_by(|a, b| b.cmp(a));
+        // Changes of members go before rumors, which may be many.
+        order.sort_by_key(|(left, item)| (matches!(item, Item::Rumor(..)), Reverse(*left)));
         for (left, item) in order {
             let added = match &item {
-                Item::Member(node) if *node == self.me => true,
+                Item::Member(node) if content.members.iter().any(|m| m.node == *node) => true,
                 Item::Member(node) => roster.wire(node).is_none_or(|m| content.add_member(m)),
                 Item::Rumor(from, kind) => match self.rumors.get(&(from.clone(), kind.clone())) {
                     Some((_, rumor)) => content.add_rumor(rumor.clone()),
@@ -246,3 +257,10 @@
     };
     RUMOR_OVERHEAD_BYTES + rumor.from.id.as_str().len() + upstream
 }
+
+/// Estimated bytes of a message's members and rumors.
+#[cfg(test)]
+pub(super) fn sizes(message: &crate::membership::Message) -> usize {
+    message.members.iter().map(member_size).sum::<usize>()
+        + message.rumors.iter().map(rumor_size).sum::<usize>()
+}
--- a/crates/fireflyhead-core/src/ownership.rs
+++ b/crates/fireflyhead-core/src/ownership.rs
@@ -171,8 +171,9 @@
     pub fn handle(&mut self, now: Time, input: OwnershipInput, effects: &mut Vec<OwnershipEffect>) {
         match input {
             OwnershipInput::LeaseGranted { lease, sent } => {
-                self.authority.granted(now, lease, sent);
-                effects.push(OwnershipEffect::Register { lease });
+                if self.authority.granted(now, lease, sent) {
+                    effects.push(OwnershipEffect::Register { lease });
+                }
             }
             OwnershipInput::KeptAlive { lease, sent } => self.authority.kept_alive(lease, sent),
             OwnershipInput::LeaseLost { lease } => self.lease_lost(now, lease, effects),
@@ -182,6 +183,7 @@
             OwnershipInput::Read { upstream, stored, sent } => {
                 self.read(now, upstream, stored, sent, effects);
             }
+            OwnershipInput::WatchLost => self.next_read = now,
             OwnershipInput::SwapDone { upstream, operation, revision } => {
                 self.created(now, upstream, &operation, revision, effects);
             }
@@ -199,7 +201,7 @@
             }
             OwnershipInput::Members(members) => self.set_members(now, members),
             OwnershipInput::Contact { majority, isolated, views } => {
-                self.authority.set_contact(majority, isolated, views);
+                self.authority.set_contact(now, majority, isolated, views);
             }
             OwnershipInput::Upstreams(upstreams) => {
                 self.upstreams = upstreams.into_iter().map(|u| (u.name.clone(), u)).collect();
@@ -223,14 +225,24 @@
         }
         self.repeat_calls(now, effects);
         self.hand_over(now, effects);
-        if self.listed && self.authority.may_take_over(now) && !self.draining {
+        if self.listed && self.authority.has_lease(now) && !self.draining {
+            let allowed = self.authority.may_take_over(now);
             let names: Vec<Name> = self.upstreams.keys().cloned().collect();
             for upstream in names {
-                self.take_over(now, upstream, effects);
+                if allowed || self.may_reclaim(now, &upstream) {
+                    self.take_over(now, upstream, effects);
+                }
             }
         }
     }
 
+    /// Whether this node owned the upstream during an outage that ended the lease.
+    fn may_reclaim(&self, now: Time, upstream: &Name) -> bool {
+        self.handovers
+            .get(upstream)
+            .is_some_and(|(from, _, at)| *from == self.node && now.since(*at) < self.cfg.grace)
+    }
+
     fn set_members(&mut self, now: Time, members: Vec<Member>) {
         let old = std::mem::take(&mut self.members);
         self.members = members
--- a/src/ops/demo/workload.rs
+++ b/src/ops/demo/workload.rs
@@ -24,8 +24,8 @@
 use crate::ops::demo::deployment::Work;
 
 /// Times that a request without an answer is sent, with the same id.
-const ATTEMPTS: usize = 4;
-/// Delay before a request is sent again.
+const ATTEMPTS: usize = 6;
+/// Delay before a request is sent again, multiplied by the number of attempts so far.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Time after which a request is given up, above the longest deadline in the table.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(150);
@@ -68,6 +68,14 @@
     pub order: Option<String>,
 }
 
+impl Record {
+    /// Whether the request was rejected only because of its id.
+    fn needs_new_id(&self) -> bool {
+        let code = self.code.as_deref();
+        self.ended == Ended::NotRun && matches!(code, Some("closed_id" | "expired_id"))
+    }
+}
+
 /// Request to send.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -198,15 +206,15 @@
         Err(reason)
     }
 
-    /// Sends `req` until it has an outcome, with one id for all attempts.
+    /// Sends `req` until it has an outcome, with the same id as long as that may run.
     pub async fn run(&self, req: &Request, stalled: bool) -> Record {
         let start = Instant::now();
-        let mut id: Option<String> = None;
+        let mut current: Option<String> = None;
         let mut detail = String::new();
         for attempt in 0..ATTEMPTS {
             if attempt > 0 {
                 self.forget();
-                tokio::time::sleep(RETRY_DELAY).await;
+                tokio::time::sleep(RETRY_DELAY * u32::try_from(attempt).unwrap_or(1)).await;
             }
             let resolved = match self.resolve().await {
                 Ok(resolved) => resolved,
@@ -220,10 +228,15 @@
                 "no address".clone_into(&mut detail);
                 continue;
             };
-            let id = id.get_or_insert_with(|| {
-                format!("{}.{}-{}", address.placement, self.plan.name, req.number)
+            let id = current.get_or_insert_with(|| {
+                format!("{}.{}-{}-{attempt}", address.placement, self.plan.name, req.number)
             });
             match self.attempt(req, &address.url, id, start).await {
+                // The id never runs, so that the request may be sent under a new one.
+                Attempt::Ended(record) if record.needs_new_id() && attempt + 1 < ATTEMPTS => {
+                    detail = "the id is closed".to_owned();
+                    current = None;
+                }
                 Attempt::Ended(record) => return Record { stalled, ..record },
                 Attempt::Broken(reason) => detail = reason,
             }
