Keep a part of the slots free of background work

Cause: at 10x background work all slots of an engine are in use by long jobs, so that a cold adapter of standard work waits for the end of a run (17 s for a write-up) before it can be loaded. Background jobs now start on an idle adapter only if a quarter of the slots stays idle, and their waiting jobs do not keep an idle adapter from being unloaded for a higher rank.

--- a/crates/fireflyhead-core/src/dispatch.rs
+++ b/crates/fireflyhead-core/src/dispatch.rs
@@ -87,6 +87,8 @@
     budgets: HashMap<RowId, f64>,
     loads: estimate::Loads,
     adapters: Adapters,
+    /// Only slots kept for higher ranks are idle.
+    reserve_only: bool,
 }
 
 impl Dispatcher {
@@ -125,6 +127,7 @@
             row_times: HashMap::new(),
             budgets: HashMap::new(),
             loads: estimate::Loads::default(),
+            reserve_only: false,
         };
         dispatcher.set_table(table);
         dispatcher
@@ -186,6 +189,7 @@
         }
         self.expire(now, effects);
         self.adapters.end_backoffs(now);
+        self.refresh_reserve();
         self.dispatch(now, effects);
         self.manage_slots(now, effects);
     }
--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -5,6 +5,7 @@
 //! frequent slots are the probationary ones: a cold adapter that is requested
 //! less often than the others may replace only these.
 
+use crate::types::Rank;
 use crate::types::Time;
 
 use super::Adapter;
@@ -36,10 +37,12 @@
     ) -> Option<u32> {
         let wanted = self.frequency_of(cx, candidate);
         let probation = self.probation_left();
+        let rank = self.get(candidate).waiting_rank().unwrap_or(Rank::Background);
         let may_go = |place: usize, frequency: f64, adapter: &Adapter| {
             let gives_way =
                 place < probation || adapter.closing || wanted > frequency * REPLACE_RATIO;
-            let idle = adapter.in_use == 0 && (adapter.closing || adapter.due.is_empty());
+            let awaited = adapter.waiting_rank().is_some_and(|other| other <= rank);
+            let idle = adapter.in_use == 0 && (adapter.closing || !awaited);
             idle && gives_way && is_evictable(adapter, cx)
         };
         order
--- a/crates/fireflyhead-core/src/dispatch/jobs.rs
+++ b/crates/fireflyhead-core/src/dispatch/jobs.rs
@@ -273,7 +273,7 @@
         if let Some(idx) = ticket.lane {
             self.adapters.add_waiting(now, idx, &state.waiter());
         }
-        let ready = ticket.lane.is_none_or(|idx| self.adapters.get(idx).is_ready());
+        let ready = ticket.lane.is_none_or(|idx| self.lane_ready(state.rank, idx));
         self.queues[state.rank.index()].insert(&ticket, state.weight, ready);
         self.deadlines.insert((state.deadline(), ticket.id));
         self.jobs.insert(ticket.id, state);
@@ -299,6 +299,9 @@
                 if let Some(idx) = state.ticket.lane {
                     let adapter = self.adapters.get_mut(idx);
                     adapter.in_use = adapter.in_use.saturating_sub(1);
+                    if adapter.in_use == 0 {
+                        self.update_lanes(idx);
+                    }
                 }
             }
         }
@@ -320,7 +323,12 @@
             self.dequeue(now, &state);
             self.concurrency.acquire(now);
             if let Some(idx) = ticket.lane {
-                self.adapters.get_mut(idx).in_use += 1;
+                let adapter = self.adapters.get_mut(idx);
+                adapter.in_use += 1;
+                if adapter.in_use == 1 {
+                    self.update_lanes(idx);
+                    self.refresh_reserve();
+                }
             }
             state.ran_at = now;
             self.run_or_ask(&mut state, effects);
--- a/crates/fireflyhead-core/src/dispatch/residency.rs
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -33,6 +33,9 @@
 /// Time in which an adapter stays after a failed unload order.
 const UNLOAD_RETRY: Duration = Duration::from_secs(1);
 
+/// One of this many slots is not used by jobs of the lowest rank alone.
+const RESERVED_PART: usize = 4;
+
 /// Longest backoff after failed loads.
 const MAX_LOAD_BACKOFF: Duration = Duration::from_secs(30);
 
@@ -293,12 +296,35 @@
     /// Tells the queues whether the jobs of an adapter can run.
     pub(super) fn update_lanes(&mut self, idx: u32) {
         let adapter = self.adapters.get(idx);
-        let ready = adapter.is_ready();
         for (rank, row, _) in &adapter.lanes {
+            let ready = self.lane_ready(*rank, idx);
             self.queues[rank.index()].set_ready(*row, Some(idx), ready);
         }
     }
 
+    /// Whether jobs of `rank` may start on an adapter. The lowest rank may not start on an idle
+    /// one if its jobs would then hold the slots that are kept for loads of higher ranks.
+    pub(super) fn lane_ready(&self, rank: Rank, idx: u32) -> bool {
+        let adapter = self.adapters.get(idx);
+        let allowed = rank < Rank::Background || adapter.in_use > 0 || !self.reserve_only;
+        adapter.is_ready() && allowed
+    }
+
+    /// Notes whether only the slots that are kept for higher ranks are idle.
+    pub(super) fn refresh_reserve(&mut self) {
+        let higher = self.has_class[..Rank::Background.index()].contains(&true);
+        let reserve = if higher { self.adapters.cfg.slots / RESERVED_PART } else { 0 };
+        let in_use = |idx: &&u32| self.adapters.get(**idx).in_use > 0;
+        let busy = self.adapters.resident.iter().filter(in_use).count();
+        let reserve_only = reserve > 0 && busy + reserve >= self.adapters.cfg.slots;
+        if reserve_only != self.reserve_only {
+            self.reserve_only = reserve_only;
+            for idx in self.adapters.resident.clone() {
+                self.update_lanes(idx);
+            }
+        }
+    }
+
     /// Withdraws requests and returns grants that no job waits for any more.
     fn withdraw_loads(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
         let stop = !self.orders_allowed || self.cfg.caretaker || self.draining;
