--- a/crates/fireflyhead-core/src/ownership/authority.rs
+++ b/crates/fireflyhead-core/src/ownership/authority.rs
@@ -28,11 +28,22 @@
     extended_until: Time,
     reachable: bool,
     failures: u32,
+    /// Whether any call failed since the start.
+    failed: bool,
+    last_answer: Time,
     /// No takeover before.
     takeover_from: Option<Time>,
     majority: bool,
     isolated: bool,
     views: StoreViews,
+    /// Since when this node is in contact with most members and no majority of
+    /// their views says that the service is down.
+    agreed_since: Option<Time>,
+    /// Whether views may have differed since the last agreement: a member that was
+    /// not heard before, or one that does not reach the service.
+    views_differed: bool,
+    /// Fewest members heard since the last agreement.
+    heard: usize,
 }
 
 impl Authority {
@@ -45,10 +56,15 @@
             extended_until: Time::default(),
             reachable: false,
             failures: 0,
+            failed: false,
+            last_answer: Time::default(),
             takeover_from: None,
             majority: false,
             isolated: false,
             views: StoreViews::default(),
+            agreed_since: None,
+            views_differed: true,
+            heard: 0,
         }
     }
 
@@ -82,10 +98,16 @@
         leased.max(self.extended_until)
     }
 
-    pub(super) fn granted(&mut self, now: Time, id: i64, sent: Time) {
+    /// Takes a new lease; false if there is one already. Records are bound to the
+    /// first, so the late answer to a repeated call must not replace it.
+    pub(super) fn granted(&mut self, now: Time, id: i64, sent: Time) -> bool {
         self.lease_call = None;
+        if self.lease.is_some() {
+            return false;
+        }
         self.next_lease_call = now + self.cfg.keep_alive;
         self.lease = Some(Lease { id, ends: sent + self.cfg.lease_ttl, registered: false });
+        true
     }
 
     pub(super) fn kept_alive(&mut self, id: i64, sent: Time) {
@@ -121,23 +143,55 @@
     /// Notes whether a call was answered; true if an outage ended.
     pub(super) fn called(&mut self, now: Time, ok: bool) -> bool {
         self.failures = if ok { 0 } else { self.failures.saturating_add(1) };
+        self.failed |= !ok;
+        if ok {
+            self.last_answer = now;
+        }
         match ok {
             true if !self.reachable => {
-                let first = self.takeover_from.is_none();
-                let grace = if first { self.cfg.start_grace } else { self.cfg.grace };
+                // A new node may have started in an outage that others see as well.
+                let calm = self.takeover_from.is_none() && !self.failed;
+                let grace = if calm { self.cfg.start_grace } else { self.cfg.grace };
                 self.reachable = true;
                 self.takeover_from = Some(now + grace);
                 true
             }
             true => false,
             false => {
-                self.reachable = self.reachable && self.failures < UNREACHABLE_AFTER;
+                // Single lost replies among answered calls are no outage.
+                let silent = now.since(self.last_answer) >= self.cfg.keep_alive;
+                self.reachable &= !(silent && self.failures >= UNREACHABLE_AFTER);
                 false
             }
         }
     }
 
-    pub(super) fn set_contact(&mut self, majority: bool, isolated: bool, views: StoreViews) {
+    pub(super) fn set_contact(
+        &mut self,
+        now: Time,
+        majority: bool,
+        isolated: bool,
+        views: StoreViews,
+    ) {
+        let agreed = majority && views.reachable >= views.unreachable;
+        let heard = views.reachable + views.unreachable;
+        self.views_differed |= views.unreachable > 0 || heard > self.heard;
+        self.heard = self.heard.min(heard);
+        if agreed && self.agreed_since.is_none() {
+            self.agreed_since = Some(now);
+            // An owner without the service may not know yet that the views changed. If
+            // no contact returned and the silent members were declared dead meanwhile,
+            // nobody's view changes, and the wait would only delay the next owner.
+            if self.views_differed {
+                let settled = self.takeover_from.map(|from| from.max(now + self.cfg.grace));
+                self.takeover_from = settled;
+            }
+        }
+        if agreed {
+            self.views_differed = false;
+            self.heard = heard;
+        }
+        self.agreed_since = self.agreed_since.filter(|_| agreed);
         self.majority = majority;
         self.isolated = isolated;
         self.views = views;
@@ -148,18 +202,17 @@
         self.takeover_from.unwrap_or_default()
     }
 
+    /// Whether the service answers and the lease is valid.
+    pub(super) fn has_lease(&self, now: Time) -> bool {
+        let valid = |lease: &Lease| now < lease.ends - self.cfg.lease_margin;
+        self.reachable && self.lease.as_ref().is_some_and(valid)
+    }
+
     /// Whether this node may take over upstreams without a record.
     pub(super) fn may_take_over(&self, now: Time) -> bool {
-        let leased = match &self.lease {
-            Some(lease) => now < lease.ends - self.cfg.lease_margin,
-            None => false,
-        };
-        let started = self.takeover_from.is_some_and(|from| now >= from);
-        self.reachable
-            && leased
-            && started
-            && self.majority
-            && self.views.reachable >= self.views.unreachable
+        self.has_lease(now)
+            && self.takeover_from.is_some_and(|from| now >= from)
+            && self.agreed_since.is_some()
     }
 
     /// Extends the right to give orders during an outage, and keeps the lease alive.
--- a/crates/fireflyhead-core/src/ownership/events.rs
+++ b/crates/fireflyhead-core/src/ownership/events.rs
@@ -52,7 +52,8 @@
             lease_ttl,
             lease_margin: lease_ttl / 4,
             keep_alive: lease_ttl / 6,
-            call_timeout: lease_ttl / 3,
+            // Two calls must fail before the lease's margin for an outage to be seen in time.
+            call_timeout: lease_ttl / 6,
             read_interval: Duration::from_secs(30),
             start_grace: lease_ttl / 3,
             grace: lease_ttl,
@@ -120,6 +121,8 @@
         /// Time at which the read was issued; the start of the clock for events of a watch.
         sent: Time,
     },
+    /// Events of the watch may be missing.
+    WatchLost,
     /// A compare-and-swap took effect.
     SwapDone {
         /// Upstream.
@@ -143,7 +146,7 @@
         /// Operation of the record.
         operation: Name,
     },
-    /// Whether a call to the service was answered.
+    /// A call to the service ended.
     Called {
         /// Whether it was answered.
         ok: bool,
--- a/src/ops/demo.rs
+++ b/src/ops/demo.rs
@@ -5,6 +5,9 @@
 //! request must give, and every order against the services' own count.
 
 pub mod deployment;
+pub mod drive;
 pub mod fleet;
+pub mod nodes;
 pub mod report;
+pub mod run;
 pub mod workload;
