--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod cluster;
+mod daemon;
 mod demo;
 mod edits;
 mod faults;
