--- a/crates/fireflyhead-core/src/dispatch/residency.rs
+++ b/crates/fireflyhead-core/src/dispatch/residency.rs
@@ -258,13 +258,14 @@
 
     /// The upstream restarted: it holds nothing, and what ran on it is lost.
     fn restart(&mut self, now: Time, effects: &mut Vec<DispatchEffect>) {
-        let in_flight: Vec<JobId> = self
+        let mut in_flight: Vec<(u64, JobId)> = self
             .jobs
             .values()
             .filter(|state| state.phase != Phase::Queued && !state.orphaned)
-            .map(|state| state.ticket.id)
+            .map(|state| (state.ticket.key.seq, state.ticket.id))
             .collect();
-        for job in in_flight {
+        in_flight.sort_unstable();
+        for (_, job) in in_flight {
             self.orphan(now, job, effects);
         }
         for idx in std::mem::take(&mut self.adapters.resident) {
