--- a/crates/fireflyhead-node/src/dispatchers.rs
+++ b/crates/fireflyhead-node/src/dispatchers.rs
@@ -29,6 +29,7 @@
 
 mod actor;
 pub mod loads;
+mod runs;
 #[cfg(test)]
 mod tests;
 
@@ -39,6 +40,9 @@
 /// Reason of a redirect by a node that does not dispatch to the upstream.
 pub(crate) const NOT_OWNER: &str = "not_owner";
 
+/// Code between nodes of a run whose connection fell silent.
+pub(crate) const CONNECTION_SILENT: &str = "connection_silent";
+
 /// Answer of the load scheduler to one dispatcher.
 pub(crate) type LoadVerdict = Result<(), Duration>;
 
--- a/crates/fireflyhead-node/src/entry/run.rs
+++ b/crates/fireflyhead-node/src/entry/run.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::dispatchers::CONNECTION_SILENT;
 use crate::dispatchers::NOT_OWNER;
 use crate::entry::Entry;
 use crate::entry::JobSpec;
@@ -68,6 +69,8 @@
     Refused(EntryError),
     /// The run failed; `sent` if the upstream may have received the request.
     Failed { sent: bool, code: &'static str },
+    /// The connection to the upstream fell silent; the request may have run.
+    Silent,
     /// The node does not dispatch to the upstream; the request did not run.
     NotOwner,
     /// Home denied the permit; the request does not run.
@@ -310,6 +313,8 @@
         tries: &mut Tries,
     ) -> Result<(), Stopped> {
         let asked = receiver.asked();
+        // The upstream itself responds, and may hold the adapter.
+        let stay = matches!(end, TryEnd::Silent);
         let seen = match &end {
             TryEnd::Redirected => Some(Observation::Redirected),
             TryEnd::Refused(_) => Some(Observation::Refused),
@@ -318,6 +323,7 @@
             }
             TryEnd::NotOwner
             | TryEnd::Answered
+            | TryEnd::Silent
             | TryEnd::Failed { .. }
             | TryEnd::Denied
             | TryEnd::CallerGone => None,
@@ -340,6 +346,11 @@
                 tries.lost += 1;
                 tries.sent |= !receiver.needs_permit();
             }
+            // Like a lost owner, no sign of overload: the retry budget does not apply.
+            TryEnd::Silent => {
+                tries.lost += 1;
+                tries.sent = true;
+            }
             TryEnd::Failed { sent, code } => {
                 tries.count += 1;
                 tries.sent |= sent;
@@ -361,7 +372,9 @@
                 false => tries.error("no_upstream", "no upstream takes the request"),
             });
         }
-        tries.tried.push(upstream);
+        if !stay {
+            tries.tried.push(upstream);
+        }
         Ok(())
     }
 
@@ -452,6 +465,7 @@
                 _ => TryEnd::Failed { sent: true, code: WRONG_ADAPTER },
             }
         }
+        Body::End(end) if end.code == CONNECTION_SILENT => TryEnd::Silent,
         Body::End(end) => TryEnd::Failed {
             sent: end.outcome() != Outcome::NotRun,
             code: if end.code == WRONG_ADAPTER { WRONG_ADAPTER } else { UPSTREAM_FAILED },
--- a/crates/fireflyhead-node/src/telemetry/tests.rs
+++ b/crates/fireflyhead-node/src/telemetry/tests.rs
@@ -42,8 +42,10 @@
     let provider = SdkTracerProvider::builder().with_simple_exporter(exporter.clone()).build();
     let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer("test"));
     let filter = EnvFilter::new("fireflyhead_node=info");
-    // The only subscriber of the test process; other tests add spans of other traces.
-    tracing_subscriber::registry().with(filter).with(layer).init();
+    // With a global subscriber besides the one of this thread, call sites that other tests
+    // reach first are not disabled for all threads.
+    let _set_by_another_test = tracing_subscriber::registry().try_init();
+    let _guard = tracing_subscriber::registry().with(filter).with(layer).set_default();
     let fleet = Fleet::start(2, 1).await;
     let request = fleet
         .http
--- a/crates/fireflyhead-node/src/upstream/run.rs
+++ b/crates/fireflyhead-node/src/upstream/run.rs
@@ -15,6 +15,7 @@
 use http::Method;
 use serde_json::Value;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
@@ -34,6 +35,16 @@
 /// Event that ends a stream of an engine.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
+/// Time between two looks at a request without progress.
+const WATCH_SLICE: Duration = Duration::from_millis(250);
+
+/// Time without progress after which a connection is given up whose pool was replaced.
+const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Largest gap within a stream of an engine before its connection may be silent. Tokens
+/// follow each other within tens of milliseconds, whatever the target of the row is.
+const STREAM_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 9] = [
     "connection",
@@ -93,6 +104,8 @@
         /// What happened.
         reason: String,
     },
+    /// The connection fell silent while the upstream responds on others.
+    Silent,
     /// The response was made with another adapter or version.
     WrongAdapter,
     /// The run was cancelled.
@@ -215,33 +228,48 @@
             .header(REQUEST_ID_HEADER, &request.id)
             .body(body);
         match self.watched(http, request.patience, built.send()).await {
-            Some(Ok(response)) => Ok(response),
-            Some(Err(e)) => {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(e)) => {
                 let sent = !e.is_connect() && !e.is_builder();
                 Err(RunEnd::Failed { sent, reason: e.to_string() })
             }
-            None => Err(RunEnd::failed("no answer, or the connection is silent")),
+            Err(end) => Err(end),
         }
     }
 
-    /// Waits for progress; `None` after the progress timeout, or if the connection is silent.
+    /// Waits for progress; an error after the progress timeout, or if the connection is silent.
     async fn watched<T>(
         &self,
         http: &Arc<reqwest::Client>,
         patience: Option<Duration>,
         progress: impl Future<Output = T>,
-    ) -> Option<T> {
+    ) -> Result<T, RunEnd> {
         tokio::pin!(progress);
-        let limit = self.timeouts.progress;
-        let Some(patience) = patience.filter(|patience| *patience < limit) else {
-            return timeout(limit, progress).await.ok();
-        };
-        match timeout(patience, &mut progress).await {
-            Ok(done) => return Some(done),
-            Err(_) if self.is_connection_silent(http).await => return None,
-            Err(_) => {}
+        let started = Instant::now();
+        let mut probe_after = Duration::ZERO;
+        loop {
+            let waited = started.elapsed();
+            let Some(left) = self.timeouts.progress.checked_sub(waited) else {
+                return Err(RunEnd::failed("no progress within the timeout"));
+            };
+            let slice = if patience.is_some() { left.min(WATCH_SLICE) } else { left };
+            if let Ok(done) = timeout(slice, &mut progress).await {
+                return Ok(done);
+            }
+            let Some(patience) = patience else { continue };
+            // Where other connections were silent, this one is suspected much sooner.
+            let replaced = !Arc::ptr_eq(http, &self.http());
+            let patience = if replaced { patience.min(SUSPECT_PATIENCE) } else { patience };
+            let waited = started.elapsed();
+            if waited < patience.max(probe_after) {
+                continue;
+            }
+            if self.is_connection_silent(http).await {
+                return Err(RunEnd::Silent);
+            }
+            // The upstream does not respond at all; it may do so later.
+            probe_after = waited + SUSPECT_PATIENCE;
         }
-        timeout(limit - patience, progress).await.ok()
     }
 
     /// Passes the response of a plain service on as it is.
@@ -296,6 +324,7 @@
     ) -> Result<RunEnd, RunEnd> {
         let status = source.response.status().as_u16();
         sink.start(status, source.response.headers(), Some(adapter)).await?;
+        source.patience = source.patience.map(|patience| patience.min(STREAM_PATIENCE));
         let mut events = EventSplitter::default();
         let mut check = StreamCheck::new(request, adapter);
         loop {
@@ -342,9 +371,9 @@
     async fn next(&self, source: &mut Source) -> Result<Option<Bytes>, RunEnd> {
         let Source { response, http, patience } = source;
         match self.watched(http, *patience, response.chunk()).await {
-            Some(Ok(bytes)) => Ok(bytes),
-            Some(Err(e)) => Err(RunEnd::failed(e.to_string())),
-            None => Err(RunEnd::failed("no progress, or the connection is silent")),
+            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Err(e)) => Err(RunEnd::failed(e.to_string())),
+            Err(end) => Err(end),
         }
     }
 }
