--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -5,6 +5,7 @@
 //! frequent slots are the probationary ones: a cold adapter that is requested
 //! less often than the others may replace only these.
 
+use crate::types::Rank;
 use crate::types::Time;
 
 use super::Adapter;
@@ -36,10 +37,12 @@
     ) -> Option<u32> {
         let wanted = self.frequency_of(cx, candidate);
         let probation = self.probation_left();
+        let rank = self.get(candidate).waiting_rank().unwrap_or(Rank::Background);
         let may_go = |place: usize, frequency: f64, adapter: &Adapter| {
             let gives_way =
                 place < probation || adapter.closing || wanted > frequency * REPLACE_RATIO;
-            let idle = adapter.in_use == 0 && (adapter.closing || adapter.due.is_empty());
+            let awaited = adapter.waiting_rank().is_some_and(|other| other <= rank);
+            let idle = adapter.in_use == 0 && (adapter.closing || !awaited);
             idle && gives_way && is_evictable(adapter, cx)
         };
         order
@@ -62,16 +65,16 @@
         let open = || {
             order.iter().enumerate().filter(|(place, (frequency, idx))| {
                 let gives_way = *place < probation || wanted > frequency * CLOSE_RATIO;
-                gives_way && is_evictable(self.get(*idx), cx)
+                gives_way && !self.get(*idx).closing && is_evictable(self.get(*idx), cx)
             })
         };
         let without_waiters = open().find(|(_, (_, idx))| self.get(*idx).due.is_empty());
         without_waiters.or_else(|| open().next()).map(|(_, (_, idx))| *idx)
     }
 
-    /// Adapter that is being closed.
-    pub(in crate::dispatch) fn closing(&self) -> Option<u32> {
-        self.resident.iter().copied().find(|idx| self.get(*idx).closing)
+    /// Adapters that take no more jobs.
+    pub(in crate::dispatch) fn closing(&self) -> impl Iterator<Item = u32> + '_ {
+        self.resident.iter().copied().filter(|idx| self.get(*idx).closing)
     }
 
     /// Slots that no adapter occupies.
--- a/crates/fireflyhead-node/src/upstream/run.rs
+++ b/crates/fireflyhead-node/src/upstream/run.rs
@@ -39,11 +39,11 @@
 const WATCH_SLICE: Duration = Duration::from_millis(250);
 
 /// Time without progress after which a connection is given up whose pool was replaced.
-const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
+const CHECK_SUSPECT_AFTER: Duration = Duration::from_secs(1);
 
 /// Largest gap within a stream of an engine before its connection may be silent. Tokens
 /// follow each other within tens of milliseconds, whatever the target of the row is.
-const STREAM_PATIENCE: Duration = Duration::from_secs(2);
+const CHECK_STREAM_AFTER: Duration = Duration::from_secs(2);
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 9] = [
@@ -77,7 +77,7 @@
     pub resume_from: u32,
     /// Time without progress after which a connection that may be silent is given up,
     /// if the upstream responds on a new one; `None` if the request must not run twice.
-    pub patience: Option<Duration>,
+    pub check_after: Option<Duration>,
 }
 
 /// Progress of a run.
@@ -123,7 +123,7 @@
     response: reqwest::Response,
     /// Client whose connection carries the response.
     http: Arc<reqwest::Client>,
-    patience: Option<Duration>,
+    check_after: Option<Duration>,
 }
 
 /// Receiver of a run's output.
@@ -196,15 +196,16 @@
         let status = response.status().as_u16();
         match &request.adapter {
             None => {
-                let patience = request.patience;
-                self.pass(Source { response, http, patience }, sink).await
+                let check_after = request.check_after;
+                self.pass(Source { response, http, check_after }, sink).await
             }
             Some(_) if !(200..300).contains(&status) => {
-                self.engine_error(Source { response, http, patience: request.patience }, sink).await
+                self.engine_error(Source { response, http, check_after: request.check_after }, sink)
+                    .await
             }
             Some(adapter) => {
                 let events = is_event_stream(response.headers());
-                let source = Source { response, http, patience: request.patience };
+                let source = Source { response, http, check_after: request.check_after };
                 match events {
                     true => self.stream(source, request, adapter, sink).await,
                     false => self.json(source, request, adapter, sink).await,
@@ -227,7 +228,7 @@
             .headers(request.headers.clone())
             .header(REQUEST_ID_HEADER, &request.id)
             .body(body);
-        match self.watched(http, request.patience, built.send()).await {
+        match self.watched(http, request.check_after, built.send()).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(e)) => {
                 let sent = !e.is_connect() && !e.is_builder();
@@ -241,7 +242,7 @@
     async fn watched<T>(
         &self,
         http: &Arc<reqwest::Client>,
-        patience: Option<Duration>,
+        check_after: Option<Duration>,
         progress: impl Future<Output = T>,
     ) -> Result<T, RunEnd> {
         tokio::pin!(progress);
@@ -252,23 +253,24 @@
             let Some(left) = self.timeouts.progress.checked_sub(waited) else {
                 return Err(RunEnd::failed("no progress within the timeout"));
             };
-            let slice = if patience.is_some() { left.min(WATCH_SLICE) } else { left };
+            let slice = if check_after.is_some() { left.min(WATCH_SLICE) } else { left };
             if let Ok(done) = timeout(slice, &mut progress).await {
                 return Ok(done);
             }
-            let Some(patience) = patience else { continue };
+            let Some(check_after) = check_after else { continue };
             // Where other connections were silent, this one is suspected much sooner.
             let replaced = !Arc::ptr_eq(http, &self.http());
-            let patience = if replaced { patience.min(SUSPECT_PATIENCE) } else { patience };
+            let check_after =
+                if replaced { check_after.min(CHECK_SUSPECT_AFTER) } else { check_after };
             let waited = started.elapsed();
-            if waited < patience.max(probe_after) {
+            if waited < check_after.max(probe_after) {
                 continue;
             }
             if self.is_connection_silent(http).await {
                 return Err(RunEnd::Silent);
             }
             // The upstream does not respond at all; it may do so later.
-            probe_after = waited + SUSPECT_PATIENCE;
+            probe_after = waited + CHECK_SUSPECT_AFTER;
         }
     }
 
@@ -324,7 +326,8 @@
     ) -> Result<RunEnd, RunEnd> {
         let status = source.response.status().as_u16();
         sink.start(status, source.response.headers(), Some(adapter)).await?;
-        source.patience = source.patience.map(|patience| patience.min(STREAM_PATIENCE));
+        source.check_after =
+            source.check_after.map(|check_after| check_after.min(CHECK_STREAM_AFTER));
         let mut events = EventSplitter::default();
         let mut check = StreamCheck::new(request, adapter);
         loop {
@@ -369,8 +372,8 @@
     }
 
     async fn next(&self, source: &mut Source) -> Result<Option<Bytes>, RunEnd> {
-        let Source { response, http, patience } = source;
-        match self.watched(http, *patience, response.chunk()).await {
+        let Source { response, http, check_after } = source;
+        match self.watched(http, *check_after, response.chunk()).await {
             Ok(Ok(bytes)) => Ok(bytes),
             Ok(Err(e)) => Err(RunEnd::failed(e.to_string())),
             Err(end) => Err(end),
