--- a/src/ops/demo/report.rs
+++ b/src/ops/demo/report.rs
@@ -50,6 +50,8 @@
     pub ranks: Vec<RankReport>,
     /// Completions whose adapter was loaded nowhere when they were sent.
     pub load_stalls: usize,
+    /// Slots of each engine that held popular adapters at the start.
+    pub warm_slots: usize,
     /// Adapters loaded.
     pub loads: u64,
     /// Loads that exceeded the weight store's rate.
@@ -144,6 +146,11 @@
             "completions whose adapter was loaded nowhere when sent: {}; loads: {} ({} delayed by the weight store's rate)",
             self.load_stalls, self.loads, self.loads_over_rate
         )?;
+        writeln!(
+            out,
+            "slots of each engine that held popular adapters at the start: {}",
+            self.warm_slots
+        )?;
         writeln!(out, "mean batch: {:.2}", self.mean_batch)?;
         writeln!(out, "duplicate orders, counted at the service: {}", self.duplicate_orders)?;
         writeln!(out, "wrong adapter or wrong answer: {}", self.wrong_answers)?;
--- a/src/ops/demo/run.rs
+++ b/src/ops/demo/run.rs
@@ -31,7 +31,8 @@
 pub async fn run(deployment: Deployment, load: Duration, show: bool) -> Result<Report> {
     let start = Instant::now();
     let plan = Arc::new(deployment.plan());
-    let fleet = Fleet::start(&plan, &FleetOptions::default()).await?;
+    let options = FleetOptions::default();
+    let fleet = Fleet::start(&plan, &options).await?;
     fleet.write_table(&plan.table_csv()).await?;
     let nodes = start_nodes(&plan, &fleet).await?;
     let bases: Vec<String> =
@@ -46,6 +47,7 @@
     if interrupted > 0 {
         report.violations.push(format!("{interrupted} requests had no outcome at the end"));
     }
+    report.warm_slots = options.warm_slots;
     report.load_seconds = load.as_secs_f64();
     report.total_seconds = start.elapsed().as_secs_f64();
     Ok(report)
