--- a/crates/fireflyhead-node/src/owners.rs
+++ b/crates/fireflyhead-node/src/owners.rs
@@ -381,6 +381,8 @@
 
     async fn handle(&mut self, _: Drain, cx: &mut Context<Self, ()>) {
         let me = cx.actor_ref().clone();
+        // The next owners are chosen among the newest members.
+        self.observe(&me);
         self.run(&me, OwnershipInput::Drain);
         self.publish();
     }
