Choose successors by the newest members when a planned stop begins

The owners' actor read the published members at its next tick only, so a stop right after a node joined could release upstreams without a handover. a_planned_stop_hands_over then waited forever in one of about ten runs (cause inferred, not traced); its wait is bounded now.

--- a/crates/fireflyhead-node/src/owners.rs
+++ b/crates/fireflyhead-node/src/owners.rs
@@ -381,6 +381,8 @@
 
     async fn handle(&mut self, _: Drain, cx: &mut Context<Self, ()>) {
         let me = cx.actor_ref().clone();
+        // The successors are chosen once, so the newest members count.
+        self.observe(&me);
         self.run(&me, OwnershipInput::Drain);
         self.publish();
     }
--- a/crates/fireflyhead-node/src/owners/tests.rs
+++ b/crates/fireflyhead-node/src/owners/tests.rs
@@ -166,7 +166,8 @@
         .await;
     let mut handovers = first.owners.ask(SubscribeHandovers).await.expect("it runs").0;
     first.owners.tell(Drain).await.expect("it runs");
-    let handover = handovers.recv().await.expect("a handover");
+    let handover = tokio::time::timeout(TTL * 3, handovers.recv()).await;
+    let handover = handover.expect("a handover in time").expect("a handover");
     assert_eq!(handover.to, second.cx.me);
     assert_eq!(first.may_order(handover.upstream.as_str()).await, None);
     eventually("all is released", async || first.owners.ask(IsReleased).await.expect("it runs"))
