--- a/crates/fireflyhead-node/src/owners.rs
+++ b/crates/fireflyhead-node/src/owners.rs
@@ -381,7 +381,7 @@
 
     async fn handle(&mut self, _: Drain, cx: &mut Context<Self, ()>) {
         let me = cx.actor_ref().clone();
-        // The next owners are chosen among the newest members.
+        // The successors are chosen once, so the newest members count.
         self.observe(&me);
         self.run(&me, OwnershipInput::Drain);
         self.publish();
