Stop a node that the others declared dead

Nothing acted on the own entry being dead, so a node that was paused for some 3 s went on beside the new owners of its upstreams. It now asks for a planned stop and the daemon ends with a failure, so that a new incarnation replaces it.

--- a/crates/fireflyhead-node/src/node.rs
+++ b/crates/fireflyhead-node/src/node.rs
@@ -129,6 +129,8 @@
     pub interrupted: u64,
     /// Requests since the start, by outcome.
     pub counts: Counts,
+    /// Whether the other nodes declared this incarnation dead.
+    pub declared_dead: bool,
 }
 
 /// Reason for which a node does not start.
@@ -252,6 +254,7 @@
             let options = ServeOptions { max_connections: MAX_OPERATOR_CONNECTIONS, ..options };
             tasks.push(tokio::spawn(serve(listeners.operator, router, options)));
             cluster.follow(&cx, &dispatchers, &peers, &stop);
+            tokio::spawn(drain_when_dead(cx.clone(), drain_requested.clone(), stop.clone()));
         }
         let listeners = Mutex::new(tasks);
         Node { cx, entry, dispatchers, cluster, drain_requested, listeners, drain, stop }
@@ -337,7 +340,7 @@
         if let Some(cluster) = &self.cluster {
             cluster.kill();
         }
-        StopReport { interrupted, counts }
+        StopReport { interrupted, counts, declared_dead: is_declared_dead(&self.cx) }
     }
 }
 
@@ -347,6 +350,29 @@
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Whether the members declared this incarnation of the node dead.
+fn is_declared_dead(cx: &NodeContext) -> bool {
+    let members = cx.members.borrow();
+    members.iter().any(|member| member.node == cx.me && member.state == MemberState::Dead)
+}
+
+/// Asks for a planned stop once this incarnation was declared dead, for example after a
+/// pause: its upstreams have other owners, and only a new incarnation can join again.
+async fn drain_when_dead(cx: NodeContext, drain: Arc<Notify>, stop: CancellationToken) {
+    let mut members = cx.members.subscribe();
+    while !is_declared_dead(&cx) {
+        tokio::select! {
+            changed = members.changed() => match changed {
+                Ok(()) => {}
+                Err(_) => return,
+            },
+            () = stop.cancelled() => return,
+        }
+    }
+    tracing::error!("the other nodes declared this incarnation dead; it stops");
+    drain.notify_one();
+}
+
 /// Work of a node for its peers.
 struct Handler {
     cx: NodeContext,
--- a/crates/fireflyhead-node/src/node/cluster/tests.rs
+++ b/crates/fireflyhead-node/src/node/cluster/tests.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use fireflyhead_core::table::Table;
+use fireflyhead_core::types::Member;
+use fireflyhead_core::types::MemberState;
 use fireflyhead_schema::NodeSettings;
 use fireflyhead_standin::engine;
 use fireflyhead_standin::engine::Engine;
@@ -25,10 +27,12 @@
 use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::context::NodeContext;
 use crate::kv::HttpStore;
 use crate::kv::HttpStoreConfig;
+use crate::members::Seed;
 use crate::node::Node;
 use crate::tables;
 use crate::tables::Edit;
@@ -321,3 +325,18 @@
         assert_eq!(cluster.nodes[node].counts().in_flight, 0);
     }
 }
+
+/// Guards against a node that goes on beside the new owners of its upstreams after the
+/// others declared it dead, for example because it was paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_declared_dead_stops() {
+    let cluster = Cluster::start(3).await;
+    let node = &cluster.nodes[1];
+    let members = node.context().members.borrow().to_vec();
+    let me = members.into_iter().find(|member| member.node == node.context().me).unwrap();
+    let dead = Member { state: MemberState::Dead, ..me };
+    let actor = &node.cluster.as_ref().unwrap().members;
+    actor.tell(Seed(vec![dead])).await.unwrap();
+    timeout(Duration::from_secs(5), node.drain_requested()).await.unwrap();
+    assert!(node.shutdown().await.declared_dead);
+}
--- a/src/bin/fireflyhead-node/main.rs
+++ b/src/bin/fireflyhead-node/main.rs
@@ -1,7 +1,7 @@
 //! Daemon of one node.
 //!
 //! Exit status: 0 after a planned stop without interrupted requests, 1 if the node
-//! can't start or requests were interrupted, 2 if settings are invalid.
+//! can't start, requests were interrupted or the other nodes declared it dead, 2 if settings are invalid.
 
 use std::process::ExitCode;
 
@@ -51,7 +51,7 @@
         return ExitCode::SUCCESS;
     }
     match run(settings) {
-        Ok(report) if report.interrupted == 0 => ExitCode::SUCCESS,
+        Ok(report) if report.interrupted == 0 && !report.declared_dead => ExitCode::SUCCESS,
         Ok(_) => ExitCode::FAILURE,
         Err(e) => {
             eprintln!("fireflyhead-node: {e:#}");
