Give the load grants of a node the floors of the table

The load scheduler keeps a share of its grants for each rank, but the node used fixed shares of 0, 0.2 and 0.1 whatever the table said. It now uses the sums of the class rows of the service and follows the table's versions.

--- a/crates/fireflyhead-core/src/loads.rs
+++ b/crates/fireflyhead-core/src/loads.rs
@@ -163,6 +163,11 @@
 }
 
 impl LoadScheduler {
+    /// Replaces the share of the grants that is kept for each rank.
+    pub fn set_floors(&mut self, floors: [f64; 3]) {
+        self.cfg.floors = floors;
+    }
+
     /// Scheduler without requests.
     pub fn new(cfg: LoadConfig) -> LoadScheduler {
         LoadScheduler {
--- a/crates/fireflyhead-core/src/table.rs
+++ b/crates/fireflyhead-core/src/table.rs
@@ -310,6 +310,15 @@
         self.rows.iter()
     }
 
+    /// Sums of the floors of the classes of `service`, by rank.
+    pub fn floors(&self, service: &Name) -> [f64; 3] {
+        let mut floors = [0.0; 3];
+        for class in self.classes().filter(|class| class.service == *service) {
+            floors[class.terms.rank.index()] += class.terms.floor;
+        }
+        floors
+    }
+
     /// Rows that describe classes of work.
     pub fn classes(&self) -> impl Iterator<Item = &Row> {
         self.rows.iter().filter(|row| row.kind == RowKind::Class)
--- a/crates/fireflyhead-core/src/table/tests.rs
+++ b/crates/fireflyhead-core/src/table/tests.rs
@@ -76,6 +76,13 @@
     assert!(other.terms.idempotent);
 }
 
+/// Guards against floors of other services or of adapters in the sums.
+#[test]
+fn floors_are_summed_by_service_and_rank() {
+    assert_eq!(good().floors(&"models".into()), [0.0, 0.3, 0.1]);
+    assert_eq!(good().floors(&"desk".into()), [0.5, 0.0, 0.0]);
+}
+
 #[test]
 fn unknown_names_are_told_apart() {
     let table = good();
--- a/crates/fireflyhead-node/src/dispatchers/loads.rs
+++ b/crates/fireflyhead-node/src/dispatchers/loads.rs
@@ -72,6 +72,8 @@
 
 struct Scheduler {
     state: LoadScheduler,
+    /// Version of the table whose floors apply.
+    table_version: u64,
     waiting: HashMap<Key, oneshot::Sender<LoadVerdict>>,
 }
 
@@ -326,14 +328,27 @@
 
     fn with(&self, scope: Scope, run: impl FnOnce(&mut Scheduler, fireflyhead_core::types::Time)) {
         let now = self.inner.cx.clock.now();
+        let (Scope::Store(service) | Scope::Share(service)) = &scope;
+        let service = service.clone();
         let mut schedulers = self.inner.schedulers.lock().expect("no holder of this lock panics");
         let scheduler = schedulers.entry(scope).or_insert_with_key(|scope| Scheduler {
             state: LoadScheduler::new(self.config(scope)),
+            table_version: 0,
             waiting: HashMap::new(),
         });
+        self.follow_table(&service, scheduler);
         run(scheduler, now);
     }
 
+    /// Keeps the floors of the newest table for the grants as well.
+    fn follow_table(&self, service: &Name, scheduler: &mut Scheduler) {
+        let table = self.inner.cx.table.borrow();
+        if scheduler.table_version != table.version {
+            scheduler.table_version = table.version;
+            scheduler.state.set_floors(table.floors(service));
+        }
+    }
+
     fn config(&self, scope: &Scope) -> LoadConfig {
         let settings = &self.inner.cx.settings;
         let limit = usize::try_from(settings.loads_in_flight).unwrap_or(usize::MAX);
--- a/crates/fireflyhead-node/src/members/tests.rs
+++ b/crates/fireflyhead-node/src/members/tests.rs
@@ -22,7 +22,7 @@
 use crate::members::WatchTableVersion;
 
 /// Longest wait for an expected state.
-const PATIENCE: Duration = Duration::from_secs(10);
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
 /// Starts the membership of a node on a free port.
 pub(crate) async fn start(
@@ -47,7 +47,7 @@
 
 /// Waits until `check` holds.
 pub(crate) async fn eventually(what: &str, mut check: impl AsyncFnMut() -> bool) {
-    let end = tokio::time::Instant::now() + PATIENCE;
+    let end = tokio::time::Instant::now() + WAIT_LIMIT;
     while !check().await {
         assert!(tokio::time::Instant::now() < end, "never: {what}");
         tokio::time::sleep(Duration::from_millis(10)).await;
