State why an order did not run

An order that was refused, for example because no upstream took it before its deadline, was answered with the code closed_id, since home dropped the stored reason of a run that ended as not_run. Without a stored reason the code stays closed_id.

--- a/crates/fireflyhead-core/src/once/witness.rs
+++ b/crates/fireflyhead-core/src/once/witness.rs
@@ -106,6 +106,8 @@
 pub(super) fn stored_reply(outcome: &StoredOutcome) -> OnceReply {
     match outcome.outcome {
         Outcome::Answered => OnceReply::Stored(outcome.clone()),
+        // The stored response states why the request did not run.
+        Outcome::NotRun if outcome.status != 0 => OnceReply::Stored(outcome.clone()),
         Outcome::NotRun => OnceReply::NotRun,
         Outcome::OutcomeUnknown => OnceReply::Unknown,
     }
--- a/crates/fireflyhead-node/src/node/tests.rs
+++ b/crates/fireflyhead-node/src/node/tests.rs
@@ -342,6 +342,25 @@
     fleet.assert_settled().await;
 }
 
+/// Guards against an order that is refused without its reason, and against a repetition of
+/// the same id that runs after all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_order_states_why_it_did_not_run() {
+    let fleet = Fleet::start(3, 2).await;
+    sleep(Duration::from_millis(300)).await;
+    let id = fleet.id(0, "refused").await;
+    for node in &fleet.nodes {
+        node.context().upstreams.send_replace(Arc::default());
+    }
+    for node in [0, 1] {
+        let (status, body) = fleet.order(node, &[("x-request-id", &id)]).await;
+        assert_ne!(body["error"]["code"], "closed_id", "{body}");
+        assert_eq!((status, &body["error"]["outcome"]), (503, &json!("not_run")), "{body}");
+    }
+    assert_eq!(fleet.service.ledger().runs(&id), 0);
+    fleet.assert_settled().await;
+}
+
 /// Guards against an execution after home is gone and the witness has answered `not_run`.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_witness_closes_an_id_that_home_never_saw() {
