Sum the floors of a service in one place

The policy tool summed the floors of its own class list, while nodes since use Table::floors; both now call the latter, so the tool measures what a node does. The choice of a victim uses find in place of filter, map and next.

--- a/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
+++ b/crates/fireflyhead-core/src/dispatch/adapters/victims.rs
@@ -48,9 +48,8 @@
         order
             .iter()
             .enumerate()
-            .filter(|(place, (frequency, idx))| may_go(*place, *frequency, self.get(*idx)))
+            .find(|(place, (frequency, idx))| may_go(*place, *frequency, self.get(*idx)))
             .map(|(_, (_, idx))| *idx)
-            .next()
     }
 
     /// Adapter in use that should take no more jobs, so that `candidate` gets its slot.
--- a/crates/fireflyhead-measure/src/policy/world.rs
+++ b/crates/fireflyhead-measure/src/policy/world.rs
@@ -37,7 +37,6 @@
 use fireflyhead_core::types::AdapterKey;
 use fireflyhead_core::types::JobId;
 use fireflyhead_core::types::Name;
-use fireflyhead_core::types::Rank;
 use fireflyhead_core::types::RefuseReason;
 use fireflyhead_core::types::Time;
 use fireflyhead_core::types::UpstreamAdvert;
@@ -320,7 +319,7 @@
             services: [Name::from(dep.plain_service), Name::from(dep.model_service)],
             upstreams: upstreams(&dep, table, policy, seed),
             entries: entries(&dep, seed),
-            loads: LoadScheduler::new(load_config(&dep, policy)),
+            loads: LoadScheduler::new(load_config(&dep, table, policy)),
             load_tick: None,
             loads_in_flight: 0,
             requests: Vec::new(),
@@ -493,15 +492,11 @@
     usize::try_from(job.0 >> ATTEMPT_BITS).unwrap_or(usize::MAX)
 }
 
-fn load_config(dep: &Deployment, policy: PolicyKind) -> LoadConfig {
-    let floor = |rank: Rank| {
-        let classes = dep.classes.iter().filter(|class| class.engine && class.rank == rank);
-        classes.map(|class| class.floor).sum()
-    };
+fn load_config(dep: &Deployment, table: &Table, policy: PolicyKind) -> LoadConfig {
     let cfg = LoadConfig {
         loads_per_second: dep.loads_per_second,
         max_in_flight: MAX_LOADS_IN_FLIGHT,
-        floors: Rank::ALL.map(floor),
+        floors: table.floors(&Name::from(dep.model_service)),
         ..LoadConfig::default()
     };
     match policy {
