--- /dev/null
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -0,0 +1,203 @@
+//! Datagrams between nodes.
+//!
+//! Every node sends its whole state to every other node at an interval that grows with their
+//! number, so that the datagrams of one node stay bounded, and at once when an adapter came
+//! into place.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bincode::config;
+use fireflyhead_policy::Name;
+use fireflyhead_policy::message::Beat;
+use fireflyhead_policy::message::Datagram;
+use fireflyhead_policy::message::Want;
+use kameo::actor::ActorRef;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::keeper::Keeper;
+use crate::keeper::KeeperMsg;
+use crate::state::Shared;
+
+/// Shortest interval between beats; load figures older than this mislead the choice of upstreams.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Interval for each further node, which bounds a node at 250 datagrams a second.
+const INTERVAL_PER_NODE: Duration = Duration::from_millis(4);
+/// Interval at which wants are looked at.
+const WANT_INTERVAL: Duration = Duration::from_millis(15);
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// Sends beats and wants until the process ends.
+pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>, keeper: ActorRef<Keeper>) {
+    let mut seq = 0;
+    let mut next_beat = clock::now();
+    loop {
+        let now = clock::now();
+        shared.pump(now);
+        let wants = shared.dispatcher().wants(now, &shared.settings.node);
+        if !wants.is_empty() {
+            send_wants(&shared, &socket, &keeper, wants).await;
+        }
+        if now >= next_beat {
+            let targets = targets(&shared);
+            seq += 1;
+            let beat = Datagram::Beat(Box::new(beat(&shared, seq)));
+            send_to(&socket, &beat, targets.values()).await;
+            let count = u32::try_from(targets.len()).unwrap_or(u32::MAX);
+            next_beat = now + INTERVAL.max(INTERVAL_PER_NODE.saturating_mul(count));
+        }
+        if timeout(WANT_INTERVAL, shared.beat_now.notified()).await.is_ok() {
+            next_beat = clock::now();
+        }
+    }
+}
+
+/// Receives datagrams until the process ends.
+pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>, keeper: ActorRef<Keeper>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let len = match socket.recv_from(&mut buf).await {
+            Ok((len, _)) => len,
+            Err(error) => {
+                tracing::warn!(event = "receive_failed", %error);
+                sleep(INTERVAL).await;
+                continue;
+            }
+        };
+        match bincode::serde::decode_from_slice(&buf[..len], config::standard()) {
+            Ok((Datagram::Beat(beat), _)) => take_beat(&shared, *beat),
+            Ok((Datagram::Wants(wants), _)) => keeper_tell(&keeper, KeeperMsg::Wants(wants)).await,
+            Err(error) => tracing::warn!(event = "bad_datagram", %error, len),
+        }
+    }
+}
+
+/// Drops the state of nodes that fell silent.
+pub fn tick(shared: &Shared) {
+    let now = clock::now();
+    let silent = shared.peers().tick(now);
+    for node in silent {
+        let beat = shared.peers().all().find(|peer| peer.beat.node == node).map(|p| p.beat.clone());
+        let mut dispatcher = shared.dispatcher();
+        dispatcher.peer_load(&node, Vec::new());
+        for mut placement in beat.into_iter().flat_map(|beat| beat.placements) {
+            placement.open = false;
+            dispatcher.placement(&placement);
+        }
+    }
+    let nodes = shared.node_count(now);
+    shared.dispatcher().set_nodes(nodes);
+}
+
+/// Tells the keeper; a full mailbox delays the caller.
+pub(crate) async fn keeper_tell(keeper: &ActorRef<Keeper>, msg: KeeperMsg) {
+    if keeper.tell(msg).await.is_err() {
+        tracing::error!(event = "keeper_stopped");
+    }
+}
+
+fn take_beat(shared: &Shared, beat: Beat) {
+    if beat.node == shared.settings.node {
+        return;
+    }
+    let now = clock::now();
+    if !shared.peers().heard(now, beat.clone()) {
+        return;
+    }
+    let mut dispatcher = shared.dispatcher();
+    dispatcher.peer_load(&beat.node, beat.loads);
+    for placement in &beat.placements {
+        dispatcher.placement(placement);
+    }
+    drop(dispatcher);
+    shared.pump(now);
+}
+
+fn beat(shared: &Shared, seq: u64) -> Beat {
+    let settings = &shared.settings;
+    Beat {
+        node: settings.node.clone(),
+        incarnation: shared.incarnation,
+        seq,
+        zone: settings.zone.clone(),
+        caller: settings.caller,
+        peer: settings.peer,
+        state: shared.node_state(),
+        capacity: (settings.capacity * 1_000.0) as u32,
+        loading: u32::try_from(shared.loading()).unwrap_or(u32::MAX),
+        loads: shared.dispatcher().loads(),
+        placements: shared.placements().clone(),
+    }
+}
+
+/// Addresses of all known nodes.
+fn targets(shared: &Shared) -> HashMap<Name, SocketAddr> {
+    let mut targets = shared.members().clone();
+    targets.extend(shared.peers().all().map(|peer| (peer.beat.node.clone(), peer.beat.peer)));
+    targets.remove(&shared.settings.node);
+    targets
+}
+
+async fn send_wants(
+    shared: &Shared,
+    socket: &UdpSocket,
+    keeper: &ActorRef<Keeper>,
+    wants: Vec<Want>,
+) {
+    let mut by_node: HashMap<Option<SocketAddr>, Vec<Want>> = HashMap::new();
+    {
+        let own = shared.placements();
+        let peers = shared.peers();
+        for want in wants {
+            if own.iter().any(|placement| placement.upstream == want.upstream) {
+                by_node.entry(None).or_default().push(want);
+                continue;
+            }
+            let holder = peers.all().find(|peer| {
+                peer.beat.placements.iter().any(|p| p.upstream == want.upstream && p.open)
+            });
+            if let Some(holder) = holder {
+                by_node.entry(Some(holder.beat.peer)).or_default().push(want);
+            }
+        }
+    }
+    for (node, wants) in by_node {
+        match node {
+            None => keeper_tell(keeper, KeeperMsg::Wants(wants)).await,
+            Some(address) => send_to(socket, &Datagram::Wants(wants), [&address]).await,
+        }
+    }
+}
+
+async fn send_to(
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    targets: impl IntoIterator<Item = &SocketAddr>,
+) {
+    let buf = match bincode::serde::encode_to_vec(datagram, config::standard()) {
+        Ok(buf) if buf.len() <= MAX_DATAGRAM => buf,
+        Ok(buf) => {
+            tracing::error!(event = "datagram_too_large", len = buf.len());
+            return;
+        }
+        Err(error) => {
+            tracing::error!(event = "datagram_not_encoded", %error);
+            return;
+        }
+    };
+    for target in targets {
+        match socket.send_to(&buf, target).await {
+            Ok(_) => {}
+            // A port without listener is reported by the host; the node is found silent anyway.
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+            Err(error) => tracing::debug!(event = "datagram_not_sent", %target, %error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/forward/call.rs
@@ -0,0 +1,313 @@
+//! Tries of one request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
+use fireflyhead_policy::config::Route;
+use fireflyhead_policy::config::RouteKind;
+use fireflyhead_policy::dialect::RequestHead;
+use fireflyhead_policy::dispatch::Job;
+use fireflyhead_policy::dispatch::JobId;
+use fireflyhead_policy::dispatch::Verdict;
+use fireflyhead_policy::fleet::UpstreamEntry;
+use http::Response;
+use http::StatusCode;
+use http::request::Parts;
+
+use crate::body;
+use crate::body::Body;
+use crate::clock;
+use crate::state::Shared;
+
+use super::Open;
+use super::exchange::Answer;
+use super::exchange::Exchange;
+use super::exchange::NotRun;
+use super::replies::refusal;
+use super::replies::status;
+use super::streaming;
+
+/// Tries without any byte sent, after which a request is given up.
+const MAX_NOT_SENT: u32 = 6;
+/// Sends that upstreams refused, after which a request is given up.
+const MAX_NOT_RUN: u32 = 5;
+/// Objectives after which a stream that may go on elsewhere is given up without a head.
+const STREAM_PATIENCE: u32 = 3;
+/// Shortest wait for an answer before a repeatable request is sent again.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+/// Time after which a caller is asked to return when upstreams refused its request.
+const REFUSED_RETRY: Duration = Duration::from_millis(300);
+
+/// Request of a caller.
+pub(super) struct Call {
+    pub(super) shared: Arc<Shared>,
+    pub(super) parts: Parts,
+    pub(super) head: RequestHead,
+    pub(super) id: Name,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Name,
+    /// Whether the service consists of model engines.
+    pub(super) engine: bool,
+    pub(super) body: Bytes,
+    pub(super) arrived: Time,
+    pub(super) objective: Time,
+    pub(super) deadline: Time,
+}
+
+/// What became of a request so far.
+#[derive(Debug, Default)]
+pub(super) struct Tries {
+    pub(super) tried: Vec<Name>,
+    /// Sends that may have run.
+    pub(super) runs: u32,
+    /// Sends that reached an upstream.
+    arrivals: u32,
+    not_sent: u32,
+    not_run: u32,
+    pub(super) queued: Duration,
+}
+
+/// Result of placing a request.
+pub(super) enum Placed {
+    /// An upstream with the number of the send.
+    Send { job: JobId, upstream: Arc<UpstreamEntry>, version: Option<u64> },
+    /// Nothing can take it.
+    Reject { reason: &'static str, retry_after: Duration },
+    /// The time of the request is over.
+    Deadline,
+}
+
+impl Call {
+    /// Answers the request.
+    pub(super) async fn run(self, open: Open) -> Response<Body> {
+        let mut tries = Tries::default();
+        // Error answer of an upstream that is delivered if no other try does better.
+        let mut fallback: Option<Response<Body>> = None;
+        loop {
+            let (job, upstream, version) = match self.place(&mut tries).await {
+                Placed::Send { job, upstream, version } => (job, upstream, version),
+                Placed::Reject { reason, retry_after } => {
+                    return fallback.unwrap_or_else(|| self.reject(&tries, reason, retry_after));
+                }
+                Placed::Deadline => return fallback.unwrap_or_else(|| self.expire(&tries)),
+            };
+            let patience = self.patience(&tries);
+            let exchange = self.exchange(job, &upstream, version, patience, None).await;
+            let done = match exchange {
+                Exchange::Answer(answer) => {
+                    tries.runs += 1;
+                    tries.arrivals += 1;
+                    match *answer {
+                        Answer::Stream { head, body, lease, flight } => {
+                            let call = Arc::new(self);
+                            return streaming::respond(
+                                call, tries, head, body, lease, flight, &upstream, open,
+                            );
+                        }
+                        Answer::Whole { head, body } => {
+                            let failed = head.status.is_server_error();
+                            let response = self.response(head, body::full(body));
+                            match failed && self.may_repeat(&mut tries, &upstream.id) {
+                                true => {
+                                    self.log_try(&upstream.id, "error", "the upstream failed");
+                                    fallback = Some(response);
+                                    None
+                                }
+                                false => Some(self.deliver(&tries, &upstream, response)),
+                            }
+                        }
+                    }
+                }
+                Exchange::NotSent(error) => {
+                    tries.not_sent += 1;
+                    self.log_try(&upstream.id, "not_sent", &error);
+                    tries.tried.push(upstream.id.clone());
+                    (tries.not_sent >= MAX_NOT_SENT)
+                        .then(|| self.reject(&tries, "not_sent", REFUSED_RETRY))
+                }
+                Exchange::NotRun(reason) => {
+                    tries.arrivals += 1;
+                    tries.not_run += 1;
+                    self.log_try(&upstream.id, "not_run", &format!("{reason:?}"));
+                    self.refused(&mut tries, &upstream.id, reason)
+                }
+                Exchange::Unknown(error) => {
+                    tries.runs += 1;
+                    tries.arrivals += 1;
+                    self.log_try(&upstream.id, "unknown", &error);
+                    let repeat = self.may_repeat(&mut tries, &upstream.id);
+                    (!repeat).then(|| self.fail(&tries, &error))
+                }
+                Exchange::Deadline => {
+                    tries.runs += 1;
+                    Some(self.expire(&tries))
+                }
+            };
+            if let Some(response) = done {
+                return fallback.filter(|_| !response.status().is_success()).unwrap_or(response);
+            }
+        }
+    }
+
+    /// Waits until the dispatcher has chosen an upstream.
+    pub(super) async fn place(&self, tries: &mut Tries) -> Placed {
+        let now = clock::now();
+        let left = self.deadline.since(now);
+        if left.is_zero() {
+            return Placed::Deadline;
+        }
+        let id = self.shared.job_id();
+        let job = Job {
+            id,
+            service: self.service.clone(),
+            model: self.engine.then(|| self.head.model.clone()).flatten(),
+            priority: self.route.priority,
+            arrived: self.arrived,
+            objective: self.objective,
+            deadline: self.deadline,
+            prompt_tokens: self.head.tokens.prompt,
+            tried: tries.tried.clone(),
+        };
+        let mut pending = self.shared.submit(now, job);
+        let verdict = tokio::time::timeout(left, pending.verdict()).await;
+        tries.queued += clock::now().since(now);
+        match verdict {
+            Ok(Some(Verdict::Send { upstream, version })) => {
+                Placed::Send { job: id, upstream, version }
+            }
+            Ok(Some(Verdict::Reject { reason, retry_after })) => {
+                Placed::Reject { reason: reason.code(), retry_after }
+            }
+            Ok(None) => Placed::Reject { reason: "stopped", retry_after: REFUSED_RETRY },
+            Err(_) => Placed::Deadline,
+        }
+    }
+
+    /// Whether a request that may have run is sent once more; takes it out of the budget.
+    pub(super) fn may_repeat(&self, tries: &mut Tries, upstream: &Name) -> bool {
+        let allowed = self.route.kind.repeatable() && tries.runs < self.route.max_attempts;
+        if !allowed || !self.take_budget() {
+            return false;
+        }
+        tries.tried.push(upstream.clone());
+        true
+    }
+
+    fn take_budget(&self) -> bool {
+        let now = clock::now();
+        let nodes = self.shared.node_count(now);
+        self.shared.budget().take(now, &self.service, nodes)
+    }
+
+    /// Answer after an upstream refused, or `None` if another one may be tried.
+    fn refused(
+        &self,
+        tries: &mut Tries,
+        upstream: &Name,
+        reason: NotRun,
+    ) -> Option<Response<Body>> {
+        // The dispatcher avoids the upstream by itself for an absent adapter or a full queue.
+        if reason == NotRun::Misdirected {
+            self.shared.pool.forget(upstream.as_str());
+        }
+        let more = tries.not_run < MAX_NOT_RUN && self.take_budget();
+        (!more).then(|| self.reject(tries, "refused", REFUSED_RETRY))
+    }
+
+    /// Moment up to which the head of the response is waited for.
+    pub(super) fn patience(&self, tries: &Tries) -> Time {
+        let span = match self.route.kind {
+            RouteKind::Idempotent => self.route.objective.max(LEAST_PATIENCE),
+            RouteKind::Streaming { resumable: true } => self.route.objective * STREAM_PATIENCE,
+            RouteKind::NonIdempotent | RouteKind::Streaming { resumable: false } => {
+                return self.deadline;
+            }
+        };
+        match tries.runs + 1 < self.route.max_attempts {
+            true => clock::now() + span,
+            false => self.deadline,
+        }
+    }
+
+    /// Response to the caller from an upstream's.
+    pub(super) fn response(&self, head: http::response::Parts, body: Body) -> Response<Body> {
+        let mut response = Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.shared.dialect.reply_headers(&head.headers);
+        response
+    }
+
+    fn deliver(
+        &self,
+        tries: &Tries,
+        upstream: &UpstreamEntry,
+        response: Response<Body>,
+    ) -> Response<Body> {
+        let total = clock::now().since(self.arrived);
+        self.shared.metrics.first_output(self.route.name.as_str(), total);
+        self.log_end(tries, "answered", Some(&upstream.id), response.status().as_u16(), "");
+        response
+    }
+
+    /// Answer that the request has not run; an unknown outcome if that is not certain.
+    fn reject(&self, tries: &Tries, reason: &'static str, retry_after: Duration) -> Response<Body> {
+        if tries.runs > 0 {
+            return self.fail(tries, reason);
+        }
+        self.shared.metrics.rejection(reason);
+        self.log_end(tries, "rejected", None, 503, reason);
+        refusal(retry_after)
+    }
+
+    fn fail(&self, tries: &Tries, reason: &str) -> Response<Body> {
+        self.log_end(tries, "unknown", None, 502, reason);
+        status(StatusCode::BAD_GATEWAY)
+    }
+
+    fn expire(&self, tries: &Tries) -> Response<Body> {
+        self.log_end(tries, "deadline", None, 504, "");
+        status(StatusCode::GATEWAY_TIMEOUT)
+    }
+
+    fn log_try(&self, upstream: &Name, result: &'static str, reason: &str) {
+        tracing::info!(
+            event = "try_failed",
+            id = %self.id,
+            %upstream,
+            result,
+            reason,
+            ms = clock::now().since(self.arrived).as_millis() as u64
+        );
+    }
+
+    /// One line for the end of a request.
+    pub(super) fn log_end(
+        &self,
+        tries: &Tries,
+        outcome: &'static str,
+        upstream: Option<&Name>,
+        code: u16,
+        reason: &str,
+    ) {
+        let total = clock::now().since(self.arrived);
+        self.shared.metrics.request(self.route.name.as_str(), outcome, total);
+        self.shared.metrics.queued(tries.queued);
+        tracing::info!(
+            event = "request",
+            id = %self.id,
+            route = %self.route.name,
+            service = %self.service,
+            adapter = self.head.model.as_ref().and_then(|m| m.adapter.as_ref()).map(Name::as_str),
+            outcome,
+            upstream = upstream.map(Name::as_str),
+            code,
+            reason,
+            queued_ms = tries.queued.as_millis() as u64,
+            total_ms = total.as_millis() as u64,
+            sends = tries.arrivals,
+        );
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -0,0 +1,718 @@
+//! Membership in the store, custody of engines and orders to them.
+//!
+//! The actor owns the state machines of [`custody`](fireflyhead_policy::custody) and
+//! [`residency`](fireflyhead_policy::residency) and carries out what they decide. One call at
+//! a time is under way to each engine.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
+use fireflyhead_policy::custody::Claim;
+use fireflyhead_policy::custody::Custody;
+use fireflyhead_policy::custody::CustodySettings;
+use fireflyhead_policy::custody::Holding;
+use fireflyhead_policy::dialect::EngineReport;
+use fireflyhead_policy::dialect::Item;
+use fireflyhead_policy::dialect::Order;
+use fireflyhead_policy::dialect::OrderKind;
+use fireflyhead_policy::dialect::StoreCall;
+use fireflyhead_policy::dialect::StoreReply;
+use fireflyhead_policy::fleet::UpstreamEntry;
+use fireflyhead_policy::fleet::UpstreamState;
+use fireflyhead_policy::message::Placement;
+use fireflyhead_policy::message::Want;
+use fireflyhead_policy::residency::Allowance;
+use fireflyhead_policy::residency::OrderReply;
+use fireflyhead_policy::residency::Residency;
+use fireflyhead_policy::residency::Step;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::Context;
+use kameo::message::Message;
+use reqwest::Client;
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::state::Shared;
+use crate::store::Backoff;
+use crate::store::StoreClient;
+use crate::store::http_call;
+
+/// Prefix of the members' keys.
+const MEMBERS: &str = "fireflyhead/members/";
+/// Prefix of the custody records.
+const CUSTODY: &str = "fireflyhead/custody/";
+/// Time for an order or a report; engines answer at once.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval of the work on engines.
+const TICK: Duration = Duration::from_millis(20);
+/// Interval at which the usage of adapters is read.
+const USAGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which claims are looked at.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
+/// Largest number of records in one transaction; the store takes up to 32 entries.
+const CLAIMS_PER_CALL: usize = 8;
+/// Adapter loads from the store over all nodes above which each of them takes longer.
+const LOADS_AT_ONCE: u32 = 8;
+/// Time after which an engine's record without an engine is removed.
+const ORPHAN_AFTER: Duration = Duration::from_secs(15);
+
+/// Message to the keeper.
+#[derive(Debug)]
+pub enum KeeperMsg {
+    /// Adapters that nodes need.
+    Wants(Vec<Want>),
+    /// Items of the product from the store.
+    Store {
+        /// Items.
+        items: Vec<Item>,
+        /// Whether they are all there are.
+        full: bool,
+    },
+    /// The lease was granted or renewed by a call sent at this time.
+    Lease {
+        /// Lease.
+        lease: u64,
+        /// Time of the call.
+        sent: Time,
+    },
+    /// The lease has ended.
+    LeaseLost,
+    /// Time passed.
+    Tick,
+    /// A claim was decided: the revision, or `None` if it failed.
+    Claimed {
+        /// Claims of one transaction.
+        claims: Vec<Claim>,
+        /// Revision of the records.
+        revision: Option<u64>,
+    },
+    /// An order was answered.
+    Ordered {
+        /// Engine.
+        upstream: Name,
+        /// Start of the engine.
+        born: u64,
+        /// Order.
+        step: Step,
+        /// Reply.
+        reply: OrderReply,
+    },
+    /// A report came, or `None`.
+    Reported {
+        /// Engine.
+        upstream: Name,
+        /// Start of the engine as listed.
+        born: u64,
+        /// Time of the call.
+        sent: Time,
+        /// Report.
+        report: Option<EngineReport>,
+    },
+}
+
+struct EngineState {
+    residency: Residency,
+    busy: bool,
+}
+
+/// Actor that gives orders.
+#[derive(Actor)]
+pub struct Keeper {
+    shared: Arc<Shared>,
+    store: Arc<StoreClient>,
+    http: Client,
+    custody: Custody,
+    engines: HashMap<Name, EngineState>,
+    lease: Option<u64>,
+    claiming: bool,
+    claims_at: Time,
+    usage_at: Time,
+    model_load_at: Time,
+    own_key_seen: bool,
+    orphan_since: HashMap<Name, Time>,
+}
+
+impl Keeper {
+    /// Keeper without custody of any engine.
+    pub fn new(shared: Arc<Shared>, store: Arc<StoreClient>, http: Client) -> Keeper {
+        let settings = &shared.settings;
+        let custody = Custody::new(
+            settings.node.clone(),
+            CustodySettings { ttl: settings.lease_ttl, turn: settings.turn },
+        );
+        Keeper {
+            shared,
+            store,
+            http,
+            custody,
+            engines: HashMap::new(),
+            lease: None,
+            claiming: false,
+            claims_at: Time::default(),
+            usage_at: Time::default(),
+            model_load_at: Time::default(),
+            own_key_seen: false,
+            orphan_since: HashMap::new(),
+        }
+    }
+
+    fn take_items(&mut self, now: Time, items: Vec<Item>, full: bool) {
+        self.custody.viewed(now);
+        if full {
+            let listed: HashSet<Name> = items.iter().map(|item| item.key.clone()).collect();
+            let gone: Vec<Name> = self
+                .shared
+                .members()
+                .keys()
+                .filter(|node| !listed.contains(&Name::from(format!("{MEMBERS}{node}"))))
+                .cloned()
+                .collect();
+            for node in gone {
+                self.take_member(now, &node, None);
+            }
+        }
+        for item in items {
+            let key = item.key.as_str();
+            if let Some(node) = key.strip_prefix(MEMBERS) {
+                self.take_member(now, &Name::from(node), item.value.as_deref());
+            } else if let Some(upstream) = key.strip_prefix(CUSTODY) {
+                let holding = item.value.as_deref().and_then(Holding::decode);
+                self.custody.record(&Name::from(upstream), holding, item.revision);
+            }
+        }
+    }
+
+    fn take_member(&mut self, now: Time, node: &Name, value: Option<&[u8]>) {
+        let address: Option<SocketAddr> =
+            value.and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
+        self.custody.member(now, node, address.is_some());
+        let known = match address {
+            Some(address) => self.shared.members().insert(node.clone(), address).is_some(),
+            None => self.shared.members().remove(node).is_some(),
+        };
+        if known != address.is_some() {
+            tracing::info!(event = "member", %node, present = address.is_some());
+        }
+        if *node == self.shared.settings.node {
+            self.own_key_seen = address.is_some();
+        }
+    }
+
+    /// Engines that are listed, with their entries.
+    fn listed(&self) -> Vec<Arc<UpstreamEntry>> {
+        let Some(config) = self.shared.config() else { return Vec::new() };
+        let fleet = self.shared.fleet();
+        fleet
+            .entries()
+            .filter(|entry| {
+                config.service(entry.service.as_str()).is_some_and(|s| s.engine.is_some())
+            })
+            .cloned()
+            .collect()
+    }
+
+    fn tick(&mut self, now: Time, me: &ActorRef<Keeper>) {
+        let listed = self.listed();
+        self.engines.retain(|id, _| listed.iter().any(|entry| entry.id == *id));
+        if now.since(self.claims_at) >= CLAIM_INTERVAL {
+            self.claims_at = now;
+            self.claim(now, &listed, me);
+        }
+        let usage_due = now.since(self.usage_at) >= USAGE_INTERVAL;
+        if usage_due {
+            self.usage_at = now;
+        }
+        for entry in &listed {
+            if self.custody.fence(entry.id.as_str()).is_none() {
+                self.engines.remove(&entry.id);
+                continue;
+            }
+            self.ensure(entry);
+            if usage_due {
+                let used = self.shared.dispatcher().usage(entry.id.as_str());
+                if let Some(engine) = self.engines.get_mut(&entry.id) {
+                    engine.residency.usage(now, &used);
+                }
+            }
+            self.work(now, entry, me);
+        }
+        self.publish(now);
+    }
+
+    /// State of an engine in custody; new if the engine started anew.
+    fn ensure(&mut self, entry: &UpstreamEntry) {
+        let known = self.engines.get(&entry.id);
+        if known.is_some_and(|engine| engine.residency.born() == entry.born) {
+            return;
+        }
+        let Some(config) = self.shared.config() else { return };
+        let Some(service) = config.service(entry.service.as_str()) else { return };
+        let Some(engine) = &service.engine else { return };
+        let Some(model) = engine.models.first() else { return };
+        let slots = usize::try_from(engine.adapter_slots).unwrap_or(0);
+        let residency = Residency::new(model.name.clone(), slots, entry.born);
+        self.engines.insert(entry.id.clone(), EngineState { residency, busy: false });
+    }
+
+    /// Gives the next order to an engine.
+    fn work(&mut self, now: Time, entry: &UpstreamEntry, me: &ActorRef<Keeper>) {
+        let Some(fence) = self.custody.may_order(now, entry.id.as_str()) else { return };
+        if entry.state != UpstreamState::Ready {
+            return;
+        }
+        let loading = self.loading(now);
+        let model_gap = self.model_load_gap();
+        let Some(engine) = self.engines.get_mut(&entry.id) else { return };
+        if engine.busy {
+            return;
+        }
+        let allowed = Allowance {
+            adapter: loading < LOADS_AT_ONCE || engine.residency.loading() == 0,
+            model: now.since(self.model_load_at) >= model_gap,
+        };
+        let dispatcher = self.shared.dispatcher();
+        let model = engine.residency.model().clone();
+        let base = Name::from("");
+        let newest = |adapter: Option<&Name>| dispatcher.newest(&model, adapter.unwrap_or(&base));
+        let step = engine.residency.next(now, newest, allowed);
+        drop(dispatcher);
+        let Some(step) = step else { return };
+        engine.busy = true;
+        match &step {
+            Step::Report => {
+                engine.residency.report_sent(now);
+                tokio::spawn(report(
+                    Arc::clone(&self.shared),
+                    self.http.clone(),
+                    entry.id.clone(),
+                    entry.address,
+                    entry.born,
+                    me.clone(),
+                ));
+            }
+            Step::Order { kind, adapter, version, precondition } => {
+                if adapter.is_none() {
+                    self.model_load_at = now;
+                }
+                let order = Order {
+                    kind: *kind,
+                    model,
+                    adapter: adapter.clone(),
+                    version: *version,
+                    precondition: *precondition,
+                    holder: self.shared.settings.node.clone(),
+                    fence,
+                };
+                tokio::spawn(give_order(
+                    Arc::clone(&self.shared),
+                    self.http.clone(),
+                    entry.id.clone(),
+                    entry.address,
+                    entry.born,
+                    order,
+                    step,
+                    me.clone(),
+                ));
+            }
+        }
+    }
+
+    /// Adapter loads from the store that are under way over all nodes.
+    fn loading(&self, now: Time) -> u32 {
+        let own: u32 = self.engines.values().map(|engine| engine.residency.loading()).sum();
+        let peers: u32 = self.shared.peers().live(now).map(|peer| peer.beat.loading).sum();
+        own + peers
+    }
+
+    /// Time between two base model loads of this node that keeps all nodes within the weight store's rate.
+    fn model_load_gap(&self) -> Duration {
+        let rate: f64 = self
+            .shared
+            .config()
+            .into_iter()
+            .flat_map(|config| {
+                config
+                    .services()
+                    .filter_map(|s| s.engine.as_ref().map(|engine| engine.loads_per_s))
+                    .collect::<Vec<f64>>()
+            })
+            .fold(0.0, f64::max);
+        match rate > 0.0 {
+            true => {
+                let nodes = self.shared.members().len().max(1) as f64;
+                Duration::from_secs_f64((nodes / rate).min(10.0))
+            }
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Makes the adapters known to this node and the others.
+    fn publish(&mut self, now: Time) {
+        let mut placements: Vec<Placement> = self
+            .engines
+            .iter()
+            .filter_map(|(upstream, engine)| {
+                Some(Placement {
+                    upstream: upstream.clone(),
+                    model: engine.residency.model().clone(),
+                    born: engine.residency.born(),
+                    fence: self.custody.fence(upstream.as_str())?,
+                    open: self.custody.may_order(now, upstream.as_str()).is_some()
+                        && engine.residency.is_known(),
+                    adapters: engine.residency.placed(),
+                })
+            })
+            .collect();
+        placements.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+        for placement in &mut placements {
+            placement.adapters.sort_by(|a, b| a.adapter.cmp(&b.adapter));
+        }
+        let loading: u32 = self.engines.values().map(|engine| engine.residency.loading()).sum();
+        self.shared.set_loading(usize::try_from(loading).unwrap_or(usize::MAX));
+        let mut published = self.shared.placements();
+        if *published == placements {
+            return;
+        }
+        published.clone_from(&placements);
+        drop(published);
+        let mut dispatcher = self.shared.dispatcher();
+        for placement in &placements {
+            dispatcher.placement(placement);
+        }
+        drop(dispatcher);
+        self.shared.pump(now);
+        self.shared.beat_now.notify_one();
+    }
+
+    fn claim(&mut self, now: Time, listed: &[Arc<UpstreamEntry>], me: &ActorRef<Keeper>) {
+        if self.claiming || self.lease.is_none() {
+            return;
+        }
+        let ids: Vec<Name> = listed.iter().map(|entry| entry.id.clone()).collect();
+        let peers = self.shared.peers();
+        let mut claims = self.custody.claims(now, &ids, |node| peers.alive(now, node));
+        drop(peers);
+        claims.truncate(CLAIMS_PER_CALL);
+        let orphans = self.orphans(now, &ids);
+        if claims.is_empty() && orphans.is_empty() {
+            return;
+        }
+        self.claiming = true;
+        tokio::spawn(claim(Arc::clone(&self.store), claims, orphans, me.clone()));
+    }
+
+    /// Records of this node whose engines have been gone for long.
+    fn orphans(&mut self, now: Time, ids: &[Name]) -> Vec<(Name, u64)> {
+        let orphans = self.custody.orphans(|id| ids.iter().any(|listed| listed.as_str() == id));
+        self.orphan_since.retain(|id, _| orphans.iter().any(|(orphan, _)| orphan == id));
+        let mut due = Vec::new();
+        for (id, revision) in orphans {
+            let since = *self.orphan_since.entry(id.clone()).or_insert(now);
+            if now.since(since) >= ORPHAN_AFTER && due.len() < CLAIMS_PER_CALL {
+                due.push((id, revision));
+            }
+        }
+        due
+    }
+}
+
+impl Message<KeeperMsg> for Keeper {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: KeeperMsg, cx: &mut Context<Self, ()>) {
+        let now = clock::now();
+        let me = cx.actor_ref().clone();
+        match msg {
+            KeeperMsg::Wants(wants) => {
+                for want in wants {
+                    if let Some(engine) = self.engines.get_mut(&want.upstream) {
+                        engine.residency.want(now, &want.adapter, want.waiting, want.priority);
+                    }
+                }
+                self.tick(now, &me);
+            }
+            KeeperMsg::Store { items, full } => self.take_items(now, items, full),
+            KeeperMsg::Lease { lease, sent } => {
+                self.lease = Some(lease);
+                self.custody.lease_renewed(sent);
+            }
+            KeeperMsg::LeaseLost => {
+                self.lease = None;
+                self.custody.lease_lost();
+            }
+            KeeperMsg::Tick => self.tick(now, &me),
+            KeeperMsg::Claimed { claims, revision } => {
+                self.claiming = false;
+                for claim in &claims {
+                    if let Some(revision) = revision {
+                        self.custody.claimed(now, claim, revision);
+                    }
+                    tracing::info!(
+                        event = "custody_claim",
+                        upstream = %claim.upstream,
+                        previous = claim.holding.previous.as_ref().map(Name::as_str),
+                        fence = revision
+                    );
+                }
+            }
+            KeeperMsg::Ordered { upstream, born, step, reply } => {
+                if let Some(engine) = self.engines.get_mut(&upstream)
+                    && engine.residency.born() == born
+                {
+                    engine.busy = false;
+                    engine.residency.replied(now, &step, reply);
+                    self.tick(now, &me);
+                }
+            }
+            KeeperMsg::Reported { upstream, born, sent, report } => {
+                if let Some(engine) = self.engines.get_mut(&upstream)
+                    && engine.residency.born() == born
+                {
+                    engine.busy = false;
+                    if let Some(report) = report
+                        && (report.born == born || report.born == 0)
+                    {
+                        engine.residency.reported(now, sent, &report);
+                    }
+                    self.tick(now, &me);
+                }
+            }
+        }
+    }
+}
+
+/// Sends ticks until the keeper stops.
+pub async fn ticks(keeper: ActorRef<Keeper>) {
+    while keeper.tell(KeeperMsg::Tick).await.is_ok() {
+        sleep(TICK).await;
+    }
+}
+
+/// Keeps the node's membership in the store.
+pub async fn membership(shared: Arc<Shared>, store: Arc<StoreClient>, keeper: ActorRef<Keeper>) {
+    let ttl = shared.settings.lease_ttl;
+    let mut backoff = Backoff::new(Duration::from_millis(200), Duration::from_millis(1_000));
+    loop {
+        let sent = clock::now();
+        let lease = match store.call(&StoreCall::Grant { ttl }).await {
+            Ok(StoreReply::Lease { lease, .. }) => lease,
+            Ok(reply) => {
+                tracing::debug!(event = "lease_not_granted", ?reply);
+                sleep(backoff.wait()).await;
+                continue;
+            }
+            Err(error) => {
+                tracing::debug!(event = "lease_not_granted", %error);
+                sleep(backoff.wait()).await;
+                continue;
+            }
+        };
+        backoff.reset();
+        if !register(&shared, &store, lease, &mut backoff).await {
+            continue;
+        }
+        tracing::info!(event = "lease_granted", lease);
+        if keeper.tell(KeeperMsg::Lease { lease, sent }).await.is_err() {
+            return;
+        }
+        renew(&store, lease, ttl, &keeper, &shared, &mut backoff).await;
+        tracing::warn!(event = "lease_lost", lease);
+        if keeper.tell(KeeperMsg::LeaseLost).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes the member key; `false` if the lease has ended.
+async fn register(shared: &Shared, store: &StoreClient, lease: u64, backoff: &mut Backoff) -> bool {
+    let settings = &shared.settings;
+    let key = Name::from(format!("{MEMBERS}{}", settings.node));
+    let value = Bytes::from(settings.peer.to_string());
+    let call = StoreCall::Transaction {
+        conditions: Vec::new(),
+        writes: vec![(key, value, lease)],
+        removes: Vec::new(),
+    };
+    loop {
+        match store.call(&call).await {
+            Ok(StoreReply::Applied { .. }) => return true,
+            Ok(StoreReply::NoLease) => return false,
+            Ok(reply) => tracing::debug!(event = "not_registered", ?reply),
+            Err(error) => tracing::debug!(event = "not_registered", %error),
+        }
+        sleep(backoff.wait()).await;
+    }
+}
+
+/// Renews the lease until it has ended, and writes the member key again if it was taken away.
+async fn renew(
+    store: &StoreClient,
+    lease: u64,
+    ttl: Duration,
+    keeper: &ActorRef<Keeper>,
+    shared: &Shared,
+    backoff: &mut Backoff,
+) {
+    loop {
+        let sent = clock::now();
+        match store.call(&StoreCall::Renew { lease }).await {
+            Ok(StoreReply::Lease { .. }) => {
+                backoff.reset();
+                if keeper.tell(KeeperMsg::Lease { lease, sent }).await.is_err() {
+                    return;
+                }
+                sleep(ttl / 4).await;
+                let present = shared.members().contains_key(&shared.settings.node);
+                if !present {
+                    tracing::warn!(event = "member_key_missing", lease);
+                    register(shared, store, lease, backoff).await;
+                }
+            }
+            Ok(StoreReply::NoLease) => return,
+            Ok(reply) => {
+                tracing::debug!(event = "lease_not_renewed", ?reply);
+                sleep(backoff.wait()).await;
+            }
+            Err(error) => {
+                tracing::debug!(event = "lease_not_renewed", %error);
+                sleep(backoff.wait()).await;
+            }
+        }
+    }
+}
+
+/// Writes custody records and removes those of engines that are gone.
+async fn claim(
+    store: Arc<StoreClient>,
+    claims: Vec<Claim>,
+    orphans: Vec<(Name, u64)>,
+    keeper: ActorRef<Keeper>,
+) {
+    let key = |id: &Name| Name::from(format!("{CUSTODY}{id}"));
+    let call = StoreCall::Transaction {
+        conditions: claims
+            .iter()
+            .map(|claim| (key(&claim.upstream), claim.revision))
+            .chain(orphans.iter().map(|(id, revision)| (key(id), *revision)))
+            .collect(),
+        writes: claims
+            .iter()
+            .map(|claim| (key(&claim.upstream), Bytes::from(claim.holding.encode()), 0))
+            .collect(),
+        removes: orphans.iter().map(|(id, _)| key(id)).collect(),
+    };
+    let revision = match store.call(&call).await {
+        Ok(StoreReply::Applied { revision }) => Some(revision),
+        Ok(reply) => {
+            tracing::info!(event = "custody_not_claimed", ?reply);
+            None
+        }
+        // A claim that was carried out all the same is seen by the watch and claimed again.
+        Err(error) => {
+            tracing::warn!(event = "custody_not_claimed", %error);
+            None
+        }
+    };
+    let claims = if revision.is_some() { claims } else { Vec::new() };
+    if keeper.tell(KeeperMsg::Claimed { claims, revision }).await.is_err() {
+        tracing::debug!(event = "keeper_stopped");
+    }
+}
+
+async fn report(
+    shared: Arc<Shared>,
+    http: Client,
+    upstream: Name,
+    address: SocketAddr,
+    born: u64,
+    keeper: ActorRef<Keeper>,
+) {
+    let sent = clock::now();
+    let header = Some((shared.dialect.upstream_header(), upstream.as_str()));
+    let call = shared.dialect.report_call();
+    let report = match http_call(&http, address, call, header, ORDER_TIMEOUT).await {
+        Ok((200, body)) => match shared.dialect.report(&body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                tracing::warn!(event = "bad_report", %upstream, %error);
+                None
+            }
+        },
+        Ok((status, _)) => {
+            tracing::info!(event = "no_report", %upstream, status);
+            None
+        }
+        Err(error) => {
+            tracing::info!(event = "no_report", %upstream, %error);
+            None
+        }
+    };
+    let msg = KeeperMsg::Reported { upstream, born, sent, report };
+    if keeper.tell(msg).await.is_err() {
+        tracing::debug!(event = "keeper_stopped");
+    }
+}
+
+#[expect(clippy::too_many_arguments, reason = "one call site; the arguments are one order's")]
+async fn give_order(
+    shared: Arc<Shared>,
+    http: Client,
+    upstream: Name,
+    address: SocketAddr,
+    born: u64,
+    order: Order,
+    step: Step,
+    keeper: ActorRef<Keeper>,
+) {
+    let sent = clock::now();
+    let header = Some((shared.dialect.upstream_header(), upstream.as_str()));
+    let call = shared.dialect.order(&order);
+    let result = http_call(&http, address, call, header, ORDER_TIMEOUT).await;
+    let reply = match &result {
+        Ok((202, _)) => OrderReply::Accepted,
+        Ok((200, _)) => OrderReply::Holds,
+        Ok((409, _)) => OrderReply::Conflict,
+        Ok((421, _)) => OrderReply::Misdirected,
+        Ok((500.., _)) | Err(_) => OrderReply::Unanswered,
+        Ok(_) => OrderReply::Rejected,
+    };
+    let kind = match order.kind {
+        OrderKind::Load => "load",
+        OrderKind::Unload => "unload",
+    };
+    shared.metrics.order(kind, reply_name(reply));
+    tracing::info!(
+        event = "order",
+        %upstream,
+        kind,
+        adapter = order.adapter.as_ref().map(Name::as_str),
+        version = order.version,
+        precondition = order.precondition,
+        fence = order.fence,
+        reply = reply_name(reply),
+        error = result.err().map(|e| e.to_string()),
+        ms = clock::now().since(sent).as_millis() as u64
+    );
+    let msg = KeeperMsg::Ordered { upstream, born, step, reply };
+    if keeper.tell(msg).await.is_err() {
+        tracing::debug!(event = "keeper_stopped");
+    }
+}
+
+const fn reply_name(reply: OrderReply) -> &'static str {
+    match reply {
+        OrderReply::Accepted => "accepted",
+        OrderReply::Holds => "holds",
+        OrderReply::Conflict => "conflict",
+        OrderReply::Rejected => "rejected",
+        OrderReply::Misdirected => "misdirected",
+        OrderReply::Unanswered => "unanswered",
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/metrics.rs
@@ -0,0 +1,130 @@
+//! Counters and histograms, served as text on the metrics address.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
+
+/// Instruments of a node.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    rejections: Counter<u64>,
+    sends: Counter<u64>,
+    store_calls: Counter<u64>,
+    orders: Counter<u64>,
+    first_output: Histogram<f64>,
+    total: Histogram<f64>,
+    queue: Histogram<f64>,
+    waiting: Gauge<u64>,
+    in_flight: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Instruments without values.
+    ///
+    /// # Panics
+    /// The exporter can't be registered in an empty registry, which is a fault of the program.
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("an empty registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("fireflyhead");
+        let seconds = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_boundaries(LATENCY_BUCKETS.to_vec())
+                .build()
+        };
+        Metrics {
+            requests: meter.u64_counter("fireflyhead_requests").build(),
+            rejections: meter.u64_counter("fireflyhead_rejections").build(),
+            sends: meter.u64_counter("fireflyhead_sends").build(),
+            store_calls: meter.u64_counter("fireflyhead_store_calls").build(),
+            orders: meter.u64_counter("fireflyhead_orders").build(),
+            first_output: seconds("fireflyhead_first_output"),
+            total: seconds("fireflyhead_request"),
+            queue: seconds("fireflyhead_queue"),
+            waiting: meter.u64_gauge("fireflyhead_waiting").build(),
+            in_flight: meter.u64_gauge("fireflyhead_in_flight").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn request(&self, route: &str, outcome: &'static str, total: Duration) {
+        let labels = [KeyValue::new("route", route.to_owned()), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.total.record(total.as_secs_f64(), &labels[..1]);
+    }
+
+    /// Counts a rejection.
+    pub fn rejection(&self, reason: &'static str) {
+        self.rejections.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts the end of a send to an upstream.
+    pub fn send(&self, outcome: &'static str) {
+        self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: &'static str, outcome: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts an order to an engine.
+    pub fn order(&self, kind: &'static str, outcome: &'static str) {
+        self.orders.add(1, &[KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the time to the first output of a request.
+    pub fn first_output(&self, route: &str, delay: Duration) {
+        self.first_output.record(delay.as_secs_f64(), &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// Records the time that a request waited in the node.
+    pub fn queued(&self, delay: Duration) {
+        self.queue.record(delay.as_secs_f64(), &[]);
+    }
+
+    /// Sets the numbers of requests that wait and that are in flight.
+    pub fn load(&self, waiting: usize, in_flight: usize) {
+        self.waiting.record(u64::try_from(waiting).unwrap_or(u64::MAX), &[]);
+        self.in_flight.record(u64::try_from(in_flight).unwrap_or(u64::MAX), &[]);
+    }
+
+    /// All values as text.
+    ///
+    /// # Errors
+    /// The values can't be encoded.
+    pub fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -0,0 +1,149 @@
+//! Start and stop of a node.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fireflyhead_policy::budget::BudgetSettings;
+use fireflyhead_policy::budget::RetryBudget;
+use fireflyhead_policy::dialect::Dialect;
+use fireflyhead_policy::dispatch::DispatchSettings;
+use fireflyhead_policy::dispatch::Dispatcher;
+use kameo::actor::Spawn;
+use kameo::mailbox;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::beats;
+use crate::clock;
+use crate::directory;
+use crate::directory::Page;
+use crate::ingress;
+use crate::ingress::Phase;
+use crate::keeper;
+use crate::keeper::Keeper;
+use crate::metrics::Metrics;
+use crate::settings::GatewaySettings;
+use crate::state::Shared;
+use crate::store;
+use crate::store::StoreClient;
+use crate::sync;
+
+/// Connections that wait to be accepted; a burst of callers must not overflow it.
+const BACKLOG: i32 = 1_024;
+/// Messages that wait for the keeper.
+const KEEPER_MAILBOX: usize = 1_024;
+/// Interval of the checks that need no precise time.
+const SWEEP: Duration = Duration::from_millis(250);
+/// Time after the stop signal for which new requests are still taken, while callers learn of the stop.
+const LINGER: Duration = Duration::from_millis(2_600);
+
+/// Node that runs.
+pub struct Node {
+    shared: Arc<Shared>,
+    phase: watch::Sender<Phase>,
+}
+
+/// Requests at the end of a node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopReport {
+    /// Requests that were cut off.
+    pub interrupted: usize,
+}
+
+impl Node {
+    /// Starts a node.
+    ///
+    /// # Errors
+    /// An address can't be bound or a client can't be set up.
+    pub async fn start(
+        settings: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+    ) -> anyhow::Result<Node> {
+        let metrics = Arc::new(Metrics::new());
+        let dispatcher = Dispatcher::new(DispatchSettings {
+            zone: settings.zone.clone(),
+            version_bound: settings.version_bound,
+            seed: clock::unix_millis(),
+        });
+        let budget = RetryBudget::new(BudgetSettings {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: settings.retry_window,
+        });
+        let store =
+            Arc::new(StoreClient::new(settings.store, Arc::clone(&dialect), Arc::clone(&metrics))?);
+        let http = store::http_client()?;
+        let caller = listen(settings.caller)?;
+        let readiness = settings.readiness.map(listen).transpose()?;
+        let directory = settings.directory.map(listen).transpose()?;
+        let page = settings.metrics.map(listen).transpose()?;
+        let socket = Arc::new(UdpSocket::bind(settings.peer).await?);
+        let shared = Arc::new(Shared::new(settings, dialect, metrics, dispatcher, budget));
+
+        let keeper = Keeper::new(Arc::clone(&shared), Arc::clone(&store), http);
+        let keeper = Keeper::spawn_with_mailbox(keeper, mailbox::bounded(KEEPER_MAILBOX));
+        tokio::spawn(keeper::ticks(keeper.clone()));
+        tokio::spawn(keeper::membership(Arc::clone(&shared), Arc::clone(&store), keeper.clone()));
+        tokio::spawn(sync::follow(Arc::clone(&shared), store, keeper.clone()));
+        tokio::spawn(beats::send(Arc::clone(&shared), Arc::clone(&socket), keeper.clone()));
+        tokio::spawn(beats::receive(Arc::clone(&shared), socket, keeper));
+        tokio::spawn(sweep(Arc::clone(&shared)));
+        for listener in readiness.into_iter().chain(directory) {
+            tokio::spawn(directory::serve(Arc::clone(&shared), listener, Page::Directory));
+        }
+        if let Some(listener) = page {
+            tokio::spawn(directory::serve(Arc::clone(&shared), listener, Page::Metrics));
+        }
+        let (phase, phases) = watch::channel(Phase::Open);
+        tokio::spawn(ingress::accept(Arc::clone(&shared), caller, phases));
+        Ok(Node { shared, phase })
+    }
+
+    /// Stops the node: callers are sent elsewhere, requests under way are finished.
+    pub async fn stop(self) -> StopReport {
+        let started = clock::now();
+        let grace = self.shared.settings.grace;
+        self.shared.leave();
+        self.shared.beat_now.notify_one();
+        let open = || self.shared.requests().load(Ordering::Relaxed);
+        sleep(LINGER.min(grace / 2)).await;
+        if self.phase.send(Phase::Closing).is_err() {
+            tracing::debug!(event = "nobody_listens");
+        }
+        while open() > 0 && clock::now().since(started) < grace {
+            sleep(Duration::from_millis(20)).await;
+        }
+        // Lets the last bytes of finished responses leave.
+        sleep(Duration::from_millis(30)).await;
+        StopReport { interrupted: open() }
+    }
+}
+
+/// Checks of silent nodes, old entries and idle connections.
+async fn sweep(shared: Arc<Shared>) {
+    loop {
+        beats::tick(&shared);
+        sync::tick(&shared);
+        shared.pool.tick(clock::now());
+        sleep(SWEEP).await;
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    // A restarted process must be able to bind while connections of the old one linger.
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -0,0 +1,246 @@
+//! State that the tasks of a node share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
+use fireflyhead_policy::budget::RetryBudget;
+use fireflyhead_policy::config::Config;
+use fireflyhead_policy::dialect::Dialect;
+use fireflyhead_policy::dispatch::Dispatcher;
+use fireflyhead_policy::dispatch::Job;
+use fireflyhead_policy::dispatch::JobId;
+use fireflyhead_policy::dispatch::Verdict;
+use fireflyhead_policy::fleet::Fleet;
+use fireflyhead_policy::message::NodeState;
+use fireflyhead_policy::message::Placement;
+use fireflyhead_policy::peers::Peers;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::GatewaySettings;
+
+/// State of a node. Locks are held for single decisions and never across an await.
+pub struct Shared {
+    /// Settings at the start.
+    pub settings: GatewaySettings,
+    /// Start of the process in milliseconds of Unix time.
+    pub incarnation: u64,
+    /// Spelling of the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// Instruments.
+    pub metrics: Arc<Metrics>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Wakes the task that sends beats before their interval is over.
+    pub beat_now: Notify,
+    config: Mutex<Option<Arc<Config>>>,
+    fleet: Mutex<Fleet>,
+    dispatcher: Mutex<Dispatcher>,
+    budget: Mutex<RetryBudget>,
+    peers: Mutex<Peers>,
+    placements: Mutex<Vec<Placement>>,
+    members: Mutex<HashMap<Name, SocketAddr>>,
+    verdicts: Mutex<HashMap<JobId, oneshot::Sender<Verdict>>>,
+    loading: AtomicUsize,
+    next_job: AtomicU64,
+    leaving: AtomicBool,
+    requests: AtomicUsize,
+}
+
+/// Locks `mutex`; a panic of another task leaves plain values that are still usable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// State of a node that knows nothing of the deployment yet.
+    pub fn new(
+        settings: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+        metrics: Arc<Metrics>,
+        dispatcher: Dispatcher,
+        budget: RetryBudget,
+    ) -> Shared {
+        Shared {
+            settings,
+            incarnation: clock::unix_millis(),
+            dialect,
+            metrics,
+            pool: Pool::default(),
+            beat_now: Notify::new(),
+            config: Mutex::new(None),
+            fleet: Mutex::new(Fleet::default()),
+            dispatcher: Mutex::new(dispatcher),
+            budget: Mutex::new(budget),
+            peers: Mutex::new(Peers::default()),
+            placements: Mutex::new(Vec::new()),
+            members: Mutex::new(HashMap::new()),
+            verdicts: Mutex::new(HashMap::new()),
+            loading: AtomicUsize::new(0),
+            next_job: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+        }
+    }
+
+    /// Configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        lock(&self.config).clone()
+    }
+
+    /// Puts a configuration in force; `false` if it is not newer than the present one.
+    pub fn set_config(&self, config: Config) -> bool {
+        let mut present = lock(&self.config);
+        if present.as_ref().is_some_and(|present| present.version >= config.version) {
+            return false;
+        }
+        *present = Some(Arc::new(config));
+        true
+    }
+
+    /// Listed upstreams.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Decisions on requests.
+    pub fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
+        lock(&self.dispatcher)
+    }
+
+    /// Budget for repeated sends.
+    pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.budget)
+    }
+
+    /// Other nodes.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
+    }
+
+    /// Adapters of the engines in this node's custody.
+    pub fn placements(&self) -> MutexGuard<'_, Vec<Placement>> {
+        lock(&self.placements)
+    }
+
+    /// Peer addresses of the nodes that the store lists.
+    pub fn members(&self) -> MutexGuard<'_, HashMap<Name, SocketAddr>> {
+        lock(&self.members)
+    }
+
+    /// Sets the number of adapter loads under way that this node ordered.
+    pub fn set_loading(&self, loading: usize) {
+        self.loading.store(loading, Ordering::Relaxed);
+    }
+
+    /// Number of adapter loads under way that this node ordered.
+    pub fn loading(&self) -> usize {
+        self.loading.load(Ordering::Relaxed)
+    }
+
+    /// New number for a request.
+    pub fn job_id(&self) -> JobId {
+        JobId(self.next_job.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Marks the node as leaving.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the node leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// State towards callers.
+    pub fn node_state(&self) -> NodeState {
+        match (self.is_leaving(), lock(&self.config).is_some()) {
+            (true, _) => NodeState::Leaving,
+            (false, true) => NodeState::Ready,
+            (false, false) => NodeState::Starting,
+        }
+    }
+
+    /// Counter of requests that are being answered.
+    pub fn requests(&self) -> &AtomicUsize {
+        &self.requests
+    }
+
+    /// Number of nodes that share the upstreams, this one included.
+    pub fn node_count(&self, now: Time) -> usize {
+        self.peers().live(now).count() + 1
+    }
+
+    /// Submits a request and returns the receiver of its verdict.
+    pub fn submit(self: &Arc<Shared>, now: Time, job: Job) -> PendingJob {
+        let id = job.id;
+        let (tx, rx) = oneshot::channel();
+        let verdict = self.dispatcher().submit(now, job);
+        match verdict {
+            Some(verdict) => {
+                // The receiver is held below, so the send can't fail.
+                let _sent = tx.send(verdict);
+            }
+            None => {
+                lock(&self.verdicts).insert(id, tx);
+            }
+        }
+        PendingJob { shared: Arc::clone(self), id, rx }
+    }
+
+    /// Delivers the verdicts that became possible.
+    pub fn pump(&self, now: Time) {
+        let decided = self.dispatcher().pump(now);
+        for (id, verdict) in decided {
+            let tx = lock(&self.verdicts).remove(&id);
+            let undelivered = match tx {
+                Some(tx) => tx.send(verdict).err(),
+                None => Some(verdict),
+            };
+            if let Some(Verdict::Send { .. }) = undelivered {
+                // The caller left between the verdict and now; nothing was sent.
+                self.dispatcher().done(
+                    now,
+                    id,
+                    fireflyhead_policy::dispatch::SendOutcome::Abandoned,
+                );
+            }
+        }
+    }
+}
+
+/// Request that waits for its verdict; dropping it withdraws the request.
+pub struct PendingJob {
+    shared: Arc<Shared>,
+    id: JobId,
+    rx: oneshot::Receiver<Verdict>,
+}
+
+impl PendingJob {
+    /// Waits for the verdict; `None` if the node stops.
+    pub async fn verdict(&mut self) -> Option<Verdict> {
+        (&mut self.rx).await.ok()
+    }
+}
+
+impl Drop for PendingJob {
+    fn drop(&mut self) {
+        if lock(&self.shared.verdicts).remove(&self.id).is_some() {
+            self.shared.dispatcher().cancel(self.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/sync.rs
@@ -0,0 +1,250 @@
+//! Configuration and upstreams as the store has them.
+//!
+//! One watch covers all keys. It is paced, because upstreams write often and each return of a
+//! watch is a call; changes still arrive well within the bounds for configuration and
+//! draining. A history that is gone is replaced by a full read.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::dialect::Item;
+use fireflyhead_policy::dialect::ModelRef;
+use fireflyhead_policy::dialect::Record;
+use fireflyhead_policy::dialect::StoreCall;
+use fireflyhead_policy::dialect::StoreReply;
+use fireflyhead_policy::fleet::FleetChange;
+use kameo::actor::ActorRef;
+use tokio::time::sleep;
+
+use crate::beats::keeper_tell;
+use crate::clock;
+use crate::keeper::Keeper;
+use crate::keeper::KeeperMsg;
+use crate::state::Shared;
+use crate::store::Backoff;
+use crate::store::StoreClient;
+
+/// Prefix of all keys.
+const ALL_KEYS: &str = "";
+/// Longest wait of a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Shortest time between two watches; well under the 2 s in which a change must be in force.
+const PACE: Duration = Duration::from_millis(750);
+/// First and longest wait after a failed call.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(1_000));
+
+/// Follows the store until the process ends.
+pub async fn follow(shared: Arc<Shared>, store: Arc<StoreClient>, keeper: ActorRef<Keeper>) {
+    let mut follower = Follower {
+        backoff: Backoff::new(BACKOFF.0, BACKOFF.1),
+        shared,
+        store,
+        keeper,
+        connected: false,
+    };
+    loop {
+        let revision = follower.load().await;
+        follower.watch(revision).await;
+    }
+}
+
+struct Follower {
+    shared: Arc<Shared>,
+    store: Arc<StoreClient>,
+    keeper: ActorRef<Keeper>,
+    backoff: Backoff,
+    connected: bool,
+}
+
+impl Follower {
+    /// Reads everything and returns the revision from which changes are to be followed.
+    async fn load(&mut self) -> u64 {
+        loop {
+            match self.pages().await {
+                Ok((items, revision)) => {
+                    self.up();
+                    self.replace(&items).await;
+                    tracing::info!(event = "store_read", items = items.len(), revision);
+                    return revision;
+                }
+                Err(reason) => self.down(&reason).await,
+            }
+        }
+    }
+
+    /// All items, with the revision before the first page.
+    async fn pages(&self) -> Result<(Vec<Item>, u64), String> {
+        let mut all: Vec<Item> = Vec::new();
+        let mut first = None;
+        loop {
+            let after = all.last().map(|item| item.key.clone());
+            let call = StoreCall::Range { prefix: Name::from(ALL_KEYS), after };
+            match self.store.call(&call).await {
+                Ok(StoreReply::Items { items, more, revision }) => {
+                    // Pages are not a snapshot; changes after the first one are seen again by the watch.
+                    let revision = *first.get_or_insert(revision);
+                    let last = items.is_empty();
+                    all.extend(items);
+                    if !more || last {
+                        return Ok((all, revision));
+                    }
+                }
+                Ok(reply) => return Err(format!("{reply:?}")),
+                Err(e) => return Err(e.to_string()),
+            }
+        }
+    }
+
+    /// Follows changes until the history is gone.
+    async fn watch(&mut self, mut after: u64) {
+        loop {
+            let sent = clock::now();
+            let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait: WATCH_WAIT };
+            match self.store.call(&call).await {
+                Ok(StoreReply::Items { items, revision, .. }) => {
+                    self.up();
+                    self.apply(&items).await;
+                    after = revision.max(after);
+                    let rest = PACE.saturating_sub(clock::now().since(sent));
+                    sleep(rest).await;
+                }
+                Ok(StoreReply::Compacted) => {
+                    tracing::info!(event = "store_history_gone", after);
+                    return;
+                }
+                Ok(reply) => self.down(&format!("{reply:?}")).await,
+                Err(e) => self.down(&e.to_string()).await,
+            }
+        }
+    }
+
+    fn up(&mut self) {
+        self.backoff.reset();
+        if !self.connected {
+            self.connected = true;
+            self.shared.fleet().store_back(clock::now());
+            tracing::info!(event = "store_reached");
+        }
+    }
+
+    async fn down(&mut self, reason: &str) {
+        if self.connected {
+            self.connected = false;
+            self.shared.fleet().store_lost();
+            tracing::warn!(event = "store_lost", reason);
+        }
+        sleep(self.backoff.wait()).await;
+    }
+
+    /// Applies a full read.
+    async fn replace(&self, items: &[Item]) {
+        let now = clock::now();
+        let mut listed = HashMap::new();
+        for item in items {
+            match self.shared.dialect.record(item) {
+                Record::Upstream { id, entry: Some(entry) } => {
+                    listed.insert(id, entry);
+                }
+                record => self.take(item, record),
+            }
+        }
+        let changes = self.shared.fleet().replace(now, &listed);
+        self.changed(changes).await;
+        self.own(items, true).await;
+    }
+
+    /// Applies changes.
+    async fn apply(&self, items: &[Item]) {
+        let now = clock::now();
+        let mut changes = Vec::new();
+        for item in items {
+            match self.shared.dialect.record(item) {
+                Record::Upstream { id, entry } => {
+                    if entry.is_none() && item.value.is_some() {
+                        tracing::debug!(event = "entry_ignored", key = %item.key);
+                    }
+                    changes.extend(self.shared.fleet().apply(now, &id, entry));
+                }
+                record => self.take(item, record),
+            }
+        }
+        self.changed(changes).await;
+        self.own(items, false).await;
+    }
+
+    /// Takes a record that concerns no upstream.
+    fn take(&self, item: &Item, record: Record) {
+        let now = clock::now();
+        match record {
+            Record::Config(Some(config)) => {
+                let version = config.version;
+                let routes = config.route_count();
+                if self.shared.set_config(*config) {
+                    tracing::info!(
+                        event = "config_in_force",
+                        version,
+                        routes,
+                        revision = item.revision
+                    );
+                }
+            }
+            Record::Config(None) => {
+                tracing::warn!(event = "config_ignored", revision = item.revision);
+            }
+            Record::Version { target: ModelRef { model, adapter }, version } => {
+                // The empty name stands for the base model itself.
+                let adapter = adapter.unwrap_or_else(|| Name::from(""));
+                tracing::info!(event = "version_named", %model, %adapter, version);
+                self.shared.dispatcher().version(now, &model, &adapter, version);
+            }
+            Record::Upstream { .. } | Record::Own | Record::Unknown => {}
+        }
+    }
+
+    async fn changed(&self, changes: Vec<FleetChange>) {
+        for change in &changes {
+            match change {
+                FleetChange::Listed(entry) => {
+                    tracing::info!(
+                        event = "upstream_listed",
+                        upstream = %entry.id,
+                        service = %entry.service,
+                        state = ?entry.state,
+                        born = entry.born,
+                        adapters = entry.adapters.len()
+                    );
+                    self.shared.dispatcher().listed(entry);
+                }
+                FleetChange::Gone(id) => {
+                    tracing::info!(event = "upstream_gone", upstream = %id);
+                    self.shared.dispatcher().gone(id);
+                    self.shared.pool.forget(id.as_str());
+                }
+            }
+        }
+        self.shared.pump(clock::now());
+    }
+
+    async fn own(&self, items: &[Item], full: bool) {
+        let own = items
+            .iter()
+            .filter(|item| self.shared.dialect.record(item) == Record::Own)
+            .cloned()
+            .collect();
+        keeper_tell(&self.keeper, KeeperMsg::Store { items: own, full }).await;
+    }
+}
+
+/// Drops upstreams whose grace after an outage has ended.
+pub fn tick(shared: &Shared) {
+    let changes = shared.fleet().tick(clock::now());
+    for change in changes {
+        if let FleetChange::Gone(id) = change {
+            tracing::info!(event = "upstream_gone", upstream = %id, reason = "not listed again");
+            shared.dispatcher().gone(&id);
+            shared.pool.forget(id.as_str());
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -0,0 +1,284 @@
+//! Choice of the upstream for one request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::Name;
+use crate::Time;
+use crate::fleet::UpstreamEntry;
+use crate::rendezvous;
+
+use super::AdapterKey;
+use super::Dispatcher;
+use super::Job;
+use super::upstreams::Upstream;
+
+/// Cost of a prompt token that an engine has still to read, in ms; engines read some 20 tokens a ms.
+const TOKEN_COST_MS: f64 = 0.05;
+/// Cost of a request that an engine runs, in ms: it lengthens every step a little.
+const ENGINE_REQUEST_COST_MS: f64 = 0.6;
+/// Cost of a request at a plain service below its slots, in ms.
+const REQUEST_COST_MS: f64 = 2.0;
+/// Cost of leaving the zone, in ms; small, because it only breaks ties.
+const ZONE_COST_MS: f64 = 6.0;
+/// Cost of a failure rate of 1, in ms.
+const FAILURE_COST_MS: f64 = 600.0;
+/// Range of the noise that keeps nodes from choosing alike, in ms.
+const NOISE_MS: f64 = 3.0;
+/// Cost of the best replica from which another one is loaded, in ms.
+const REPLICATE_COST_MS: f64 = 110.0;
+/// Share of an engine's slots that nodes fill before requests wait in the nodes.
+const ENGINE_WINDOW: f64 = 0.95;
+/// Share of a plain service's slots that nodes fill; above 1 because responses take a while to be seen.
+const SERVICE_WINDOW: f64 = 1.5;
+/// Largest share of a service that is ejected at once.
+const MAX_EJECTED: f64 = 0.34;
+/// Homes among which the first load of an adapter chooses.
+const HOMES: usize = 3;
+/// Cost difference for which an adapter leaves its first home, in ms.
+const HOME_SPREAD_MS: f64 = 60.0;
+/// Share of the version bound after which an old version is no longer used.
+const OLD_VERSION_SHARE: f64 = 0.55;
+/// Share of the version bound after which engines are told the version that must answer.
+const EXPECT_SHARE: f64 = 0.3;
+
+/// What a request waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Blocked {
+    /// The service has no usable upstream.
+    NoUpstream,
+    /// No engine holds the adapter.
+    Adapter,
+    /// Every upstream has its window full.
+    Full,
+}
+
+/// Choice for a request.
+#[derive(Debug)]
+pub(super) enum Choice {
+    Send { upstream: Arc<UpstreamEntry>, version: Option<u64> },
+    Wait(Blocked),
+}
+
+/// Upstream with its cost.
+struct Candidate {
+    id: Name,
+    cost: f64,
+    room: bool,
+}
+
+impl Dispatcher {
+    pub(super) fn choose(&mut self, now: Time, job: &Job) -> Choice {
+        let Some(service) = self.services.get(&job.service) else {
+            return Choice::Wait(Blocked::NoUpstream);
+        };
+        let members = service.members.clone();
+        let spared = self.spared(now, &members);
+        let key = match &job.model {
+            Some(model) => model.adapter.as_ref().map(|name| (model.model.clone(), name.clone())),
+            None => None,
+        };
+        match key {
+            Some(key) => self.choose_replica(now, job, &members, &key, spared),
+            None => {
+                let candidates = self.candidates(now, job, &members, spared);
+                match best(&candidates) {
+                    Some(candidate) if candidate.room => self.chosen(&candidate.id, None),
+                    Some(_) => Choice::Wait(Blocked::Full),
+                    None => Choice::Wait(Blocked::NoUpstream),
+                }
+            }
+        }
+    }
+
+    /// What a request with the same needs as an earlier one waits for.
+    pub(super) fn blocked_reason(&self, job: &Job) -> Blocked {
+        match job.model.as_ref().is_some_and(|model| model.adapter.is_some()) {
+            true => Blocked::Adapter,
+            false => Blocked::Full,
+        }
+    }
+
+    fn choose_replica(
+        &mut self,
+        now: Time,
+        job: &Job,
+        members: &[Name],
+        key: &AdapterKey,
+        spared: bool,
+    ) -> Choice {
+        let (least, expect) = self.version_rule(now, key);
+        let replicas: Vec<Name> = self
+            .replicas
+            .get(key)
+            .into_iter()
+            .flatten()
+            .filter(|id| {
+                self.upstreams.get(*id).is_some_and(|upstream| {
+                    upstream.adapters.get(key).is_some_and(|r| r.ready && r.version >= least)
+                        && !upstream.denies(now, &key.1)
+                })
+            })
+            .cloned()
+            .collect();
+        let candidates = self.candidates(now, job, &replicas, spared);
+        let best = best(&candidates).map(|c| (c.id.clone(), c.cost, c.room));
+        match best {
+            Some((id, cost, true)) => {
+                let old = self.newest(&key.0, &key.1).is_some_and(|newest| {
+                    self.upstreams[&id].adapters.get(key).is_some_and(|r| r.version < newest)
+                });
+                if cost > REPLICATE_COST_MS || old {
+                    self.want(now, job, members, key, spared);
+                } else {
+                    self.wants.met(key);
+                }
+                self.chosen(&id, expect)
+            }
+            Some((_, _, false)) => {
+                self.want(now, job, members, key, spared);
+                Choice::Wait(Blocked::Full)
+            }
+            None => match self.want(now, job, members, key, spared) {
+                true => Choice::Wait(Blocked::Adapter),
+                false => Choice::Wait(Blocked::NoUpstream),
+            },
+        }
+    }
+
+    /// Oldest version that may still answer, and the version to insist on.
+    fn version_rule(&self, now: Time, key: &AdapterKey) -> (u64, Option<u64>) {
+        let Some(news) = self.versions.get(key) else { return (0, None) };
+        let age = now.since(news.seen);
+        let bound = self.settings.version_bound;
+        let least = if age >= bound.mul_f64(OLD_VERSION_SHARE) { news.version } else { 0 };
+        let expect = (age >= bound.mul_f64(EXPECT_SHARE) && least > 0).then_some(news.version);
+        (least, expect)
+    }
+
+    /// States that `key` is needed; `false` if no engine can take it.
+    fn want(
+        &mut self,
+        now: Time,
+        job: &Job,
+        members: &[Name],
+        key: &AdapterKey,
+        spared: bool,
+    ) -> bool {
+        let target = match self.wants.target(now, key) {
+            Some(target) if self.can_load(now, &target, key) => Some(target),
+            Some(_) | None => self.home(now, job, members, key, spared),
+        };
+        let Some(target) = target else { return !members.is_empty() };
+        self.wants.state(now, key, &target, job);
+        true
+    }
+
+    /// Engine on which `key` should be loaded: among its first homes the cheapest, with a lead for the first.
+    fn home(
+        &self,
+        now: Time,
+        job: &Job,
+        members: &[Name],
+        key: &AdapterKey,
+        spared: bool,
+    ) -> Option<Name> {
+        let subject = key.1.as_str();
+        let failed = self.wants.failed(now, key);
+        let mut homes: Vec<(u64, &Name)> = members
+            .iter()
+            .filter(|id| self.can_load(now, id, key) && Some(*id) != failed.as_ref())
+            .filter(|id| !job.tried.contains(id))
+            .filter(|id| spared || !self.upstreams[*id].health.ejected(now))
+            .map(|id| (rendezvous::weight(subject, id.as_str()), id))
+            .collect();
+        homes.sort_unstable_by(|a, b| b.cmp(a));
+        homes
+            .iter()
+            .take(HOMES)
+            .enumerate()
+            .map(|(place, (_, id))| {
+                let lead = HOME_SPREAD_MS * place as f64;
+                (self.upstreams[*id].engine_cost() + lead, *id)
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, id)| id.clone())
+    }
+
+    fn can_load(&self, now: Time, id: &Name, key: &AdapterKey) -> bool {
+        self.upstreams.get(id).is_some_and(|upstream| {
+            let newest = self.versions.get(key).map_or(0, |news| news.version);
+            let held = upstream.adapters.get(key).is_some_and(|r| r.ready && r.version >= newest);
+            upstream.open && upstream.usable(now) && !held
+        })
+    }
+
+    /// Whether so many upstreams are ejected that ejection is ignored.
+    fn spared(&self, now: Time, members: &[Name]) -> bool {
+        let ejected = members
+            .iter()
+            .filter(|id| self.upstreams.get(*id).is_some_and(|u| u.health.ejected(now)))
+            .count();
+        ejected as f64 > members.len() as f64 * MAX_EJECTED
+    }
+
+    fn candidates(&mut self, now: Time, job: &Job, ids: &[Name], spared: bool) -> Vec<Candidate> {
+        let engine = job.model.is_some();
+        let mut candidates = Vec::with_capacity(ids.len());
+        for id in ids {
+            let noise = self.rng.random::<f64>() * NOISE_MS;
+            let Some(upstream) = self.upstreams.get(id) else { continue };
+            let ejected = !spared && upstream.health.ejected(now);
+            if !upstream.usable(now) || ejected || job.tried.contains(id) {
+                continue;
+            }
+            let zone = if upstream.entry.zone == self.settings.zone { 0.0 } else { ZONE_COST_MS };
+            let load = match engine {
+                true => upstream.engine_cost(),
+                false => upstream.service_cost(now),
+            };
+            let window = if engine { ENGINE_WINDOW } else { SERVICE_WINDOW };
+            let room = f64::from(upstream.in_flight())
+                < (f64::from(upstream.entry.slots) * window).max(1.0);
+            let failures = upstream.health.failure_rate() * FAILURE_COST_MS;
+            candidates.push(Candidate {
+                id: id.clone(),
+                cost: load + zone + failures + noise,
+                room,
+            });
+        }
+        candidates
+    }
+
+    fn chosen(&self, id: &Name, version: Option<u64>) -> Choice {
+        Choice::Send { upstream: Arc::clone(&self.upstreams[id].entry), version }
+    }
+}
+
+impl Upstream {
+    fn engine_cost(&self) -> f64 {
+        f64::from(self.pending()) * TOKEN_COST_MS
+            + f64::from(self.in_flight()) * ENGINE_REQUEST_COST_MS
+    }
+
+    fn service_cost(&self, now: Time) -> f64 {
+        let slots = self.entry.slots.max(1);
+        // A report covers requests of nodes whose beats are late; it loses weight within half a second.
+        let reported = match self.reported {
+            Some((at, load)) if now.since(at) < Duration::from_millis(500) => {
+                load.running + load.waiting
+            }
+            Some(_) | None => 0,
+        };
+        let load = self.in_flight().max(reported / 2);
+        let excess = load.saturating_sub(slots.saturating_sub(1));
+        f64::from(load) / f64::from(slots) * 6.0 * REQUEST_COST_MS + f64::from(excess) * 20.0
+    }
+}
+
+/// Cheapest candidate, those with room first.
+fn best(candidates: &[Candidate]) -> Option<&Candidate> {
+    candidates.iter().min_by(|a, b| b.room.cmp(&a.room).then(a.cost.total_cmp(&b.cost)))
+}
--- /dev/null
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -0,0 +1,29 @@
+//! Serving decisions without I/O.
+//!
+//! Each module holds one decision and names the load pattern that it answers. Time and
+//! randomness are arguments, so the same code runs in a node and in tests that replay a
+//! load in virtual time.
+//!
+//! - [`config`]: which route and service a request belongs to
+//! - [`fleet`]: which upstreams exist, also while the store is unavailable
+//! - [`dispatch`]: which upstream a request goes to, what waits and what is rejected
+//! - [`health`]: which upstreams are avoided after failures
+//! - [`budget`]: how many repeats a service may receive
+//! - [`custody`]: which node gives orders to an upstream
+//! - [`residency`]: which adapters an upstream holds
+//! - [`peers`]: which nodes are alive and what they reported
+
+pub mod budget;
+pub mod config;
+pub mod custody;
+pub mod dialect;
+pub mod dispatch;
+pub mod fleet;
+pub mod health;
+pub mod message;
+pub mod peers;
+pub mod rendezvous;
+pub mod residency;
+
+pub use fireflyhead_core::types::Name;
+pub use fireflyhead_core::types::Time;
--- /dev/null
+++ b/crates/fireflyhead-policy/src/peers.rs
@@ -0,0 +1,80 @@
+//! Nodes that are alive and what they reported last.
+//!
+//! Answers killed, frozen and cut nodes: a node that stays silent leaves the answers to
+//! callers after [`SILENCE`], long before its entry in the store lapses.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::Name;
+use crate::Time;
+use crate::message::Beat;
+use crate::message::NodeState;
+
+/// Silence after which a node is treated as unreachable.
+pub const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Silence after which a node is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+
+/// Peer with its newest beat.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Newest beat.
+    pub beat: Beat,
+    /// Arrival of the newest beat.
+    pub heard: Time,
+}
+
+/// All peers.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<Name, Peer>,
+}
+
+impl Peers {
+    /// Takes a beat; `false` if it is older than the newest one of its node.
+    pub fn heard(&mut self, now: Time, beat: Beat) -> bool {
+        match self.peers.get(&beat.node) {
+            Some(peer)
+                if (peer.beat.incarnation, peer.beat.seq) >= (beat.incarnation, beat.seq) =>
+            {
+                false
+            }
+            Some(_) | None => {
+                self.peers.insert(beat.node.clone(), Peer { beat, heard: now });
+                true
+            }
+        }
+    }
+
+    /// Forgets nodes that have been silent for long; returns the nodes that are silent.
+    pub fn tick(&mut self, now: Time) -> Vec<Name> {
+        self.peers.retain(|_, peer| now.since(peer.heard) < FORGET);
+        self.peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard) >= SILENCE)
+            .map(|(node, _)| node.clone())
+            .collect()
+    }
+
+    /// Whether `node` was heard lately.
+    pub fn alive(&self, now: Time, node: &str) -> bool {
+        self.peers.get(node).is_some_and(|peer| now.since(peer.heard) < SILENCE)
+    }
+
+    /// Peers that were heard lately.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| now.since(peer.heard) < SILENCE)
+    }
+
+    /// Peers that take callers.
+    pub fn ready(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        self.live(now).filter(|peer| peer.beat.state == NodeState::Ready)
+    }
+
+    /// All peers that are remembered.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+}
