Pace prompts at each engine

Change: at most 4,000 unread prompt tokens at an engine, for up to 0.35 of a request's objective; the log tells the first output and the longest pause. Orders time out after 250 ms instead of 400.

--- a/crates/fireflyhead-gateway/src/forward/call.rs
+++ b/crates/fireflyhead-gateway/src/forward/call.rs
@@ -68,6 +68,10 @@
     not_sent: u32,
     not_run: u32,
     pub(super) queued: Duration,
+    /// Time from the arrival to the first bytes of a stream.
+    pub(super) first_output: Option<Duration>,
+    /// Longest time between two parts of a stream.
+    pub(super) longest_pause: Duration,
 }
 
 /// Result of placing a request.
@@ -307,6 +311,9 @@
             reason,
             queued_ms = tries.queued.as_millis() as u64,
             total_ms = total.as_millis() as u64,
+            first_ms = tries.first_output.map(|delay| delay.as_millis() as u64),
+            pause_ms = tries.longest_pause.as_millis() as u64,
+            tokens = self.head.tokens.prompt,
             sends = tries.arrivals,
         );
     }
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -54,6 +54,8 @@
     scanner: Option<EventScanner>,
     started: bool,
     ended: bool,
+    /// Time of the last bytes from the upstream.
+    last_data: Time,
     _open: Open,
 }
 
@@ -90,6 +92,7 @@
         scanner,
         started: false,
         ended: false,
+        last_data: clock::now(),
         _open: open,
     };
     let frames = stream::unfold(streaming, |mut streaming| async move {
@@ -161,13 +164,19 @@
         if data.is_empty() { Next::Skip } else { Next::Data(data) }
     }
 
+    /// Records that bytes go to the caller.
     fn begin(&mut self) {
+        let now = clock::now();
+        let pause = now.since(self.last_data);
+        self.last_data = now;
         if self.started {
+            self.tries.longest_pause = self.tries.longest_pause.max(pause);
             return;
         }
         self.started = true;
         self.flight.output();
-        let delay = clock::now().since(self.call.arrived);
+        let delay = now.since(self.call.arrived);
+        self.tries.first_output = Some(delay);
         self.call.shared.metrics.first_output(self.call.route.name.as_str(), delay);
     }
 
--- a/crates/fireflyhead-gateway/src/keeper.rs
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -48,8 +48,9 @@
 const MEMBERS: &str = "fireflyhead/members/";
 /// Prefix of the custody records.
 const CUSTODY: &str = "fireflyhead/custody/";
-/// Time for an order or a report; engines answer at once.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for an order or a report. Engines answer within milliseconds; one lost packet costs some
+/// 200 ms. An order without an answer is repeated, which its precondition makes safe.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval of the work on engines.
 const TICK: Duration = Duration::from_millis(20);
 /// Interval at which the usage of adapters is read.
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -31,6 +31,13 @@
 const REPLICATE_COST_MS: f64 = 110.0;
 /// Share of an engine's slots that nodes fill before requests wait in the nodes.
 const ENGINE_WINDOW: f64 = 0.95;
+/// Prompt tokens that an engine may have unread when another prompt is added.
+///
+/// An engine reads prompts between the steps of its running requests, so a longer backlog
+/// stretches the pause between the events of every stream there beyond its objective.
+const PREFILL_WINDOW_TOKENS: u32 = 4_000;
+/// Share of the objective for which a request waits for a window to open.
+const PREFILL_WAIT_SHARE: f64 = 0.35;
 /// Share of a plain service's slots that nodes fill; above 1 because responses take a while to be seen.
 const SERVICE_WINDOW: f64 = 1.5;
 /// Largest share of a service that is ejected at once.
@@ -226,6 +233,8 @@
 
     fn candidates(&mut self, now: Time, job: &Job, ids: &[Name], spared: bool) -> Vec<Candidate> {
         let engine = job.model.is_some();
+        let objective = job.objective.since(job.arrived);
+        let late = now.since(job.arrived) >= objective.mul_f64(PREFILL_WAIT_SHARE);
         let mut candidates = Vec::with_capacity(ids.len());
         for id in ids {
             let noise = self.rng.random::<f64>() * NOISE_MS;
@@ -240,8 +249,9 @@
                 false => upstream.service_cost(now),
             };
             let window = if engine { ENGINE_WINDOW } else { SERVICE_WINDOW };
-            let room = f64::from(upstream.in_flight())
-                < (f64::from(upstream.entry.slots) * window).max(1.0);
+            let places = (f64::from(upstream.entry.slots) * window).max(1.0);
+            let room = f64::from(upstream.in_flight()) < places
+                && (!engine || late || upstream.can_read(job.prompt_tokens));
             let failures = upstream.health.failure_rate() * FAILURE_COST_MS;
             candidates.push(Candidate {
                 id: id.clone(),
@@ -258,6 +268,12 @@
 }
 
 impl Upstream {
+    /// Whether a prompt may be added to those that the engine has still to read.
+    fn can_read(&self, prompt_tokens: u32) -> bool {
+        let pending = self.pending();
+        pending == 0 || pending + prompt_tokens <= PREFILL_WINDOW_TOKENS
+    }
+
     fn engine_cost(&self) -> f64 {
         f64::from(self.pending()) * TOKEN_COST_MS
             + f64::from(self.in_flight()) * ENGINE_REQUEST_COST_MS
