Send beats each 40 ms and prefer the own zone more

Change: interval of beats 40 ms instead of 100, cost of leaving the zone 25 ms instead of 6, window of 2,500 tokens.

--- a/crates/fireflyhead-gateway/src/beats.rs
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -26,7 +26,7 @@
 use crate::state::Shared;
 
 /// Shortest interval between beats; load figures older than this mislead the choice of upstreams.
-const INTERVAL: Duration = Duration::from_millis(100);
+const INTERVAL: Duration = Duration::from_millis(40);
 /// Interval for each further node, which bounds a node at 250 datagrams a second.
 const INTERVAL_PER_NODE: Duration = Duration::from_millis(4);
 /// Interval at which wants are looked at.
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -22,7 +22,7 @@
 /// Cost of a request at a plain service below its slots, in ms.
 const REQUEST_COST_MS: f64 = 2.0;
 /// Cost of leaving the zone, in ms; small, because it only breaks ties.
-const ZONE_COST_MS: f64 = 6.0;
+const ZONE_COST_MS: f64 = 25.0;
 /// Cost of a failure rate of 1, in ms.
 const FAILURE_COST_MS: f64 = 600.0;
 /// Range of the noise that keeps nodes from choosing alike, in ms.
@@ -35,7 +35,7 @@
 ///
 /// An engine reads prompts between the steps of its running requests, so a longer backlog
 /// stretches the pause between the events of every stream there beyond its objective.
-const PREFILL_WINDOW_TOKENS: u32 = 4_000;
+const PREFILL_WINDOW_TOKENS: u32 = 2_500;
 /// Share of the objective for which a request waits for a window to open.
 const PREFILL_WAIT_SHARE: f64 = 0.35;
 /// Share of a plain service's slots that nodes fill; above 1 because responses take a while to be seen.
