Load replicas only for adapters in use, and one copy of rare ones

Nodes chose different homes by load, gave a home up after 0.9 s and asked for a replica whenever an engine had a backlog. Change: the first home leads by 300 ms, wants wait 3 s, replicas need five requests in use for each present one; engines whose streams pause for too long cost more.

--- a/crates/fireflyhead-policy/src/config.rs
+++ b/crates/fireflyhead-policy/src/config.rs
@@ -60,6 +60,8 @@
     pub timeout: Duration,
     /// Time within which a response is on time; up to the first event of a stream.
     pub objective: Duration,
+    /// Longest pause between the events of a stream that is on time.
+    pub pause_objective: Option<Duration>,
     /// Rank, 0 is the most urgent.
     pub priority: u8,
     /// Services, with their share of the requests.
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -327,6 +327,13 @@
         }
     }
 
+    /// Records whether a stream of `upstream` paused for longer than its objective.
+    pub fn paused(&mut self, upstream: &str, late: bool) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.paused(late);
+        }
+    }
+
     /// Takes the load that an upstream reported with a response.
     pub fn load_reported(&mut self, now: Time, upstream: &str, load: LoadReport) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -42,10 +42,15 @@
 const SERVICE_WINDOW: f64 = 1.5;
 /// Largest share of a service that is ejected at once.
 const MAX_EJECTED: f64 = 0.34;
+/// Requests for each replica from which a further one is loaded. An adapter with fewer gains
+/// nothing from a replica that it would not gain from a short wait, and loads are scarce.
+const REPLICA_USES: u32 = 5;
+/// Cost of an engine whose streams all pause for too long, in ms.
+const LATE_PAUSE_COST_MS: f64 = 80.0;
 /// Homes among which the first load of an adapter chooses.
 const HOMES: usize = 3;
 /// Cost difference for which an adapter leaves its first home, in ms.
-const HOME_SPREAD_MS: f64 = 60.0;
+const HOME_SPREAD_MS: f64 = 300.0;
 /// Share of the version bound after which an old version is no longer used.
 const OLD_VERSION_SHARE: f64 = 0.55;
 /// Share of the version bound after which engines are told the version that must answer.
@@ -137,7 +142,7 @@
                 let old = self.newest(&key.0, &key.1).is_some_and(|newest| {
                     self.upstreams[&id].adapters.get(key).is_some_and(|r| r.version < newest)
                 });
-                if cost > REPLICATE_COST_MS || old {
+                if old || (cost > REPLICATE_COST_MS && self.is_hot(key)) {
                     self.want(now, job, members, key, spared);
                 } else {
                     self.wants.met(key);
@@ -145,7 +150,9 @@
                 self.chosen(&id, expect)
             }
             Some((_, _, false)) => {
-                self.want(now, job, members, key, spared);
+                if self.is_hot(key) {
+                    self.want(now, job, members, key, spared);
+                }
                 Choice::Wait(Blocked::Full)
             }
             None => match self.want(now, job, members, key, spared) {
@@ -214,6 +221,17 @@
             .map(|(_, id)| id.clone())
     }
 
+    /// Whether the replicas of `key` have enough requests for a further one.
+    fn is_hot(&self, key: &AdapterKey) -> bool {
+        let Some(replicas) = self.replicas.get(key) else { return false };
+        let uses: u32 = replicas
+            .iter()
+            .filter_map(|id| self.upstreams.get(id))
+            .map(|upstream| upstream.uses(&key.1))
+            .sum();
+        uses as usize >= replicas.len() * REPLICA_USES as usize
+    }
+
     fn can_load(&self, now: Time, id: &Name, key: &AdapterKey) -> bool {
         self.upstreams.get(id).is_some_and(|upstream| {
             let newest = self.versions.get(key).map_or(0, |news| news.version);
@@ -277,6 +295,7 @@
     fn engine_cost(&self) -> f64 {
         f64::from(self.pending()) * TOKEN_COST_MS
             + f64::from(self.in_flight()) * ENGINE_REQUEST_COST_MS
+            + self.late_pauses() * LATE_PAUSE_COST_MS
     }
 
     fn service_cost(&self, now: Time) -> f64 {
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -19,6 +19,9 @@
 /// Time for which an adapter that an engine denied is not looked for there.
 const ABSENT_FOR: Duration = Duration::from_millis(150);
 
+/// Weight of the newest stream in the share of late pauses.
+const PAUSE_ALPHA: f64 = 0.08;
+
 /// Adapter in an engine.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Replica {
@@ -41,6 +44,9 @@
     pub(super) pending_tokens: u32,
     in_flight: u32,
     in_use: HashMap<Name, u32>,
+    peer_in_use: HashMap<Name, u32>,
+    /// Share of the streams whose longest pause was over its objective, newest first.
+    late_pauses: f64,
     peer_in_flight: u32,
     peer_pending: u32,
     full_until: Time,
@@ -60,6 +66,8 @@
             pending_tokens: 0,
             in_flight: 0,
             in_use: HashMap::new(),
+            peer_in_use: HashMap::new(),
+            late_pauses: 0.0,
             peer_in_flight: 0,
             peer_pending: 0,
             full_until: Time::default(),
@@ -96,13 +104,8 @@
 
     pub(super) fn landed(&mut self, adapter: Option<&Name>) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        let Some(adapter) = adapter else { return };
-        match self.in_use.get_mut(adapter) {
-            Some(count) if *count > 1 => *count -= 1,
-            Some(_) => {
-                self.in_use.remove(adapter);
-            }
-            None => {}
+        if let Some(adapter) = adapter {
+            subtract(&mut self.in_use, adapter, 1);
         }
     }
 
@@ -120,11 +123,34 @@
     pub(super) fn add_peer(&mut self, load: &UpstreamLoad) {
         self.peer_in_flight += load.in_flight;
         self.peer_pending += load.pending_tokens;
+        for (adapter, count) in &load.adapters {
+            *self.peer_in_use.entry(adapter.clone()).or_insert(0) += count;
+        }
     }
 
     pub(super) fn remove_peer(&mut self, load: &UpstreamLoad) {
         self.peer_in_flight = self.peer_in_flight.saturating_sub(load.in_flight);
         self.peer_pending = self.peer_pending.saturating_sub(load.pending_tokens);
+        for (adapter, count) in &load.adapters {
+            subtract(&mut self.peer_in_use, adapter, *count);
+        }
+    }
+
+    /// Requests of all nodes that use `adapter`.
+    pub(super) fn uses(&self, adapter: &Name) -> u32 {
+        let count = |uses: &HashMap<Name, u32>| uses.get(adapter).copied().unwrap_or(0);
+        count(&self.in_use) + count(&self.peer_in_use)
+    }
+
+    /// Records whether a stream paused for longer than its objective.
+    pub(super) fn paused(&mut self, late: bool) {
+        let sample = if late { 1.0 } else { 0.0 };
+        self.late_pauses += PAUSE_ALPHA * (sample - self.late_pauses);
+    }
+
+    /// Share of the streams that paused for too long.
+    pub(super) fn late_pauses(&self) -> f64 {
+        self.late_pauses
     }
 
     /// Load of this node; `None` if there is none.
@@ -137,3 +163,14 @@
         })
     }
 }
+
+/// Lowers a count and drops it at zero.
+fn subtract(counts: &mut HashMap<Name, u32>, key: &Name, by: u32) {
+    match counts.get_mut(key) {
+        Some(count) if *count > by => *count -= by,
+        Some(_) => {
+            counts.remove(key);
+        }
+        None => {}
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch/wants.rs
+++ b/crates/fireflyhead-policy/src/dispatch/wants.rs
@@ -12,8 +12,9 @@
 
 /// Time between two statements of one want.
 const REPEAT: Duration = Duration::from_millis(80);
-/// Time after which another engine is tried.
-const GIVE_UP: Duration = Duration::from_millis(900);
+/// Time after which another engine is tried. Loads queue for seconds when many adapters are
+/// asked for at once, and a second load of one of them lengthens the queue.
+const GIVE_UP: Duration = Duration::from_millis(3_000);
 /// Time after which a want that no request renewed is dropped.
 const EXPIRE: Duration = Duration::from_millis(250);
 
