Limit the rate of prompt tokens to each engine

Cause: a backlog that is refilled as soon as it is read makes every step read a prompt, and three such steps are a pause above 300 ms. Change: the tokens that nodes sent to an engine count as its backlog and drain at 11,000 a second, slower for an engine whose streams pause for too long.

--- a/crates/fireflyhead-gateway/src/beats.rs
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -132,7 +132,7 @@
         state: shared.node_state(),
         capacity: (settings.capacity * 1_000.0) as u32,
         loading: u32::try_from(shared.loading()).unwrap_or(u32::MAX),
-        loads: shared.dispatcher().loads(),
+        loads: shared.dispatcher().loads(clock::now()),
         placements: shared.placements().clone(),
     }
 }
--- a/crates/fireflyhead-gateway/src/keeper.rs
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -237,7 +237,7 @@
             }
             self.ensure(entry);
             if usage_due {
-                let used = self.shared.dispatcher().usage(entry.id.as_str());
+                let used = self.shared.dispatcher().usage(now, entry.id.as_str());
                 if let Some(engine) = self.engines.get_mut(&entry.id) {
                     engine.residency.usage(now, &used);
                 }
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -451,13 +451,13 @@
     }
 
     /// Load of this node on each upstream.
-    pub fn loads(&self) -> Vec<UpstreamLoad> {
-        self.upstreams.values().filter_map(Upstream::load).collect()
+    pub fn loads(&self, now: Time) -> Vec<UpstreamLoad> {
+        self.upstreams.values().filter_map(|upstream| upstream.load(now)).collect()
     }
 
     /// Requests of all nodes for each adapter of an engine.
-    pub fn usage(&self, upstream: &str) -> HashMap<Name, u32> {
-        let own = self.upstreams.get(upstream).and_then(Upstream::load);
+    pub fn usage(&self, now: Time, upstream: &str) -> HashMap<Name, u32> {
+        let own = self.upstreams.get(upstream).and_then(|upstream| upstream.load(now));
         let peers =
             self.peer_loads.values().flatten().filter(|load| load.upstream.as_str() == upstream);
         let mut usage = HashMap::new();
@@ -502,7 +502,7 @@
         let adapter = job.model.as_ref().and_then(|model| model.adapter.clone());
         let tokens = job.prompt_tokens;
         if let Some(upstream) = self.upstreams.get_mut(&upstream.id) {
-            upstream.departed(adapter.as_ref(), tokens);
+            upstream.departed(now, adapter.as_ref(), tokens);
         }
         let flight = Flight {
             upstream: upstream.id.clone(),
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -31,13 +31,15 @@
 const REPLICATE_COST_MS: f64 = 110.0;
 /// Share of an engine's slots that nodes fill before requests wait in the nodes.
 const ENGINE_WINDOW: f64 = 0.95;
+/// Backlog below which a prompt of any size is added.
+const NO_BACKLOG_TOKENS: u32 = 300;
 /// Prompt tokens that an engine may have unread when another prompt is added.
 ///
 /// An engine reads prompts between the steps of its running requests, so a longer backlog
 /// stretches the pause between the events of every stream there beyond its objective.
 const PREFILL_WINDOW_TOKENS: u32 = 2_500;
 /// Share of the objective for which a request waits for a window to open.
-const PREFILL_WAIT_SHARE: f64 = 0.35;
+const PREFILL_WAIT_SHARE: f64 = 0.45;
 /// Share of a plain service's slots that nodes fill; above 1 because responses take a while to be seen.
 const SERVICE_WINDOW: f64 = 1.5;
 /// Largest share of a service that is ejected at once.
@@ -215,7 +217,7 @@
             .enumerate()
             .map(|(place, (_, id))| {
                 let lead = HOME_SPREAD_MS * place as f64;
-                (self.upstreams[*id].engine_cost() + lead, *id)
+                (self.upstreams[*id].engine_cost(now) + lead, *id)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, id)| id.clone())
@@ -263,13 +265,13 @@
             }
             let zone = if upstream.entry.zone == self.settings.zone { 0.0 } else { ZONE_COST_MS };
             let load = match engine {
-                true => upstream.engine_cost(),
+                true => upstream.engine_cost(now),
                 false => upstream.service_cost(now),
             };
             let window = if engine { ENGINE_WINDOW } else { SERVICE_WINDOW };
             let places = (f64::from(upstream.entry.slots) * window).max(1.0);
             let room = f64::from(upstream.in_flight()) < places
-                && (!engine || late || upstream.can_read(job.prompt_tokens));
+                && (!engine || late || upstream.can_read(now, job.prompt_tokens));
             let failures = upstream.health.failure_rate() * FAILURE_COST_MS;
             candidates.push(Candidate {
                 id: id.clone(),
@@ -287,13 +289,13 @@
 
 impl Upstream {
     /// Whether a prompt may be added to those that the engine has still to read.
-    fn can_read(&self, prompt_tokens: u32) -> bool {
-        let pending = self.pending();
-        pending == 0 || pending + prompt_tokens <= PREFILL_WINDOW_TOKENS
+    fn can_read(&self, now: Time, prompt_tokens: u32) -> bool {
+        let backlog = self.backlog(now);
+        backlog < NO_BACKLOG_TOKENS || backlog + prompt_tokens <= PREFILL_WINDOW_TOKENS
     }
 
-    fn engine_cost(&self) -> f64 {
-        f64::from(self.pending()) * TOKEN_COST_MS
+    fn engine_cost(&self, now: Time) -> f64 {
+        f64::from(self.backlog(now)) * TOKEN_COST_MS
             + f64::from(self.in_flight()) * ENGINE_REQUEST_COST_MS
             + self.late_pauses() * LATE_PAUSE_COST_MS
     }
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -22,6 +22,14 @@
 /// Weight of the newest stream in the share of late pauses.
 const PAUSE_ALPHA: f64 = 0.08;
 
+/// Prompt tokens that one engine may be sent a second.
+///
+/// Engines read about 20,000 a second while they generate nothing. At half of that, steps
+/// that read a prompt alternate with steps that don't, and pauses stay within objectives.
+const READ_TOKENS_PER_S: f64 = 11_000.0;
+/// Share of the read rate that an engine loses whose streams all pause for too long.
+const LATE_PACE_CUT: f64 = 0.5;
+
 /// Adapter in an engine.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Replica {
@@ -41,7 +49,11 @@
     /// Another upstream answered at its address.
     pub(super) misdirected: bool,
     pub(super) reported: Option<(Time, LoadReport)>,
+    /// Prompt tokens of this node's requests without output.
     pub(super) pending_tokens: u32,
+    /// Prompt tokens that this node sent lately, drained at the read rate.
+    level: f64,
+    level_at: Time,
     in_flight: u32,
     in_use: HashMap<Name, u32>,
     peer_in_use: HashMap<Name, u32>,
@@ -64,6 +76,8 @@
             misdirected: false,
             reported: None,
             pending_tokens: 0,
+            level: 0.0,
+            level_at: Time::default(),
             in_flight: 0,
             in_use: HashMap::new(),
             peer_in_use: HashMap::new(),
@@ -85,16 +99,32 @@
         self.in_flight + self.peer_in_flight
     }
 
-    /// Prompt tokens without output from all nodes.
-    pub(super) fn pending(&self) -> u32 {
-        self.pending_tokens + self.peer_pending
+    /// Prompt tokens from all nodes that keep the engine from its other requests.
+    pub(super) fn backlog(&self, now: Time) -> u32 {
+        self.own_backlog(now) + self.peer_pending
+    }
+
+    fn own_backlog(&self, now: Time) -> u32 {
+        self.pending_tokens.max(self.level(now) as u32)
+    }
+
+    fn level(&self, now: Time) -> f64 {
+        let drained = now.since(self.level_at).as_secs_f64() * READ_TOKENS_PER_S * self.pace();
+        (self.level - drained).max(0.0)
+    }
+
+    /// Pace relative to an engine whose streams are on time.
+    fn pace(&self) -> f64 {
+        1.0 - LATE_PACE_CUT * self.late_pauses
     }
 
     pub(super) fn denies(&self, now: Time, adapter: &Name) -> bool {
         self.denied.get(adapter).is_some_and(|until| now < *until)
     }
 
-    pub(super) fn departed(&mut self, adapter: Option<&Name>, tokens: u32) {
+    pub(super) fn departed(&mut self, now: Time, adapter: Option<&Name>, tokens: u32) {
+        self.level = self.level(now) + f64::from(tokens);
+        self.level_at = now;
         self.in_flight += 1;
         self.pending_tokens += tokens;
         if let Some(adapter) = adapter {
@@ -154,11 +184,11 @@
     }
 
     /// Load of this node; `None` if there is none.
-    pub(super) fn load(&self) -> Option<UpstreamLoad> {
+    pub(super) fn load(&self, now: Time) -> Option<UpstreamLoad> {
         (self.in_flight > 0).then(|| UpstreamLoad {
             upstream: self.entry.id.clone(),
             in_flight: self.in_flight,
-            pending_tokens: self.pending_tokens,
+            pending_tokens: self.own_backlog(now),
             adapters: self.in_use.iter().map(|(name, count)| (name.clone(), *count)).collect(),
         })
     }
