Keep large prompts and long outputs from slow engines

Cause: engines of the slower third have 0.64 late pauses: one prompt above 2,048 tokens holds all their streams for two steps of 150 ms. Change: engines with late pauses are avoided for prompts of 1,500 tokens and more and cost more for long outputs; a prompt costs by the number of streams that it holds up.

--- a/crates/fireflyhead-gateway/src/forward/call.rs
+++ b/crates/fireflyhead-gateway/src/forward/call.rs
@@ -173,6 +173,7 @@
             objective: self.objective,
             deadline: self.deadline,
             prompt_tokens: self.head.tokens.prompt,
+            output_tokens: self.head.tokens.output,
             tried: tries.tried.clone(),
         };
         let mut pending = self.shared.submit(now, job);
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -77,6 +77,8 @@
     pub deadline: Time,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Largest number of tokens of the output.
+    pub output_tokens: u32,
     /// Upstreams that failed this request.
     pub tried: Vec<Name>,
 }
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -49,6 +49,15 @@
 const REPLICA_USES: u32 = 5;
 /// Cost of an engine whose streams all pause for too long, in ms.
 const LATE_PAUSE_COST_MS: f64 = 80.0;
+/// Cost for each request that an engine runs and each 1,000 tokens of a prompt, in ms: the
+/// prompt holds up the streams of them all.
+const DISTURBANCE_COST_MS: f64 = 1.5;
+/// Cost for each token of the output on an engine whose streams all pause for too long, in ms.
+const SLOW_TOKEN_COST_MS: f64 = 0.3;
+/// Prompt from which an engine with late pauses is avoided; it takes several steps to read.
+const LARGE_PROMPT_TOKENS: u32 = 1_500;
+/// Share of late pauses from which an engine is avoided for large prompts.
+const SLOW_SHARE: f64 = 0.4;
 /// Homes among which the first load of an adapter chooses.
 const HOMES: usize = 3;
 /// Cost difference for which an adapter leaves its first home, in ms.
@@ -151,8 +160,9 @@
                 }
                 self.chosen(&id, expect)
             }
-            Some((_, _, false)) => {
-                if self.is_hot(key) {
+            Some((id, _, false)) => {
+                let slow = self.upstreams[&id].too_slow(job);
+                if slow || self.is_hot(key) {
                     self.want(now, job, members, key, spared);
                 }
                 Choice::Wait(Blocked::Full)
@@ -206,7 +216,7 @@
         let mut homes: Vec<(u64, &Name)> = members
             .iter()
             .filter(|id| self.can_load(now, id, key) && Some(*id) != failed.as_ref())
-            .filter(|id| !job.tried.contains(id))
+            .filter(|id| !job.tried.contains(id) && !self.upstreams[*id].too_slow(job))
             .filter(|id| spared || !self.upstreams[*id].health.ejected(now))
             .map(|id| (rendezvous::weight(subject, id.as_str()), id))
             .collect();
@@ -217,7 +227,7 @@
             .enumerate()
             .map(|(place, (_, id))| {
                 let lead = HOME_SPREAD_MS * place as f64;
-                (self.upstreams[*id].engine_cost(now) + lead, *id)
+                (self.upstreams[*id].engine_cost(now, job) + lead, *id)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, id)| id.clone())
@@ -265,13 +275,15 @@
             }
             let zone = if upstream.entry.zone == self.settings.zone { 0.0 } else { ZONE_COST_MS };
             let load = match engine {
-                true => upstream.engine_cost(now),
+                true => upstream.engine_cost(now, job),
                 false => upstream.service_cost(now),
             };
             let window = if engine { ENGINE_WINDOW } else { SERVICE_WINDOW };
             let places = (f64::from(upstream.entry.slots) * window).max(1.0);
             let room = f64::from(upstream.in_flight()) < places
-                && (!engine || late || upstream.can_read(now, job.prompt_tokens));
+                && (!engine
+                    || late
+                    || (upstream.can_read(now, job.prompt_tokens) && !upstream.too_slow(job)));
             let failures = upstream.health.failure_rate() * FAILURE_COST_MS;
             candidates.push(Candidate {
                 id: id.clone(),
@@ -294,10 +306,18 @@
         backlog < NO_BACKLOG_TOKENS || backlog + prompt_tokens <= PREFILL_WINDOW_TOKENS
     }
 
-    fn engine_cost(&self, now: Time) -> f64 {
+    /// Whether a large prompt should go elsewhere.
+    fn too_slow(&self, job: &Job) -> bool {
+        job.prompt_tokens >= LARGE_PROMPT_TOKENS && self.late_pauses() >= SLOW_SHARE
+    }
+
+    fn engine_cost(&self, now: Time, job: &Job) -> f64 {
+        let prompt = f64::from(job.prompt_tokens) / 1_000.0;
+        let output = f64::from(job.output_tokens);
         f64::from(self.backlog(now)) * TOKEN_COST_MS
             + f64::from(self.in_flight()) * ENGINE_REQUEST_COST_MS
-            + self.late_pauses() * LATE_PAUSE_COST_MS
+            + f64::from(self.in_flight()) * prompt * DISTURBANCE_COST_MS
+            + self.late_pauses() * (LATE_PAUSE_COST_MS + output * SLOW_TOKEN_COST_MS)
     }
 
     fn service_cost(&self, now: Time) -> f64 {
