Test the decisions in virtual time

Load replays, property tests of custody, residency and budget, and fault tables for the fleet and health.

--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/config.rs
@@ -0,0 +1,68 @@
+//! Route look-up.
+
+use std::time::Duration;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::config::Config;
+use fireflyhead_policy::config::Limits;
+use fireflyhead_policy::config::Route;
+use fireflyhead_policy::config::RouteKind;
+use fireflyhead_policy::config::Share;
+use proptest::prelude::*;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: Name::from(format!("{host}{prefix}")),
+        host: Name::from(host),
+        prefix: Name::from(prefix),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(300),
+        pause_objective: None,
+        priority: 0,
+        shares: vec![Share { service: Name::from("desk"), weight: 1 }],
+        max_attempts: 2,
+    }
+}
+
+fn config(prefixes: &[String]) -> Config {
+    let routes = prefixes.iter().map(|prefix| route("example", prefix)).collect();
+    Config::new(1, Limits::default(), routes, Vec::new())
+}
+
+proptest! {
+    /// Guards against a request that runs on the route of a shorter prefix: the look-up by
+    /// hash gives what a search through all routes gives.
+    #[test]
+    fn the_longest_prefix_wins(
+        prefixes in proptest::collection::vec("(/[ab]{1,2}){0,3}/", 1..12),
+        path in "(/[abc]{1,2}){0,4}/?",
+    ) {
+        let config = config(&prefixes);
+        let expected = prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(prefix.as_str()))
+            .max_by_key(|prefix| prefix.len());
+        let found = config.route("example", &path).map(|route| route.prefix.to_string());
+        prop_assert_eq!(found.as_ref(), expected);
+        prop_assert!(config.route("other", &path).is_none());
+    }
+}
+
+/// Guards against shares that drift from their weights, and against a request whose second
+/// look-up gives another service.
+#[test]
+fn shares_follow_their_weights() {
+    let mut route = route("example", "/a/");
+    route.shares = vec![
+        Share { service: Name::from("one"), weight: 90 },
+        Share { service: Name::from("two"), weight: 10 },
+    ];
+    let ids: Vec<String> = (0..4_000).map(|n| format!("request-{n}")).collect();
+    let second = ids.iter().filter(|id| route.service(id).is_some_and(|s| s.as_str() == "two"));
+    let share = second.count() as f64 / ids.len() as f64;
+    assert!((0.08..0.12).contains(&share), "share of the second service: {share}");
+    assert!(ids.iter().all(|id| route.service(id) == route.service(id)));
+    route.shares.clear();
+    assert_eq!(route.service("request-1"), None);
+}
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/fleet.rs
@@ -0,0 +1,68 @@
+//! Upstreams over outages of the store.
+
+use std::collections::HashMap;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::fleet::Fleet;
+use fireflyhead_policy::fleet::FleetChange;
+
+use crate::setup::entry;
+use crate::setup::ms;
+
+fn with_one() -> (Fleet, Name) {
+    let mut fleet = Fleet::default();
+    let id = Name::from("engine-1");
+    let changes = fleet.apply(ms(0), &id, Some(entry("engine-1", "models", 64)));
+    assert!(matches!(changes[..], [FleetChange::Listed(_)]));
+    (fleet, id)
+}
+
+/// Guards against a heartbeat that looks like a change.
+#[test]
+fn an_entry_without_change_is_no_news() {
+    let (mut fleet, id) = with_one();
+    assert!(fleet.apply(ms(10), &id, Some(entry("engine-1", "models", 64))).is_empty());
+}
+
+/// Guards against requests to an upstream that has left.
+#[test]
+fn a_removed_entry_is_gone_at_once_while_the_store_answers() {
+    let (mut fleet, id) = with_one();
+    assert_eq!(fleet.apply(ms(10), &id, None), vec![FleetChange::Gone(id.clone())]);
+    assert!(fleet.get("engine-1").is_none());
+}
+
+/// Guards against an outage that empties the deployment: leases run out while the store is
+/// away, and all entries vanish from the first read after its return.
+#[test]
+fn entries_that_lapse_in_an_outage_stay_until_they_had_time_to_return() {
+    let (mut fleet, id) = with_one();
+    fleet.store_lost();
+    fleet.store_back(ms(5_000));
+    assert!(fleet.replace(ms(5_010), &HashMap::new()).is_empty());
+    assert!(fleet.tick(ms(7_000)).is_empty());
+    assert!(fleet.get("engine-1").is_some());
+    assert_eq!(fleet.tick(ms(7_300)), vec![FleetChange::Gone(id)]);
+}
+
+/// Guards against a live upstream that is dropped although it came back.
+#[test]
+fn an_entry_that_returns_in_time_stays() {
+    let (mut fleet, id) = with_one();
+    fleet.store_lost();
+    fleet.store_back(ms(5_000));
+    fleet.apply(ms(5_010), &id, None);
+    fleet.apply(ms(6_000), &id, Some(entry("engine-1", "models", 64)));
+    assert!(fleet.tick(ms(8_000)).is_empty());
+    assert!(fleet.get("engine-1").is_some());
+}
+
+/// Guards against state that outlives a restart under the same id.
+#[test]
+fn a_new_start_is_news() {
+    let (mut fleet, id) = with_one();
+    let mut restarted = entry("engine-1", "models", 64);
+    restarted.born = 2;
+    let changes = fleet.apply(ms(10), &id, Some(restarted));
+    assert!(matches!(&changes[..], [FleetChange::Listed(entry)] if entry.born == 2));
+}
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the decisions, in virtual time: one module per decision or load pattern.
+
+mod budget;
+mod config;
+mod custody;
+mod fleet;
+mod health;
+mod loads;
+mod peers;
+mod replay;
+mod residency;
+mod setup;
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/peers.rs
@@ -0,0 +1,47 @@
+//! Liveness of nodes.
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::message::Beat;
+use fireflyhead_policy::message::NodeState;
+use fireflyhead_policy::peers::Peers;
+
+use crate::setup::ms;
+
+fn beat(incarnation: u64, seq: u64, state: NodeState) -> Beat {
+    let address = "127.0.0.1:7380".parse().expect("a socket address");
+    Beat {
+        node: Name::from("node-2"),
+        incarnation,
+        seq,
+        zone: Name::from("zone-1"),
+        caller: address,
+        peer: address,
+        state,
+        capacity: 250,
+        loading: 0,
+        loads: Vec::new(),
+        placements: Vec::new(),
+    }
+}
+
+/// Guards against figures that go back when datagrams overtake each other.
+#[test]
+fn older_beats_are_dropped() {
+    let mut peers = Peers::default();
+    assert!(peers.heard(ms(0), beat(1, 5, NodeState::Ready)));
+    assert!(!peers.heard(ms(1), beat(1, 4, NodeState::Ready)));
+    assert!(!peers.heard(ms(2), beat(1, 5, NodeState::Ready)));
+    assert!(peers.heard(ms(3), beat(2, 1, NodeState::Ready)), "a restarted node counts anew");
+}
+
+/// Guards against callers that are sent to a node that is killed, frozen or leaving.
+#[test]
+fn silent_and_leaving_nodes_take_no_callers() {
+    let mut peers = Peers::default();
+    peers.heard(ms(0), beat(1, 1, NodeState::Ready));
+    assert_eq!(peers.ready(ms(1_000)).count(), 1);
+    assert_eq!(peers.ready(ms(1_300)).count(), 0);
+    assert_eq!(peers.tick(ms(1_300)), vec![Name::from("node-2")]);
+    peers.heard(ms(2_000), beat(1, 2, NodeState::Leaving));
+    assert_eq!((peers.ready(ms(2_001)).count(), peers.live(ms(2_001)).count()), (0, 1));
+}
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/residency.rs
@@ -0,0 +1,203 @@
+//! Orders to one engine that answers late, not at all, or restarts.
+
+use std::collections::HashMap;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::dialect::EngineReport;
+use fireflyhead_policy::dialect::HeldAdapter;
+use fireflyhead_policy::dialect::OrderKind;
+use fireflyhead_policy::residency::Allowance;
+use fireflyhead_policy::residency::OrderReply;
+use fireflyhead_policy::residency::Residency;
+use fireflyhead_policy::residency::Step;
+use proptest::prelude::*;
+
+use crate::setup::MODEL;
+use crate::setup::ms;
+
+const SLOTS: usize = 4;
+const ALL: Allowance = Allowance { adapter: true, model: true };
+
+/// Engine as the platform's pages describe it.
+#[derive(Default)]
+struct Engine {
+    orders: u64,
+    held: HashMap<Name, (u64, u64)>,
+    used: HashMap<Name, u32>,
+    late: Vec<(u64, Step)>,
+    overfull: bool,
+}
+
+impl Engine {
+    /// Carries out an order if its precondition holds.
+    fn order(&mut self, now: u64, step: &Step) -> OrderReply {
+        let Step::Order { kind, adapter, version, precondition } = step else {
+            unreachable!("not an order")
+        };
+        if *precondition != self.orders {
+            return OrderReply::Conflict;
+        }
+        let Some(adapter) = adapter else { return OrderReply::Holds };
+        match kind {
+            OrderKind::Load => {
+                self.orders += 1;
+                self.held.insert(adapter.clone(), (version.unwrap_or(1), now + 250));
+                self.overfull |= self.held.len() > SLOTS;
+                OrderReply::Accepted
+            }
+            OrderKind::Unload => {
+                self.orders += 1;
+                self.held.remove(adapter);
+                OrderReply::Holds
+            }
+        }
+    }
+
+    fn carry_out_late(&mut self, now: u64) {
+        let (due, later) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
+        self.late = later;
+        let due: Vec<(u64, Step)> = due;
+        for (_, step) in due {
+            self.order(now, &step);
+        }
+    }
+
+    fn report(&self, now: u64) -> EngineReport {
+        let held = |ready: bool| {
+            self.held
+                .iter()
+                .filter(move |(_, (_, at))| (*at <= now) == ready)
+                .map(|(adapter, (version, _))| HeldAdapter {
+                    model: Name::from(MODEL),
+                    adapter: adapter.clone(),
+                    version: *version,
+                })
+                .collect::<Vec<HeldAdapter>>()
+        };
+        EngineReport {
+            born: 1,
+            orders: self.orders,
+            busy: false,
+            models: vec![(Name::from(MODEL), 1)],
+            adapters: held(true),
+            coming: held(false),
+        }
+    }
+}
+
+fn drive(
+    residency: &mut Residency,
+    engine: &mut Engine,
+    now: u64,
+    lose: Option<u64>,
+    newest: &dyn Fn(Option<&Name>) -> Option<u64>,
+) {
+    engine.carry_out_late(now);
+    residency.usage(ms(now), &engine.used);
+    match residency.next(ms(now), newest, ALL) {
+        Some(Step::Report) => {
+            residency.report_sent(ms(now));
+            residency.reported(ms(now), ms(now), &engine.report(now));
+        }
+        Some(step) => {
+            let reply = match lose {
+                Some(delay) => {
+                    engine.late.push((now + delay, step.clone()));
+                    OrderReply::Unanswered
+                }
+                None => engine.order(now, &step),
+            };
+            residency.replied(ms(now), &step, reply);
+        }
+        None => {}
+    }
+}
+
+proptest! {
+    /// Guards against an engine that crashes because it was ordered to load more than its
+    /// slots hold: orders that are lost and carried out seconds later, in any order, never
+    /// overfill it.
+    #[test]
+    fn late_orders_never_overfill_the_engine(
+        steps in proptest::collection::vec((0_u8..12, 0_u64..4, 0_u64..12_000), 1..500),
+    ) {
+        let mut residency = Residency::new(Name::from(MODEL), SLOTS, 1);
+        let mut engine = Engine::default();
+        let mut now = 1_000;
+        for (adapter, fault, delay) in steps {
+            now += 50;
+            residency.want(ms(now), &Name::from(format!("a{adapter}")), 1, 1);
+            let lose = (fault == 0).then_some(delay);
+            drive(&mut residency, &mut engine, now, lose, &|_| None);
+            prop_assert!(!engine.overfull);
+            prop_assert!(residency.occupied() <= SLOTS + 1);
+        }
+        for _ in 0..400 {
+            now += 50;
+            drive(&mut residency, &mut engine, now, None, &|_| None);
+            prop_assert!(!engine.overfull);
+        }
+    }
+}
+
+fn settled(wants: &[&str], used: &[&str]) -> (Residency, Engine, u64) {
+    let mut residency = Residency::new(Name::from(MODEL), SLOTS, 1);
+    let mut engine = Engine::default();
+    engine.used = used.iter().map(|name| (Name::from(*name), 1)).collect();
+    let mut now = 1_000;
+    for want in wants {
+        for _ in 0..60 {
+            now += 20;
+            residency.want(ms(now), &Name::from(*want), 1, 1);
+            drive(&mut residency, &mut engine, now, None, &|_| None);
+        }
+    }
+    (residency, engine, now)
+}
+
+/// Guards against a wanted adapter that is not loaded, and against evicting one in use.
+#[test]
+fn the_coldest_unused_adapter_makes_place() {
+    let (_, engine, _) = settled(&["a1", "a2", "a3", "a4", "a5"], &["a1", "a2", "a4"]);
+    let mut held: Vec<String> = engine.held.keys().map(ToString::to_string).collect();
+    held.sort();
+    assert_eq!(held, ["a1", "a2", "a4", "a5"]);
+}
+
+/// Guards against an eviction of an adapter that serves requests.
+#[test]
+fn nothing_is_evicted_while_all_are_in_use() {
+    let (_, engine, _) =
+        settled(&["a1", "a2", "a3", "a4", "a5"], &["a1", "a2", "a3", "a4"]);
+    assert!(!engine.held.contains_key("a5"));
+    assert_eq!(engine.held.len(), SLOTS);
+}
+
+/// Guards against an old version that stays in place.
+#[test]
+fn a_newer_version_replaces_an_idle_one_at_once_and_a_used_one_soon() {
+    let newest = |adapter: Option<&Name>| adapter.map(|_| 2);
+    for (used, bound) in [(&[][..], 100), (&["a1"][..], 1_700)] {
+        let (mut residency, mut engine, mut now) = settled(&["a1"], used);
+        let start = now;
+        while engine.held.get("a1").is_some_and(|(version, _)| *version == 1) {
+            now += 20;
+            drive(&mut residency, &mut engine, now, None, &newest);
+            assert!(now - start <= bound, "used {used:?}: not replaced after {bound} ms");
+        }
+    }
+}
+
+/// Guards against an engine that restarted empty and never gets its base model back.
+#[test]
+fn an_absent_base_model_is_ordered_first() {
+    let mut residency = Residency::new(Name::from(MODEL), SLOTS, 1);
+    assert_eq!(residency.next(ms(1_000), |_| None, ALL), Some(Step::Report));
+    residency.reported(ms(1_001), ms(1_000), &EngineReport { born: 1, ..EngineReport::default() });
+    residency.want(ms(1_002), &Name::from("a1"), 1, 1);
+    let step = residency.next(ms(1_002), |_| None, ALL);
+    let load = Step::Order { kind: OrderKind::Load, adapter: None, version: None, precondition: 0 };
+    assert_eq!(step, Some(load));
+    let held = Allowance { model: false, ..ALL };
+    assert_eq!(residency.next(ms(1_002), |_| None, held), None, "the weight store's rate is used up");
+}
