Serve requests that can still be on time before late ones

Change: within a rank the queue looks at requests that can still meet their objective first; a request that waited for long gets twice the window instead of none; no request waits longer than 0.4 of its time.

--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -43,9 +43,11 @@
 const MAX_WAITING: usize = 2_000;
 /// Waiting requests that one pass looks at, so that a pass stays short in a flood.
 const PASS_LIMIT: usize = 256;
-/// Share of the remaining time for which a request waits for its adapter.
-const ADAPTER_WAIT_SHARE: f64 = 0.4;
-/// Share of the remaining time for which a request waits for a service without upstreams.
+/// Share of the time up to the deadline for which a request waits at most.
+const WAIT_SHARE: f64 = 0.4;
+/// Time from a send to the first output of an engine without a backlog.
+const FIRST_OUTPUT_TIME: Duration = Duration::from_millis(200);
+/// Share of the time up to the deadline for which a request waits for a service without upstreams.
 const ABSENT_WAIT_SHARE: f64 = 0.1;
 /// Weight of the newest sample in the mean service time.
 const SERVICE_TIME_ALPHA: f64 = 0.05;
@@ -252,8 +254,7 @@
     pub fn pump(&mut self, now: Time) -> Vec<(JobId, Verdict)> {
         let mut decided = Vec::new();
         let mut blocked: Vec<(Name, Option<ModelRef>)> = Vec::new();
-        let keys: Vec<QueueKey> = self.waiting.keys().take(PASS_LIMIT).copied().collect();
-        for key in keys {
+        for key in self.queue_order(now) {
             let Some(job) = self.waiting.remove(&key) else { continue };
             // What one request can't have, no later request with the same needs can have either.
             let known = blocked
@@ -288,6 +289,19 @@
         decided
     }
 
+    /// Waiting requests in the order in which they are looked at.
+    ///
+    /// Within a rank, those that can still be on time come before those that are late already:
+    /// in an overload the oldest-first order would make every request late.
+    fn queue_order(&self, now: Time) -> Vec<QueueKey> {
+        let timely = now + FIRST_OUTPUT_TIME;
+        let mut order: Vec<(u8, bool, QueueKey)> =
+            self.waiting.keys().map(|key| (key.0, key.1 < timely, *key)).collect();
+        order.sort_unstable();
+        order.truncate(PASS_LIMIT);
+        order.into_iter().map(|(_, _, key)| key).collect()
+    }
+
     /// Forgets a waiting request whose caller left.
     pub fn cancel(&mut self, id: JobId) {
         self.waiting.retain(|key, _| key.2 != id);
@@ -532,10 +546,13 @@
                 Some(self.reject(job, RejectReason::NoUpstream, Duration::from_secs(1)))
             }
             choice::Blocked::NoUpstream => None,
-            choice::Blocked::Adapter if waited >= total * ADAPTER_WAIT_SHARE => {
+            choice::Blocked::Adapter if waited >= total * WAIT_SHARE => {
                 Some(self.reject(job, RejectReason::AdapterUnavailable, Duration::from_millis(500)))
             }
             choice::Blocked::Adapter => None,
+            choice::Blocked::Full if waited >= total * WAIT_SHARE => {
+                Some(self.reject(job, RejectReason::Overload, Duration::from_millis(500)))
+            }
             choice::Blocked::Full => {
                 let wait = self.predicted_wait(job);
                 let left = job.deadline.since(now);
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -281,9 +281,7 @@
             let window = if engine { ENGINE_WINDOW } else { SERVICE_WINDOW };
             let places = (f64::from(upstream.entry.slots) * window).max(1.0);
             let room = f64::from(upstream.in_flight()) < places
-                && (!engine
-                    || late
-                    || (upstream.can_read(now, job.prompt_tokens) && !upstream.too_slow(job)));
+                && (!engine || upstream.takes_prompt(now, job, late));
             let failures = upstream.health.failure_rate() * FAILURE_COST_MS;
             candidates.push(Candidate {
                 id: id.clone(),
@@ -300,10 +298,16 @@
 }
 
 impl Upstream {
-    /// Whether a prompt may be added to those that the engine has still to read.
-    fn can_read(&self, now: Time, prompt_tokens: u32) -> bool {
+    /// Whether a prompt may be added to those that the engine has still to read. A request that
+    /// has waited for long takes more.
+    fn takes_prompt(&self, now: Time, job: &Job, late: bool) -> bool {
         let backlog = self.backlog(now);
-        backlog < NO_BACKLOG_TOKENS || backlog + prompt_tokens <= PREFILL_WINDOW_TOKENS
+        let window = match late {
+            true => PREFILL_WINDOW_TOKENS * 2,
+            false if self.too_slow(job) => return false,
+            false => PREFILL_WINDOW_TOKENS,
+        };
+        backlog < NO_BACKLOG_TOKENS || backlog + job.prompt_tokens <= window
     }
 
     /// Whether a large prompt should go elsewhere.
--- a/crates/fireflyhead-policy/tests/policy/custody.rs
+++ b/crates/fireflyhead-policy/tests/policy/custody.rs
@@ -122,10 +122,8 @@
 
 impl Node {
     fn new(name: &str) -> Node {
-        let settings = CustodySettings {
-            ttl: Duration::from_millis(TTL),
-            turn: Duration::from_millis(TURN),
-        };
+        let settings =
+            CustodySettings { ttl: Duration::from_millis(TTL), turn: Duration::from_millis(TURN) };
         Node {
             name: Name::from(name),
             custody: Custody::new(Name::from(name), settings),
--- a/crates/fireflyhead-policy/tests/policy/replay.rs
+++ b/crates/fireflyhead-policy/tests/policy/replay.rs
@@ -100,7 +100,8 @@
         for (id, verdict) in verdicts {
             match verdict {
                 Verdict::Send { upstream, .. } => {
-                    let at: usize = upstream.id.as_str()["engine-".len()..].parse().expect("a number");
+                    let at: usize =
+                        upstream.id.as_str()["engine-".len()..].parse().expect("a number");
                     let unread = prompts[&id];
                     world[at].runs.push_back(Run {
                         id,
@@ -158,10 +159,21 @@
         let adapters = engine
             .held
             .iter()
-            .map(|(name, (ready, _))| Placed { adapter: name.clone(), version: 1, ready: *ready <= now })
+            .map(|(name, (ready, _))| Placed {
+                adapter: name.clone(),
+                version: 1,
+                ready: *ready <= now,
+            })
             .collect();
         let model = Name::from(MODEL);
-        dispatcher.placement(&Placement { upstream, model, born: 1, fence: 1, open: true, adapters });
+        dispatcher.placement(&Placement {
+            upstream,
+            model,
+            born: 1,
+            fence: 1,
+            open: true,
+            adapters,
+        });
     }
 }
 
@@ -212,27 +224,25 @@
     }
 }
 
-/// Guards against prompts that are bunched at single engines under a steady load of a third of
-/// what the engines read: without pacing the same load gave 71 of 100 on time.
+/// Guards against prompts that are bunched at single engines: the target for days without
+/// overload is 95 in 100 on time.
 #[test]
 fn a_steady_load_is_served_on_time() {
     let outcome = play(6, 36, 20, 300, 1);
     let total = outcome.on_time + outcome.late + outcome.rejected + outcome.unfinished;
     let share = outcome.on_time as f64 / total as f64;
-    println!("{share:.3} {outcome:?}");
-    assert!(share >= 0.75, "on time: {share:.3}, {outcome:?}");
+    assert!(share >= 0.95, "on time: {share:.3}, {outcome:?}");
     assert_eq!(outcome.rejected + outcome.unfinished, 0, "{outcome:?}");
 }
 
-/// Guards against a collapse when twice the engines' capacity arrives: what is served stays
-/// near capacity, nothing is left waiting for ever, and rejections come instead of long waits.
+/// Guards against a collapse when twice the engines' capacity arrives: served oldest first, not
+/// one request was on time. The target is 0.8 of the half that the engines can serve.
 #[test]
 fn an_overload_does_not_collapse() {
     let outcome = play(2, 60, 15, 60, 2);
-    let served = outcome.on_time + outcome.late;
+    let total = outcome.on_time + outcome.late + outcome.rejected;
     assert_eq!(outcome.unfinished, 0, "{outcome:?}");
-    println!("{outcome:?}");
-    assert!(served > 300, "{outcome:?}");
+    assert!(outcome.on_time as f64 >= 0.4 * total as f64, "{outcome:?}");
 }
 
 /// Guards against loading one rare adapter at several engines: loads stay near the number of
@@ -240,8 +250,8 @@
 #[test]
 fn rare_adapters_are_loaded_once() {
     let outcome = play(6, 30, 20, 2_000, 3);
-    println!("{outcome:?}");
-    assert!(outcome.loads < 420, "{outcome:?}");
+    // Some 150 of the 2,000 adapters are asked for; popular ones have replicas.
+    assert!(outcome.loads < 250, "{outcome:?}");
     assert_eq!(outcome.rejected, 0, "{outcome:?}");
 }
 
--- a/crates/fireflyhead-policy/tests/policy/residency.rs
+++ b/crates/fireflyhead-policy/tests/policy/residency.rs
@@ -54,7 +54,8 @@
     }
 
     fn carry_out_late(&mut self, now: u64) {
-        let (due, later) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
+        let (due, later) =
+            std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
         self.late = later;
         let due: Vec<(u64, Step)> = due;
         for (_, step) in due {
@@ -167,8 +168,7 @@
 /// Guards against an eviction of an adapter that serves requests.
 #[test]
 fn nothing_is_evicted_while_all_are_in_use() {
-    let (_, engine, _) =
-        settled(&["a1", "a2", "a3", "a4", "a5"], &["a1", "a2", "a3", "a4"]);
+    let (_, engine, _) = settled(&["a1", "a2", "a3", "a4", "a5"], &["a1", "a2", "a3", "a4"]);
     assert!(!engine.held.contains_key("a5"));
     assert_eq!(engine.held.len(), SLOTS);
 }
@@ -199,5 +199,9 @@
     let load = Step::Order { kind: OrderKind::Load, adapter: None, version: None, precondition: 0 };
     assert_eq!(step, Some(load));
     let held = Allowance { model: false, ..ALL };
-    assert_eq!(residency.next(ms(1_002), |_| None, held), None, "the weight store's rate is used up");
+    assert_eq!(
+        residency.next(ms(1_002), |_| None, held),
+        None,
+        "the weight store's rate is used up"
+    );
 }
