--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::clock;
@@ -154,14 +155,17 @@
 /// Takes callers until the node stops listening.
 pub async fn accept(shared: Arc<Shared>, listener: TcpListener, phase: watch::Receiver<Phase>) {
     let mut closing = phase.clone();
+    // Ends with the node, and its connections with it.
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|phase| *phase == Phase::Closing) => return,
+            _ = closing.wait_for(|phase| *phase == Phase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve(Arc::clone(&shared), stream, phase.clone()));
+                connections.spawn(serve(Arc::clone(&shared), stream, phase.clone()));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
@@ -169,6 +173,8 @@
             }
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 async fn serve(shared: Arc<Shared>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
--- a/crates/fireflyhead-gateway/src/keeper.rs
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -473,6 +473,7 @@
                 }
             }
             KeeperMsg::Reported { upstream, born, sent, report } => {
+                tracing::debug!(event = "reported", %upstream, born, ?report);
                 if let Some(engine) = self.engines.get_mut(&upstream)
                     && engine.residency.born() == born
                 {
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -11,6 +11,7 @@
 use fireflyhead_policy::dialect::Dialect;
 use fireflyhead_policy::dispatch::DispatchSettings;
 use fireflyhead_policy::dispatch::Dispatcher;
+use kameo::actor::ActorRef;
 use kameo::actor::Spawn;
 use kameo::mailbox;
 use socket2::Domain;
@@ -20,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::beats;
@@ -46,10 +48,18 @@
 /// Time after the stop signal for which new requests are still taken, while callers learn of the stop.
 const LINGER: Duration = Duration::from_millis(2_600);
 
-/// Node that runs.
+/// Node that runs. Dropping it ends it as a kill does.
 pub struct Node {
     shared: Arc<Shared>,
     phase: watch::Sender<Phase>,
+    keeper: ActorRef<Keeper>,
+    _tasks: JoinSet<()>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.keeper.kill();
+    }
 }
 
 /// Requests at the end of a node.
@@ -65,10 +75,19 @@
     /// # Errors
     /// An address can't be bound or a client can't be set up.
     pub async fn start(
-        settings: GatewaySettings,
+        mut settings: GatewaySettings,
         dialect: Arc<dyn Dialect>,
     ) -> anyhow::Result<Node> {
         let metrics = Arc::new(Metrics::new());
+        let store =
+            Arc::new(StoreClient::new(settings.store, Arc::clone(&dialect), Arc::clone(&metrics))?);
+        let http = store::http_client()?;
+        let caller = listen(&mut settings.caller)?;
+        let readiness = settings.readiness.as_mut().map(listen).transpose()?;
+        let directory = settings.directory.as_mut().map(listen).transpose()?;
+        let page = settings.metrics.as_mut().map(listen).transpose()?;
+        let socket = Arc::new(UdpSocket::bind(settings.peer).await?);
+        settings.peer = socket.local_addr()?;
         let dispatcher = Dispatcher::new(DispatchSettings {
             zone: settings.zone.clone(),
             version_bound: settings.version_bound,
@@ -79,33 +98,44 @@
             slack: settings.retry_slack,
             window: settings.retry_window,
         });
-        let store =
-            Arc::new(StoreClient::new(settings.store, Arc::clone(&dialect), Arc::clone(&metrics))?);
-        let http = store::http_client()?;
-        let caller = listen(settings.caller)?;
-        let readiness = settings.readiness.map(listen).transpose()?;
-        let directory = settings.directory.map(listen).transpose()?;
-        let page = settings.metrics.map(listen).transpose()?;
-        let socket = Arc::new(UdpSocket::bind(settings.peer).await?);
         let shared = Arc::new(Shared::new(settings, dialect, metrics, dispatcher, budget));
 
         let keeper = Keeper::new(Arc::clone(&shared), Arc::clone(&store), http);
         let keeper = Keeper::spawn_with_mailbox(keeper, mailbox::bounded(KEEPER_MAILBOX));
-        tokio::spawn(keeper::ticks(keeper.clone()));
-        tokio::spawn(keeper::membership(Arc::clone(&shared), Arc::clone(&store), keeper.clone()));
-        tokio::spawn(sync::follow(Arc::clone(&shared), store, keeper.clone()));
-        tokio::spawn(beats::send(Arc::clone(&shared), Arc::clone(&socket), keeper.clone()));
-        tokio::spawn(beats::receive(Arc::clone(&shared), socket, keeper));
-        tokio::spawn(sweep(Arc::clone(&shared)));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(keeper::ticks(keeper.clone()));
+        tasks.spawn(keeper::membership(Arc::clone(&shared), Arc::clone(&store), keeper.clone()));
+        tasks.spawn(sync::follow(Arc::clone(&shared), store, keeper.clone()));
+        tasks.spawn(beats::send(Arc::clone(&shared), Arc::clone(&socket), keeper.clone()));
+        tasks.spawn(beats::receive(Arc::clone(&shared), socket, keeper.clone()));
+        tasks.spawn(sweep(Arc::clone(&shared)));
         for listener in readiness.into_iter().chain(directory) {
-            tokio::spawn(directory::serve(Arc::clone(&shared), listener, Page::Directory));
+            tasks.spawn(directory::serve(Arc::clone(&shared), listener, Page::Directory));
         }
         if let Some(listener) = page {
-            tokio::spawn(directory::serve(Arc::clone(&shared), listener, Page::Metrics));
+            tasks.spawn(directory::serve(Arc::clone(&shared), listener, Page::Metrics));
         }
         let (phase, phases) = watch::channel(Phase::Open);
-        tokio::spawn(ingress::accept(Arc::clone(&shared), caller, phases));
-        Ok(Node { shared, phase })
+        tasks.spawn(ingress::accept(Arc::clone(&shared), caller, phases));
+        Ok(Node { shared, phase, keeper, _tasks: tasks })
+    }
+
+    /// Settings with the addresses that were bound.
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.shared.settings
+    }
+
+    /// Metrics as text.
+    ///
+    /// # Errors
+    /// The values can't be encoded.
+    pub fn metrics(&self) -> anyhow::Result<String> {
+        Ok(String::from_utf8(self.shared.metrics.text()?)?)
+    }
+
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> Option<u64> {
+        self.shared.config().map(|config| config.version)
     }
 
     /// Stops the node: callers are sent elsewhere, requests under way are finished.
@@ -138,12 +168,15 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+/// Listens on `address` and puts the port in its place that was bound for port 0.
+fn listen(address: &mut SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(*address), Type::STREAM, Some(Protocol::TCP))?;
     // A restarted process must be able to bind while connections of the old one linger.
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
+    socket.bind(&(*address).into())?;
     socket.listen(BACKLOG)?;
-    TcpListener::from_std(socket.into())
+    let listener = TcpListener::from_std(socket.into())?;
+    *address = listener.local_addr()?;
+    Ok(listener)
 }
--- a/crates/fireflyhead-gateway/src/sync.rs
+++ b/crates/fireflyhead-gateway/src/sync.rs
@@ -28,7 +28,8 @@
 
 /// Prefix of all keys.
 const ALL_KEYS: &str = "";
-/// Longest wait of a watch.
+/// Longest wait of a watch. A third of the lease at most, because a holder acts on a view of
+/// the store that is younger than its lease.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Shortest time between two watches; well under the 2 s in which a change must be in force.
 const PACE: Duration = Duration::from_millis(750);
@@ -101,7 +102,8 @@
     async fn watch(&mut self, mut after: u64) {
         loop {
             let sent = clock::now();
-            let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait: WATCH_WAIT };
+            let wait = WATCH_WAIT.min(self.shared.settings.lease_ttl / 3);
+            let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call(&call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.up();
--- a/crates/fireflyhead-policy/src/custody.rs
+++ b/crates/fireflyhead-policy/src/custody.rs
@@ -18,6 +18,9 @@
 
 /// Wait for each place in the rendezvous order before a node claims in place of a better one.
 const PLACE_DELAY: Duration = Duration::from_millis(1_500);
+/// Time for which an engine without a record is left, so that nodes that start together know
+/// each other before one of them claims it.
+const SETTLE: Duration = Duration::from_millis(1_000);
 /// Absence of a holder's membership after which its engines are claimed.
 const ABSENCE: Duration = Duration::from_millis(1_000);
 /// Absence after which they are claimed although the holder still sends beats.
@@ -258,7 +261,7 @@
             (None, _) => {
                 let place = self.place(engine.as_str(), None);
                 let since = *self.unclaimed.entry(engine.clone()).or_insert(now);
-                (now.since(since) >= PLACE_DELAY * place).then(|| write(0, None))
+                (now.since(since) >= SETTLE + PLACE_DELAY * place).then(|| write(0, None))
             }
         }
     }
