Stop ordering a version that is in place

Change: the mark is taken back when the engine reports the version. Test: residency::a_version_that_is_in_place_is_not_ordered_again (failed before).

--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -208,8 +208,11 @@
             return Some(step.clone());
         }
         for (adapter, slot) in &mut self.adapters {
-            if newest(Some(adapter)).is_some_and(|version| version > slot.version) {
-                slot.outdated.get_or_insert(now);
+            match newest(Some(adapter)) {
+                Some(version) if version > slot.version => {
+                    slot.outdated.get_or_insert(now);
+                }
+                Some(_) | None => slot.outdated = None,
             }
         }
         match self.base {
--- a/crates/fireflyhead-policy/tests/policy/residency.rs
+++ b/crates/fireflyhead-policy/tests/policy/residency.rs
@@ -188,6 +188,28 @@
     }
 }
 
+/// Guards against an order that is repeated for ever: an engine loaded the newest version
+/// before this node learned of it, and answers that the order holds already.
+#[test]
+fn a_version_that_is_in_place_is_not_ordered_again() {
+    let (mut residency, _, now) = settled(&["a1"], &[]);
+    let newest = |adapter: Option<&Name>| adapter.map(|_| 2);
+    let Some(step) = residency.next(ms(now), newest, ALL) else { panic!("no order") };
+    residency.replied(ms(now), &step, OrderReply::Holds);
+    let held = HeldAdapter { model: Name::from(MODEL), adapter: Name::from("a1"), version: 2 };
+    let report = EngineReport {
+        born: 1,
+        orders: 1,
+        models: vec![(Name::from(MODEL), 1)],
+        adapters: vec![held],
+        ..EngineReport::default()
+    };
+    residency.reported(ms(now + 10), ms(now + 5), &report);
+    for later in (20..2_000).step_by(20) {
+        assert_eq!(residency.next(ms(now + later), newest, ALL), None, "after {later} ms");
+    }
+}
+
 /// Guards against an engine that restarted empty and never gets its base model back.
 #[test]
 fn an_absent_base_model_is_ordered_first() {
