Remove the design of the first stage: owners, home and witness, own table distribution

The platform made it needless: each attempt of a caller has its own id and meets one node, engines queue by priority, and the store keeps the configuration. What carries each promise now, and the test that proves it:

- at most once (was: home, witness, placement tokens): the node sends once and repeats only after a proof; platform/tests/testsuite/once.rs
- "not run" is true: once::rejected_orders_are_sent_elsewhere_or_refused, callers::a_node_without_configuration_says_not_run
- one giver of orders (was: ownership of upstreams): custody records; policy custody::holders_never_overlap, nodes::a_lost_holder_is_replaced_after_its_turn
- an adapter in use is not unloaded (was: dispatcher of the owner): residency::nothing_is_evicted_while_all_are_in_use
- edits in force and never reverted (was: table distribution): calls::a_new_configuration_holds_within_two_seconds_and_stays
- leaving upstreams: calls::a_draining_upstream_gets_no_new_work
- planned stops: nodes::a_planned_stop_interrupts_nothing
- rank, floors, rates (was: dispatcher, limits): policy limits::*, loads::urgent_work_leaves_the_queue_first
- membership (was: probes and gossip): peers::*, nodes::dead_and_leaving_nodes_are_not_named
- wrong versions: calls::a_named_version_replaces_the_old_one, loads::an_old_version_is_used_only_within_its_bound

The product keeps its table, its settings as flags and variables, its schema, stand-ins, client and demo on the design that stays: `table apply` writes the table as configuration into the store, the daemon fireflyhead-node and the demo run the same node.

--- a/crates/fireflyhead-core/src/dispatch/tests.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! Tests of the dispatcher.
-
-mod faults;
-mod model;
-mod properties;
--- a/crates/fireflyhead-gateway/src/beats.rs
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -10,11 +10,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bincode::config;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::message::Beat;
 use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::message::Want;
+use fireflyhead_schema::codec;
+use fireflyhead_schema::messages as wire;
 use kameo::actor::ActorRef;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -71,14 +72,19 @@
                 continue;
             }
         };
-        match bincode::serde::decode_from_slice(&buf[..len], config::standard()) {
-            Ok((Datagram::Beat(beat), _)) => take_beat(&shared, *beat),
-            Ok((Datagram::Wants(wants), _)) => keeper_tell(&keeper, KeeperMsg::Wants(wants)).await,
-            Err(error) => tracing::warn!(event = "bad_datagram", %error, len),
+        match decode(&buf[..len]) {
+            Ok(Datagram::Beat(beat)) => take_beat(&shared, *beat),
+            Ok(Datagram::Wants(wants)) => keeper_tell(&keeper, KeeperMsg::Wants(wants)).await,
+            Err(error) => tracing::warn!(event = "bad_datagram", error, len),
         }
     }
 }
 
+fn decode(bytes: &[u8]) -> Result<Datagram, String> {
+    let datagram: wire::Datagram = codec::decode(bytes).map_err(|e| e.to_string())?;
+    Datagram::try_from(datagram).map_err(|e| e.to_string())
+}
+
 /// Drops the state of nodes that fell silent.
 pub fn tick(shared: &Shared) {
     let now = clock::now();
@@ -181,7 +187,7 @@
     datagram: &Datagram,
     targets: impl IntoIterator<Item = &SocketAddr>,
 ) {
-    let buf = match bincode::serde::encode_to_vec(datagram, config::standard()) {
+    let buf = match codec::encode(&wire::Datagram::from(datagram)) {
         Ok(buf) if buf.len() <= MAX_DATAGRAM => buf,
         Ok(buf) => {
             tracing::error!(event = "datagram_too_large", len = buf.len());
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::Route;
 use http::Request;
@@ -29,26 +30,42 @@
 use crate::clock;
 use crate::state::Shared;
 
-use call::Call;
-use replies::refusal;
-use replies::status;
+use self::call::Call;
+use self::replies::refusal;
+use self::replies::status;
 
 /// Time for which a caller waits before it asks a node without configuration again.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
 /// Counts a request until its response has ended.
-pub(crate) struct Open(Arc<Shared>);
+pub(crate) struct Open {
+    shared: Arc<Shared>,
+    /// Route whose limits it was counted in.
+    route: Option<Name>,
+}
 
 impl Open {
     fn new(shared: &Arc<Shared>) -> Open {
         shared.requests().fetch_add(1, Ordering::Relaxed);
-        Open(Arc::clone(shared))
+        Open { shared: Arc::clone(shared), route: None }
+    }
+
+    /// Counts the request in at its route.
+    fn enter(&mut self, route: &Route) -> Result<(), Duration> {
+        let now = clock::now();
+        let nodes = self.shared.node_count(now);
+        self.shared.limits().enter(now, &route.name, &route.terms, nodes)?;
+        self.route = Some(route.name.clone());
+        Ok(())
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.requests().fetch_sub(1, Ordering::Relaxed);
+        self.shared.requests().fetch_sub(1, Ordering::Relaxed);
+        if let Some(route) = &self.route {
+            self.shared.limits().leave(route);
+        }
     }
 }
 
@@ -70,7 +87,7 @@
     Ok(response)
 }
 
-async fn answer(shared: &Arc<Shared>, req: Request<Incoming>, open: Open) -> Response<Body> {
+async fn answer(shared: &Arc<Shared>, req: Request<Incoming>, mut open: Open) -> Response<Body> {
     let arrived = clock::now();
     let (parts, body) = req.into_parts();
     let Some(config) = shared.config() else {
@@ -89,7 +106,15 @@
         tracing::info!(event = "no_route", host, path = parts.uri.path(), config = config.version);
         return status(StatusCode::NOT_FOUND);
     };
+    if route.method.as_ref().is_some_and(|method| method.as_str() != parts.method.as_str()) {
+        return status(StatusCode::METHOD_NOT_ALLOWED);
+    }
     let Some(id) = head.id.clone() else { return status(StatusCode::BAD_REQUEST) };
+    if let Err(retry_after) = open.enter(route) {
+        shared.metrics.rejection("limit");
+        tracing::info!(event = "limited", %id, route = %route.name);
+        return refusal(retry_after);
+    }
     let Some(service) = route.service(id.as_str()).cloned() else {
         return refusal(NO_CONFIG_RETRY);
     };
--- a/crates/fireflyhead-gateway/src/forward/call.rs
+++ b/crates/fireflyhead-gateway/src/forward/call.rs
@@ -166,6 +166,9 @@
         let id = self.shared.job_id();
         let job = Job {
             id,
+            route: self.route.name.clone(),
+            weight: self.route.terms.weight,
+            floor: self.route.terms.floor,
             service: self.service.clone(),
             model: self.engine.then(|| self.head.model.clone()).flatten(),
             priority: self.route.priority,
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fireflyhead_policy::Name;
+use fireflyhead_schema::NodeSettings;
 
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq)]
@@ -75,3 +76,28 @@
         }
     }
 }
+
+impl From<NodeSettings> for GatewaySettings {
+    fn from(settings: NodeSettings) -> GatewaySettings {
+        GatewaySettings {
+            node: Name::from(settings.node_id),
+            zone: Name::from(settings.zone),
+            caller: settings.caller_address,
+            readiness: None,
+            directory: Some(settings.directory_address),
+            peer: settings.peer_address,
+            metrics: Some(settings.metrics_address),
+            store: settings.store_address,
+            lease_ttl: settings.lease_ttl,
+            turn: settings.order_turn,
+            capacity: settings.capacity,
+            max_descriptors: settings.max_descriptors,
+            grace: settings.grace,
+            retry_ratio: settings.retry_ratio,
+            retry_slack: settings.retry_slack,
+            retry_window: settings.retry_window,
+            version_bound: settings.version_bound,
+            resolve_ttl: settings.resolve_ttl,
+        }
+    }
+}
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::dispatch::Verdict;
 use fireflyhead_policy::fleet::Fleet;
+use fireflyhead_policy::limits::RouteLimits;
 use fireflyhead_policy::message::NodeState;
 use fireflyhead_policy::message::Placement;
 use fireflyhead_policy::peers::Peers;
@@ -50,6 +51,7 @@
     fleet: Mutex<Fleet>,
     dispatcher: Mutex<Dispatcher>,
     budget: Mutex<RetryBudget>,
+    limits: Mutex<RouteLimits>,
     peers: Mutex<Peers>,
     placements: Mutex<Vec<Placement>>,
     members: Mutex<HashMap<Name, SocketAddr>>,
@@ -85,6 +87,7 @@
             fleet: Mutex::new(Fleet::default()),
             dispatcher: Mutex::new(dispatcher),
             budget: Mutex::new(budget),
+            limits: Mutex::new(RouteLimits::default()),
             peers: Mutex::new(Peers::default()),
             placements: Mutex::new(Vec::new()),
             members: Mutex::new(HashMap::new()),
@@ -126,6 +129,11 @@
         lock(&self.budget)
     }
 
+    /// Limits of routes.
+    pub fn limits(&self) -> MutexGuard<'_, RouteLimits> {
+        lock(&self.limits)
+    }
+
     /// Other nodes.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         lock(&self.peers)
--- a/crates/fireflyhead-policy/src/config.rs
+++ b/crates/fireflyhead-policy/src/config.rs
@@ -45,8 +45,31 @@
     pub weight: u32,
 }
 
+/// Share of a service that every route is served with in a flood of more urgent work, if the
+/// operators name no other.
+pub const DEFAULT_FLOOR: f64 = 0.05;
+
+/// Weight and limits of a route.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouteTerms {
+    /// Weight among routes of one rank, above 0; twice the weight waits half as long.
+    pub weight: f64,
+    /// Share of the service's requests that the route is served with before more urgent work.
+    pub floor: f64,
+    /// Largest number of requests a second, over all nodes.
+    pub rate: Option<f64>,
+    /// Largest number of requests in flight, over all nodes.
+    pub in_flight: Option<u32>,
+}
+
+impl Default for RouteTerms {
+    fn default() -> RouteTerms {
+        RouteTerms { weight: 1.0, floor: DEFAULT_FLOOR, rate: None, in_flight: None }
+    }
+}
+
 /// Route of one host and path prefix.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     /// Route name.
     pub name: Name,
@@ -54,6 +77,8 @@
     pub host: Name,
     /// Path prefix that begins and ends with a slash.
     pub prefix: Name,
+    /// Method that requests must have; `None` for any.
+    pub method: Option<Name>,
     /// What may be repeated.
     pub kind: RouteKind,
     /// Longest time for which a caller is kept waiting.
@@ -68,6 +93,8 @@
     pub shares: Vec<Share>,
     /// Largest number of upstreams that one request may be sent to.
     pub max_attempts: u32,
+    /// Weight and limits.
+    pub terms: RouteTerms,
 }
 
 impl Route {
@@ -194,6 +221,11 @@
         self.services.values()
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flat_map(HashMap::values)
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -35,9 +35,9 @@
 use crate::message::UpstreamLoad;
 use crate::message::Want;
 
-use choice::Choice;
-use upstreams::Upstream;
-use wants::Wants;
+use self::choice::Choice;
+use self::upstreams::Upstream;
+use self::wants::Wants;
 
 /// Requests that wait in one node before further ones are rejected.
 const MAX_WAITING: usize = 2_000;
@@ -51,6 +51,9 @@
 const ABSENT_WAIT_SHARE: f64 = 0.1;
 /// Weight of the newest sample in the mean service time.
 const SERVICE_TIME_ALPHA: f64 = 0.05;
+/// Factor by which older requests lose weight in the shares of routes with each new one; about
+/// the last hundred requests count.
+const SHARE_DECAY: f64 = 0.99;
 /// Service time before the first sample, in seconds.
 const SERVICE_TIME_FIRST_S: f64 = 0.1;
 /// Shortest and longest time after which a caller is asked to return.
@@ -65,6 +68,12 @@
 pub struct Job {
     /// Number.
     pub id: JobId,
+    /// Route.
+    pub route: Name,
+    /// Weight among the routes of its rank, above 0.
+    pub weight: f64,
+    /// Share of the service's requests that its route is served with before more urgent work.
+    pub floor: f64,
     /// Service.
     pub service: Name,
     /// Model and adapter; `None` for a plain service.
@@ -170,11 +179,31 @@
 struct Service {
     members: Vec<Name>,
     time_s: f64,
+    /// Requests sent lately, by route.
+    sent: HashMap<Name, f64>,
 }
 
 impl Default for Service {
     fn default() -> Service {
-        Service { members: Vec::new(), time_s: SERVICE_TIME_FIRST_S }
+        Service { members: Vec::new(), time_s: SERVICE_TIME_FIRST_S, sent: HashMap::new() }
+    }
+}
+
+impl Service {
+    /// Counts a request of `route` that was sent.
+    fn count(&mut self, route: &Name) {
+        for sent in self.sent.values_mut() {
+            *sent *= SHARE_DECAY;
+        }
+        self.sent.retain(|_, sent| *sent > 0.01);
+        *self.sent.entry(route.clone()).or_insert(0.0) += 1.0;
+    }
+
+    /// Share of the requests sent lately that were of `route`.
+    fn share(&self, route: &Name) -> f64 {
+        let total: f64 = self.sent.values().sum();
+        let own = self.sent.get(route).copied().unwrap_or(0.0);
+        if total > 0.0 { own / total } else { 1.0 }
     }
 }
 
@@ -195,9 +224,15 @@
     output: bool,
 }
 
-/// Order in which waiting requests are looked at: rank, objective, arrival number.
+/// Order in which waiting requests are looked at: rank, weighted objective, arrival number.
 type QueueKey = (u8, Time, JobId);
 
+fn queue_key(job: &Job) -> QueueKey {
+    let slack = job.objective.since(job.arrived).as_secs_f64() / job.weight.max(0.001);
+    let weighted = Duration::try_from_secs_f64(slack).unwrap_or(Duration::MAX);
+    (job.priority, job.arrived + weighted, job.id)
+}
+
 /// Decisions of one node on its requests.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -243,7 +278,7 @@
             Choice::Wait(blocked) => match self.rejection(now, &job, blocked) {
                 Some(verdict) => Some(verdict),
                 None => {
-                    self.waiting.insert((job.priority, job.objective, job.id), job);
+                    self.waiting.insert(queue_key(&job), job);
                     None
                 }
             },
@@ -291,12 +326,22 @@
 
     /// Waiting requests in the order in which they are looked at.
     ///
-    /// Within a rank, those that can still be on time come before those that are late already:
+    /// Routes below their floor come first. Within a rank, those that can still be on time come before those that are late already:
     /// in an overload the oldest-first order would make every request late.
     fn queue_order(&self, now: Time) -> Vec<QueueKey> {
         let timely = now + FIRST_OUTPUT_TIME;
-        let mut order: Vec<(u8, bool, QueueKey)> =
-            self.waiting.keys().map(|key| (key.0, key.1 < timely, *key)).collect();
+        let below_floor = |job: &Job| {
+            let service = self.services.get(&job.service);
+            service.is_some_and(|service| service.share(&job.route) < job.floor)
+        };
+        let mut order: Vec<(u8, bool, QueueKey)> = self
+            .waiting
+            .iter()
+            .map(|(key, job)| match below_floor(job) {
+                true => (0, false, *key),
+                false => (job.priority.saturating_add(1), job.objective < timely, *key),
+            })
+            .collect();
         order.sort_unstable();
         order.truncate(PASS_LIMIT);
         order.into_iter().map(|(_, _, key)| key).collect()
@@ -529,6 +574,7 @@
             output: false,
         };
         self.flights.insert(job.id, flight);
+        self.services.entry(job.service.clone()).or_default().count(&job.route);
         Verdict::Send { upstream: Arc::clone(upstream), version }
     }
 
@@ -570,9 +616,17 @@
             .filter_map(|id| self.upstreams.get(id))
             .map(|upstream| upstream.entry.slots)
             .sum();
-        let key = (job.priority, job.objective, job.id);
-        let ahead = self.waiting.range(..key).filter(|(_, j)| j.service == job.service).count();
         let places = f64::from(slots.max(1)) / self.nodes as f64;
-        Duration::from_secs_f64((ahead + 1) as f64 * service.time_s / places)
+        let before = self.waiting.range(..queue_key(job)).map(|(_, other)| other);
+        let mut ahead = 0;
+        let mut ahead_of_route = 0;
+        for other in before.filter(|other| other.service == job.service) {
+            ahead += 1;
+            ahead_of_route += usize::from(other.route == job.route);
+        }
+        let wait = (ahead + 1) as f64 * service.time_s / places;
+        // A route with a floor gets its share whatever waits before it.
+        let wait_by_floor = (ahead_of_route + 1) as f64 * service.time_s / (places * job.floor);
+        Duration::try_from_secs_f64(wait.min(wait_by_floor)).unwrap_or(Duration::MAX)
     }
 }
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -4,6 +4,8 @@
 //! randomness are arguments, so the same code runs in a node and in tests that replay a
 //! load in virtual time.
 //!
+//! - [`table`]: the operators' table and the configuration that follows from it
+//! - [`limits`]: which requests exceed their route's rate or number in flight
 //! - [`config`]: which route and service a request belongs to
 //! - [`fleet`]: which upstreams exist, also while the store is unavailable
 //! - [`dispatch`]: which upstream a request goes to, what waits and what is rejected
@@ -20,10 +22,13 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod health;
+pub mod limits;
 pub mod message;
 pub mod peers;
 pub mod rendezvous;
 pub mod residency;
+pub mod table;
+pub mod types;
 
-pub use fireflyhead_core::types::Name;
-pub use fireflyhead_core::types::Time;
+pub use types::Name;
+pub use types::Time;
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -3,16 +3,14 @@
 //! A [`Beat`] states what a node has in flight and which adapters the engines hold that it
 //! gives orders to. Each beat is complete by itself, so a lost one costs only freshness.
 
-use std::net::SocketAddr;
+pub mod wire;
 
-use serde::Deserialize;
-use serde::Serialize;
+use std::net::SocketAddr;
 
 use crate::Name;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
 pub enum NodeState {
     /// Has no configuration yet.
     Starting,
@@ -24,7 +22,6 @@
 
 /// Load that a node has on one upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
 pub struct UpstreamLoad {
     /// Upstream.
     pub upstream: Name,
@@ -38,7 +35,6 @@
 
 /// Adapter in an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
 pub struct Placed {
     /// Adapter.
     pub adapter: Name,
@@ -50,7 +46,6 @@
 
 /// Adapters of one engine, stated by the node that gives it orders.
 #[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
 pub struct Placement {
     /// Engine.
     pub upstream: Name,
@@ -68,7 +63,6 @@
 
 /// State of a node.
 #[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
 pub struct Beat {
     /// Node.
     pub node: Name,
@@ -96,7 +90,6 @@
 
 /// Request to the node that gives orders to an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
 pub struct Want {
     /// Node that asks.
     pub node: Name,
@@ -114,7 +107,6 @@
 
 /// Datagram.
 #[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
 pub enum Datagram {
     /// State of a node.
     Beat(Box<Beat>),
--- /dev/null
+++ b/crates/fireflyhead-policy/src/table/routes.rs
@@ -0,0 +1,78 @@
+//! Routes and adapter versions that follow from the table.
+
+use crate::Name;
+use crate::config::Config;
+use crate::config::Limits;
+use crate::config::Route;
+use crate::config::RouteKind;
+use crate::config::RouteTerms;
+use crate::config::Service;
+use crate::config::Share;
+use crate::table::Row;
+use crate::table::RowKind;
+use crate::table::Table;
+use crate::table::Terms;
+use crate::types::Rank;
+
+/// Longest pause between the events of a stream that is on time.
+const PAUSE_OBJECTIVE: std::time::Duration = std::time::Duration::from_millis(300);
+/// Upstreams that a request that may be repeated is sent to.
+const ATTEMPTS: u32 = 2;
+
+impl Table {
+    /// Configuration with one route for each class: callers name the service as the host, and
+    /// the path begins with the prefix of the class's match, or with the name of the class.
+    pub fn config(&self, services: Vec<Service>) -> Config {
+        let routes = self.classes().map(route).collect();
+        Config::new(self.version, Limits::default(), routes, services)
+    }
+
+    /// Newest version of each adapter whose versions are numbered, such as `v3`.
+    pub fn adapter_versions(&self) -> Vec<(Name, u64)> {
+        self.rows()
+            .filter(|row| row.kind == RowKind::Adapter)
+            .filter_map(|row| {
+                let numbers = row.versions.iter().filter_map(number);
+                Some((row.name.clone(), numbers.max()?))
+            })
+            .collect()
+    }
+}
+
+fn route(row: &Row) -> Route {
+    let Terms { weight, floor, rate, in_flight, target, deadline, idempotent, .. } = row.terms;
+    let (method, prefix) = match &row.call {
+        Some(call) => (
+            (call.method != "*").then(|| Name::from(call.method.as_str())),
+            format!("{}/", call.prefix.trim_end_matches('/')),
+        ),
+        None => (None, format!("/{}/", row.name)),
+    };
+    let kind = match (&row.call, idempotent) {
+        (Some(_), true) => RouteKind::Idempotent,
+        (Some(_), false) => RouteKind::NonIdempotent,
+        (None, resumable) => RouteKind::Streaming { resumable },
+    };
+    Route {
+        name: row.name.clone(),
+        host: row.service.clone(),
+        prefix: Name::from(prefix),
+        method,
+        kind,
+        timeout: deadline,
+        objective: target,
+        pause_objective: row.call.is_none().then_some(PAUSE_OBJECTIVE),
+        priority: match row.terms.rank {
+            Rank::Urgent => 0,
+            Rank::Standard => 1,
+            Rank::Background => 2,
+        },
+        shares: vec![Share { service: row.service.clone(), weight: 1 }],
+        max_attempts: if kind.repeatable() { ATTEMPTS } else { 1 },
+        terms: RouteTerms { weight, floor, rate, in_flight },
+    }
+}
+
+fn number(version: &Name) -> Option<u64> {
+    version.as_str().trim_start_matches('v').parse().ok()
+}
--- a/crates/fireflyhead-policy/tests/policy/config.rs
+++ b/crates/fireflyhead-policy/tests/policy/config.rs
@@ -7,6 +7,7 @@
 use fireflyhead_policy::config::Limits;
 use fireflyhead_policy::config::Route;
 use fireflyhead_policy::config::RouteKind;
+use fireflyhead_policy::config::RouteTerms;
 use fireflyhead_policy::config::Share;
 use proptest::prelude::*;
 
@@ -15,6 +16,7 @@
         name: Name::from(format!("{host}{prefix}")),
         host: Name::from(host),
         prefix: Name::from(prefix),
+        method: None,
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(300),
@@ -22,6 +24,7 @@
         priority: 0,
         shares: vec![Share { service: Name::from("desk"), weight: 1 }],
         max_attempts: 2,
+        terms: RouteTerms::default(),
     }
 }
 
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/limits.rs
@@ -0,0 +1,71 @@
+//! Limits and floors of routes.
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::config::RouteTerms;
+use fireflyhead_policy::dispatch::Job;
+use fireflyhead_policy::dispatch::JobId;
+use fireflyhead_policy::dispatch::SendOutcome;
+use fireflyhead_policy::limits::RouteLimits;
+
+use crate::setup::dispatcher;
+use crate::setup::ms;
+use crate::setup::order;
+
+/// Guards against a flood of one route above its rate, and against a limit that each node
+/// grants in full.
+#[test]
+fn a_rate_is_shared_by_the_nodes() {
+    let terms = RouteTerms { rate: Some(20.0), ..RouteTerms::default() };
+    let route = Name::from("drafts");
+    for (nodes, expected) in [(1, 20 + 100), (4, 5 + 25)] {
+        let mut limits = RouteLimits::default();
+        let entered =
+            (0..5_000).filter(|now| limits.enter(ms(*now), &route, &terms, nodes).is_ok()).count();
+        assert!(entered.abs_diff(expected) <= 1, "{nodes} nodes: {entered}");
+    }
+}
+
+/// Guards against places that are not given back.
+#[test]
+fn places_in_flight_are_counted() {
+    let terms = RouteTerms { in_flight: Some(3), ..RouteTerms::default() };
+    let route = Name::from("drafts");
+    let mut limits = RouteLimits::default();
+    let entered: Vec<bool> =
+        (0..4).map(|_| limits.enter(ms(0), &route, &terms, 1).is_ok()).collect();
+    assert_eq!(entered, [true, true, true, false]);
+    limits.leave(&route);
+    assert!(limits.enter(ms(0), &route, &terms, 1).is_ok());
+}
+
+/// Guards against lesser work that gets nothing while a flood of urgent work lasts: its share
+/// of what is served is its floor.
+#[test]
+fn lesser_work_keeps_its_floor_in_a_flood_of_urgent_work() {
+    let mut dispatcher = dispatcher(0, 1);
+    let mut next = 0;
+    let mut running: Vec<JobId> = Vec::new();
+    let mut sent = [0_u32; 2];
+    for step in 0..1_500 {
+        let now = ms(step * 10);
+        for (priority, floor) in [(0, 0.0), (2, 0.2)] {
+            next += 1;
+            let job = Job { floor, ..order(next * 2 + u64::from(priority == 2), now, priority) };
+            let id = job.id;
+            if dispatcher.submit(now, job).is_some() {
+                running.push(id);
+            }
+        }
+        if running.len() >= 9 {
+            dispatcher.done(now, running.remove(0), SendOutcome::Served);
+        }
+        for (id, verdict) in dispatcher.pump(now) {
+            if matches!(verdict, fireflyhead_policy::dispatch::Verdict::Send { .. }) {
+                sent[(id.0 % 2) as usize] += 1;
+                running.push(id);
+            }
+        }
+    }
+    let share = f64::from(sent[1]) / f64::from(sent[0] + sent[1]);
+    assert!((0.19..0.3).contains(&share), "share of the lesser work {share:.3}, {sent:?}");
+}
--- a/crates/fireflyhead-policy/tests/policy/setup.rs
+++ b/crates/fireflyhead-policy/tests/policy/setup.rs
@@ -74,6 +74,9 @@
 pub(crate) fn job(id: u64, now: Time, adapter: &str, prompt_tokens: u32) -> Job {
     Job {
         id: JobId(id),
+        route: Name::from("draft"),
+        weight: 1.0,
+        floor: 0.0,
         service: Name::from(ENGINES),
         model: Some(ModelRef { model: Name::from(MODEL), adapter: Some(Name::from(adapter)) }),
         priority: 1,
@@ -90,6 +93,9 @@
 pub(crate) fn order(id: u64, now: Time, priority: u8) -> Job {
     Job {
         id: JobId(id),
+        route: Name::from(format!("order-{priority}")),
+        weight: 1.0,
+        floor: 0.0,
         service: Name::from(DESK),
         model: None,
         priority,
--- a/crates/fireflyhead-schema-gen/src/settings.rs
+++ b/crates/fireflyhead-schema-gen/src/settings.rs
@@ -21,8 +21,6 @@
     default: String,
     min: Option<String>,
     max: Option<String>,
-    #[serde(default)]
-    choices: Vec<String>,
     help: String,
 }
 
@@ -35,13 +33,10 @@
     fn types(&self) -> Result<(&'static str, &'static str)> {
         Ok(match self.kind.as_str() {
             "text" => ("String", "Text"),
-            "list" => ("Vec<String>", "List"),
             "address" => ("std::net::SocketAddr", "Address"),
             "duration" => ("std::time::Duration", "Duration"),
-            "size" => ("u64", "Size"),
             "count" => ("u64", "Count"),
             "ratio" => ("f64", "Ratio"),
-            "secret" => ("Secret", "Secret"),
             kind => bail!("setting `{}` has the unknown kind `{kind}`", self.name),
         })
     }
@@ -60,8 +55,8 @@
         let field = setting.field();
         writeln!(
             specs,
-            "SettingSpec {{ name: {:?}, kind: Kind::{kind}, default: {:?}, min: {:?}, max: {:?}, choices: &{:?}, help: {:?} }},",
-            setting.name, setting.default, setting.min, setting.max, setting.choices, setting.help,
+            "SettingSpec {{ name: {:?}, kind: Kind::{kind}, default: {:?}, min: {:?}, max: {:?}, help: {:?} }},",
+            setting.name, setting.default, setting.min, setting.max, setting.help,
         )?;
         writeln!(fields, "/// {}.\npub {field}: {ty},", setting.help)?;
         writeln!(reads, "{field}: reader.read({:?}),", setting.name)?;
@@ -70,7 +65,6 @@
     let code = format!(
         "use crate::settings::Kind;
          use crate::settings::Reader;
-         use crate::settings::Secret;
          use crate::settings::SettingError;
          use crate::settings::SettingSpec;
          use crate::settings::Value;
@@ -93,7 +87,7 @@
                  reader.finish(settings)
              }}
 
-             /// Names and values for display, with secrets masked.
+             /// Names and values for display.
              pub fn show(&self) -> Vec<(&'static str, String)> {{
                  vec![{shows}]
              }}
--- a/crates/fireflyhead-schema/src/settings.rs
+++ b/crates/fireflyhead-schema/src/settings.rs
@@ -1,8 +1,7 @@
 //! Kinds of settings, their parsing and their command-line arguments.
 //!
 //! The list of settings is generated. A value comes from its flag, else from
-//! its environment variable, else from its default. Secrets have no flag, since
-//! a command line is visible to other users of the host.
+//! its environment variable, else from its default.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,22 +21,16 @@
 /// Kind of a setting's value.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
-    /// Free text or one of a few choices.
+    /// Free text.
     Text,
-    /// Texts separated by commas.
-    List,
     /// IP address and port.
     Address,
     /// Time span such as `5s`.
     Duration,
-    /// Number of bytes such as `64MiB`.
-    Size,
     /// Whole number.
     Count,
     /// Number.
     Ratio,
-    /// Text from the environment only, masked when shown.
-    Secret,
 }
 
 /// One setting of the schema.
@@ -53,8 +46,6 @@
     pub min: Option<&'static str>,
     /// Largest value.
     pub max: Option<&'static str>,
-    /// Accepted texts; empty for all.
-    pub choices: &'static [&'static str],
     /// One sentence for `--help`.
     pub help: &'static str,
 }
@@ -72,7 +63,7 @@
 pub struct SettingError {
     /// Name of the setting.
     pub name: &'static str,
-    /// Text that was set; masked for secrets.
+    /// Text that was set.
     pub value: String,
     /// What is wrong with it.
     pub reason: String,
@@ -80,29 +71,6 @@
 
 impl std::error::Error for SettingError {}
 
-/// Text that is never shown.
-#[derive(Clone, Default, Eq, PartialEq)]
-pub struct Secret(String);
-
-impl Secret {
-    /// The secret itself.
-    pub fn expose(&self) -> &str {
-        &self.0
-    }
-}
-
-impl From<String> for Secret {
-    fn from(text: String) -> Secret {
-        Secret(text)
-    }
-}
-
-impl std::fmt::Debug for Secret {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.show())
-    }
-}
-
 /// Value of a setting: how it is parsed, compared with its range and shown.
 pub trait Value: Sized {
     /// Parses the text of a setting.
@@ -130,17 +98,6 @@
     }
 }
 
-impl Value for Vec<String> {
-    fn parse(text: &str) -> Result<Vec<String>, String> {
-        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
-        Ok(parts.map(str::to_owned).collect())
-    }
-
-    fn show(&self) -> String {
-        self.join(",")
-    }
-}
-
 impl Value for SocketAddr {
     fn parse(text: &str) -> Result<SocketAddr, String> {
         text.parse().map_err(|_| "expected `ip:port`".to_owned())
@@ -168,10 +125,7 @@
 
 impl Value for u64 {
     fn parse(text: &str) -> Result<u64, String> {
-        match text.parse::<bytesize::ByteSize>() {
-            Ok(size) => Ok(size.as_u64()),
-            Err(e) => Err(format!("expected a whole number or a size such as `64MiB`: {e}")),
-        }
+        text.parse().map_err(|_| "expected a whole number".to_owned())
     }
 
     fn show(&self) -> String {
@@ -201,16 +155,6 @@
     }
 }
 
-impl Value for Secret {
-    fn parse(text: &str) -> Result<Secret, String> {
-        Ok(Secret(text.to_owned()))
-    }
-
-    fn show(&self) -> String {
-        if self.0.is_empty() { "(not set)".to_owned() } else { "********".to_owned() }
-    }
-}
-
 /// Reads settings one by one and collects every error.
 pub struct Reader<'a> {
     specs: &'static [SettingSpec],
@@ -236,8 +180,7 @@
         match check(spec, &text) {
             Ok(value) => value,
             Err(reason) => {
-                let value = if spec.kind == Kind::Secret { "********".to_owned() } else { text };
-                self.errors.push(SettingError { name: spec.name, value, reason });
+                self.errors.push(SettingError { name: spec.name, value: text, reason });
                 default
             }
         }
@@ -256,9 +199,6 @@
     let value = T::parse(text)?;
     let bound = |limit: Option<&str>| limit.and_then(|limit| T::parse(limit).ok());
     match (bound(spec.min), bound(spec.max)) {
-        _ if !spec.choices.is_empty() && !spec.choices.contains(&text) => {
-            Err(format!("expected one of {}", spec.choices.join(", ")))
-        }
         (Some(min), _) if value.magnitude() < min.magnitude() => {
             Err(format!("the smallest value is {}", spec.min.unwrap_or_default()))
         }
@@ -275,10 +215,9 @@
     }
 }
 
-/// Command-line arguments of all settings that may stand on a command line.
+/// Command-line arguments of all settings.
 pub fn args() -> Vec<Arg> {
-    let flags = SPECS.iter().filter(|spec| spec.kind != Kind::Secret);
-    flags.map(arg).collect()
+    SPECS.iter().map(arg).collect()
 }
 
 fn arg(spec: &SettingSpec) -> Arg {
@@ -297,10 +236,7 @@
 pub fn from_matches(matches: &ArgMatches) -> Result<NodeSettings, Vec<SettingError>> {
     NodeSettings::read(|name| {
         let spec = SPECS.iter().find(|spec| spec.name == name)?;
-        let flag = match spec.kind {
-            Kind::Secret => None,
-            _ => matches.get_one::<String>(name).cloned(),
-        };
+        let flag = matches.get_one::<String>(name).cloned();
         flag.or_else(|| std::env::var(spec.env()).ok())
     })
 }
--- a/src/bin/fireflyhead-node/main.rs
+++ b/src/bin/fireflyhead-node/main.rs
@@ -1,19 +1,20 @@
-//! Daemon of one node.
+//! Daemon of one node, with settings from flags and environment variables.
 //!
-//! Exit status: 0 after a planned stop without interrupted requests, 1 if the node
-//! can't start, requests were interrupted or the other nodes declared it dead, 2 if settings are invalid.
+//! Exit status: 0 after a planned stop, 1 if the node can't start or requests were
+//! interrupted, 2 if settings are invalid.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::Arg;
 use clap::ArgAction;
 use clap::Command;
-use fireflyhead_node::node::Node;
-use fireflyhead_node::node::StopReport;
-use fireflyhead_node::telemetry;
-use fireflyhead_schema::NodeSettings;
+use fireflyhead_gateway::logs::Logs;
+use fireflyhead_gateway::node::Node;
+use fireflyhead_gateway::node::StopReport;
+use fireflyhead_gateway::settings::GatewaySettings;
+use fireflyhead_platform::Platform;
 use fireflyhead_schema::settings;
-use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -22,7 +23,7 @@
 
 fn cli() -> Command {
     Command::new("fireflyhead-node")
-        .about("Serves callers and dispatches to upstreams as one node of the serving layer")
+        .about("Serves callers and gives orders to engines as one node of the serving layer")
         .version(env!("CARGO_PKG_VERSION"))
         .arg(
             Arg::new("check")
@@ -35,8 +36,8 @@
 
 fn main() -> ExitCode {
     let matches = cli().get_matches();
-    let settings = match read(&matches) {
-        Ok(settings) => settings,
+    let node_settings = match settings::from_matches(&matches) {
+        Ok(node_settings) => node_settings,
         Err(errors) => {
             for error in errors {
                 eprintln!("fireflyhead-node: {error}");
@@ -45,14 +46,25 @@
         }
     };
     if matches.get_flag("check") {
-        for (name, value) in settings.show() {
+        for (name, value) in node_settings.show() {
             println!("{name} = {value}");
         }
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
-        Ok(report) if report.interrupted == 0 && !report.declared_dead => ExitCode::SUCCESS,
-        Ok(_) => ExitCode::FAILURE,
+    let logs = Logs::init();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("fireflyhead-node: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(serve(node_settings.into())) {
+        Ok(report) => {
+            let dropped_lines = logs.dropped().dropped_lines();
+            tracing::info!(event = "stopped", interrupted = report.interrupted, dropped_lines);
+            if report.interrupted == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
         Err(e) => {
             eprintln!("fireflyhead-node: {e:#}");
             ExitCode::FAILURE
@@ -60,69 +72,15 @@
     }
 }
 
-/// Settings of the command line and the environment, or every error in them.
-fn read(matches: &clap::ArgMatches) -> Result<NodeSettings, Vec<String>> {
-    let (settings, mut errors) = match settings::from_matches(matches) {
-        Ok(settings) => (Some(settings), Vec::new()),
-        Err(errors) => (None, errors.iter().map(ToString::to_string).collect()),
-    };
-    let key_missing = match &settings {
-        Some(settings) => settings.peer_key.expose().is_empty(),
-        None => std::env::var("FIREFLYHEAD_PEER_KEY").unwrap_or_default().is_empty(),
-    };
-    if key_missing {
-        // Without a key everybody could speak for a node.
-        errors.push("setting `peer-key` is missing: set FIREFLYHEAD_PEER_KEY".to_owned());
-    }
-    match settings {
-        Some(settings) if errors.is_empty() => Ok(settings),
-        _ => Err(errors),
-    }
-}
-
-fn run(settings: NodeSettings) -> anyhow::Result<StopReport> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    let telemetry = telemetry::init(&settings)?;
-    let report = runtime.block_on(serve(settings));
-    telemetry.shutdown();
-    report
-}
-
-async fn serve(settings: NodeSettings) -> anyhow::Result<StopReport> {
-    let mut signals = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let node = Node::start(settings).await?;
-    let addresses = node.addresses();
-    tracing::info!(
-        caller = %addresses.caller,
-        operator = %addresses.operator,
-        peer = %addresses.peer,
-        "the node is running"
-    );
-    tokio::select! {
-        () = any(&mut signals) => {}
-        () = node.drain_requested() => {}
-    }
-    let report = tokio::select! {
-        report = node.shutdown() => report,
-        () = any(&mut signals) => {
-            tracing::warn!("stopping at once after a second signal");
-            node.kill()
-        }
-    };
-    tracing::info!(
-        interrupted = report.interrupted,
-        accepted = report.counts.accepted,
-        answered = report.counts.answered,
-        not_run = report.counts.not_run,
-        outcome_unknown = report.counts.outcome_unknown,
-        "the node has stopped"
-    );
-    Ok(report)
-}
-
-async fn any((terminate, interrupt): &mut (Signal, Signal)) {
+async fn serve(settings: GatewaySettings) -> anyhow::Result<StopReport> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let node = Node::start(settings, Arc::new(Platform)).await?;
+    tracing::info!(event = "started", node = %node.settings().node, callers = %node.settings().caller);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    tracing::info!(event = "stopping");
+    Ok(node.stop().await)
 }
--- a/src/bin/fireflyhead/commands.rs
+++ b/src/bin/fireflyhead/commands.rs
@@ -6,14 +6,10 @@
 use clap::ArgMatches;
 use clap::Command;
 
-mod call;
 mod completions;
 mod demo;
-mod drain;
 mod nodes;
-mod resolve;
 mod standin;
-mod status;
 mod table;
 mod upstreams;
 
@@ -21,12 +17,8 @@
 pub(crate) fn all() -> Vec<Command> {
     vec![
         table::cli(),
-        status::cli(),
         nodes::cli(),
         upstreams::cli(),
-        drain::cli(),
-        resolve::cli(),
-        call::cli(),
         demo::cli(),
         standin::cli(),
         completions::cli(),
@@ -38,12 +30,8 @@
     let (name, matches) = matches.subcommand().expect("the parser requires a command");
     match name {
         "table" => table::exec(matches).await,
-        "status" => status::exec(matches).await,
         "nodes" => nodes::exec(matches).await,
         "upstreams" => upstreams::exec(matches).await,
-        "drain" => drain::exec(matches).await,
-        "resolve" => resolve::exec(matches).await,
-        "call" => call::exec(matches).await,
         "demo" => demo::exec(matches).await,
         "standin" => standin::exec(matches).await,
         "completions" => completions::exec(matches),
--- a/src/bin/fireflyhead/commands/nodes.rs
+++ b/src/bin/fireflyhead/commands/nodes.rs
@@ -1,31 +1,33 @@
-//! `fireflyhead nodes`: all nodes and the table versions in force there.
+//! `fireflyhead nodes`: nodes that the store lists.
 
 use std::process::ExitCode;
 
 use anyhow::Result;
 use clap::ArgMatches;
 use clap::Command;
+use serde::Serialize;
 
 use crate::cli;
 
+#[derive(Serialize)]
+struct Node {
+    node: String,
+    peer_address: String,
+}
+
 pub(crate) fn cli() -> Command {
-    Command::new("nodes").about("List the nodes").arg(cli::operator_url())
+    Command::new("nodes").about("List the nodes that hold a lease").arg(cli::store())
 }
 
 pub(crate) async fn exec(matches: &ArgMatches) -> Result<ExitCode> {
-    let nodes = cli::client(matches).nodes().await?;
-    cli::print(matches, &nodes, &["NODE", "ZONE", "STATE", "CALLERS", "TABLE"], || {
-        let row = |node: &fireflyhead_node::operators::api::NodeEntry| {
-            let version = node.table_version.map_or("-".to_owned(), |version| version.to_string());
-            vec![
-                node.id.clone(),
-                node.zone.clone(),
-                node.state.clone(),
-                node.caller_address.clone(),
-                version,
-            ]
-        };
-        nodes.iter().map(row).collect()
+    let listing = cli::operator(matches)?.list().await?;
+    let nodes: Vec<Node> = listing
+        .nodes
+        .into_iter()
+        .map(|(node, peer_address)| Node { node: node.to_string(), peer_address })
+        .collect();
+    cli::print(matches, &nodes, &["NODE", "PEER ADDRESS"], || {
+        nodes.iter().map(|node| vec![node.node.clone(), node.peer_address.clone()]).collect()
     })?;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/bin/fireflyhead/commands/upstreams.rs
+++ b/src/bin/fireflyhead/commands/upstreams.rs
@@ -1,34 +1,54 @@
-//! `fireflyhead upstreams`: all upstreams with owner and load.
+//! `fireflyhead upstreams`: upstreams that the store lists.
 
 use std::process::ExitCode;
 
 use anyhow::Result;
 use clap::ArgMatches;
 use clap::Command;
-use fireflyhead_node::operators::api::UpstreamEntry;
+use fireflyhead_policy::fleet::UpstreamState;
+use serde::Serialize;
 
 use crate::cli;
 
-const HEADER: [&str; 7] = ["UPSTREAM", "SERVICE", "ZONE", "STATE", "OWNER", "RUNNING", "QUEUED"];
+#[derive(Serialize)]
+struct Upstream {
+    id: String,
+    service: String,
+    address: String,
+    zone: String,
+    slots: u32,
+    state: &'static str,
+}
 
 pub(crate) fn cli() -> Command {
-    Command::new("upstreams").about("List the upstreams").arg(cli::operator_url())
+    Command::new("upstreams").about("List the upstreams").arg(cli::store())
 }
 
 pub(crate) async fn exec(matches: &ArgMatches) -> Result<ExitCode> {
-    let upstreams = cli::client(matches).upstreams().await?;
-    cli::print(matches, &upstreams, &HEADER, || upstreams.iter().map(row).collect())?;
+    let listing = cli::operator(matches)?.list().await?;
+    let upstreams: Vec<Upstream> = listing
+        .upstreams
+        .iter()
+        .map(|entry| Upstream {
+            id: entry.id.to_string(),
+            service: entry.service.to_string(),
+            address: entry.address.to_string(),
+            zone: entry.zone.to_string(),
+            slots: entry.slots,
+            state: match entry.state {
+                UpstreamState::Ready => "ready",
+                UpstreamState::Draining => "draining",
+            },
+        })
+        .collect();
+    let header = ["ID", "SERVICE", "ADDRESS", "ZONE", "SLOTS", "STATE"];
+    cli::print(matches, &upstreams, &header, || {
+        let row = |u: &Upstream| {
+            let (id, service) = (u.id.clone(), u.service.clone());
+            let (address, zone) = (u.address.clone(), u.zone.clone());
+            vec![id, service, address, zone, u.slots.to_string(), u.state.to_owned()]
+        };
+        upstreams.iter().map(row).collect()
+    })?;
     Ok(ExitCode::SUCCESS)
 }
-
-fn row(upstream: &UpstreamEntry) -> Vec<String> {
-    vec![
-        upstream.name.clone(),
-        upstream.service.clone(),
-        upstream.zone.clone(),
-        if upstream.leaving { "leaving" } else { "live" }.to_owned(),
-        upstream.owner.clone().unwrap_or("-".to_owned()),
-        upstream.in_flight.to_string(),
-        upstream.queued.to_string(),
-    ]
-}
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -1,7 +1,6 @@
-//! Operations behind the commands, one module each.
+//! Operations, apart from the command line.
 
-pub mod call;
-pub mod client;
 pub mod demo;
+pub mod deployments;
 pub mod output;
-pub mod table;
+pub mod store;
