--- a/crates/fireflyhead-gateway/src/beats.rs
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -162,15 +162,19 @@
         let own = shared.placements();
         let peers = shared.peers();
         for want in wants {
-            if own.iter().any(|placement| placement.upstream == want.upstream) {
-                by_node.entry(None).or_default().push(want);
-                continue;
-            }
+            let mine = own.iter().any(|placement| placement.upstream == want.upstream);
             let holder = peers.all().find(|peer| {
                 peer.beat.placements.iter().any(|p| p.upstream == want.upstream && p.open)
             });
-            if let Some(holder) = holder {
-                by_node.entry(Some(holder.beat.peer)).or_default().push(want);
+            if want.first {
+                let holder = holder.filter(|_| !mine).map(|peer| peer.beat.node.as_str());
+                log_want(&want, holder, mine);
+            }
+            match holder {
+                _ if mine => by_node.entry(None).or_default().push(want),
+                Some(holder) => by_node.entry(Some(holder.beat.peer)).or_default().push(want),
+                // Stated again soon, when a holder may be known.
+                None => {}
             }
         }
     }
@@ -182,6 +186,16 @@
     }
 }
 
+fn log_want(want: &Want, holder: Option<&str>, mine: bool) {
+    tracing::info!(
+        event = "want",
+        upstream = %want.upstream,
+        adapter = %want.adapter,
+        waiting = want.waiting,
+        holder = if mine { Some(want.node.as_str()) } else { holder }
+    );
+}
+
 async fn send_to(
     socket: &UdpSocket,
     datagram: &Datagram,
--- a/crates/fireflyhead-gateway/src/keeper.rs
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -61,6 +61,9 @@
 const CLAIMS_PER_CALL: usize = 8;
 /// Adapter loads from the store over all nodes above which each of them takes longer.
 const LOADS_AT_ONCE: u32 = 8;
+/// Calls in a row without an answer from which other engines are asked to load adapters. A
+/// crashed engine stays listed for some seconds.
+const FAILURES_CLOSED: u32 = 2;
 /// Time after which an engine's record without an engine is removed.
 const ORPHAN_AFTER: Duration = Duration::from_secs(15);
 
@@ -121,6 +124,15 @@
 struct EngineState {
     residency: Residency,
     busy: bool,
+    /// Calls without an answer, since the last one with an answer.
+    failures: u32,
+}
+
+impl EngineState {
+    /// Counts a call by whether it had an answer.
+    fn answered(&mut self, answered: bool) {
+        self.failures = if answered { 0 } else { self.failures + 1 };
+    }
 }
 
 /// Actor that gives orders.
@@ -259,7 +271,7 @@
         let Some(model) = engine.models.first() else { return };
         let slots = usize::try_from(engine.adapter_slots).unwrap_or(0);
         let residency = Residency::new(model.name.clone(), slots, entry.born);
-        self.engines.insert(entry.id.clone(), EngineState { residency, busy: false });
+        self.engines.insert(entry.id.clone(), EngineState { residency, busy: false, failures: 0 });
     }
 
     /// Gives the next order to an engine.
@@ -366,7 +378,8 @@
                     born: engine.residency.born(),
                     fence: self.custody.fence(upstream.as_str())?,
                     open: self.custody.may_order(now, upstream.as_str()).is_some()
-                        && engine.residency.is_known(),
+                        && engine.residency.is_known()
+                        && engine.failures < FAILURES_CLOSED,
                     adapters: engine.residency.placed(),
                 })
             })
@@ -468,6 +481,7 @@
                     && engine.residency.born() == born
                 {
                     engine.busy = false;
+                    engine.answered(reply != OrderReply::Unanswered);
                     engine.residency.replied(now, &step, reply);
                     self.tick(now, &me);
                 }
@@ -478,6 +492,7 @@
                     && engine.residency.born() == born
                 {
                     engine.busy = false;
+                    engine.answered(report.is_some());
                     if let Some(report) = report
                         && (report.born == born || report.born == 0)
                     {
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -194,7 +194,7 @@
         spared: bool,
     ) -> bool {
         let target = match self.wants.target(now, key) {
-            Some(target) if self.can_load(now, &target, key) => Some(target),
+            Some(target) if self.can_load(now, &target, key, spared) => Some(target),
             Some(_) | None => self.home(now, job, members, key, spared),
         };
         let Some(target) = target else { return !members.is_empty() };
@@ -215,9 +215,8 @@
         let failed = self.wants.failed(now, key);
         let mut homes: Vec<(u64, &Name)> = members
             .iter()
-            .filter(|id| self.can_load(now, id, key) && Some(*id) != failed.as_ref())
+            .filter(|id| self.can_load(now, id, key, spared) && Some(*id) != failed.as_ref())
             .filter(|id| !job.tried.contains(id) && !self.upstreams[*id].too_slow(job))
-            .filter(|id| spared || !self.upstreams[*id].health.ejected(now))
             .map(|id| (rendezvous::weight(subject, id.as_str()), id))
             .collect();
         homes.sort_unstable_by(|a, b| b.cmp(a));
@@ -244,11 +243,12 @@
         uses as usize >= replicas.len() * REPLICA_USES as usize
     }
 
-    fn can_load(&self, now: Time, id: &Name, key: &AdapterKey) -> bool {
+    fn can_load(&self, now: Time, id: &Name, key: &AdapterKey, spared: bool) -> bool {
         self.upstreams.get(id).is_some_and(|upstream| {
             let newest = self.versions.get(key).map_or(0, |news| news.version);
             let held = upstream.adapters.get(key).is_some_and(|r| r.ready && r.version >= newest);
-            upstream.open && upstream.usable(now) && !held
+            let ejected = !spared && upstream.health.ejected(now);
+            upstream.open && upstream.usable(now) && !held && !ejected
         })
     }
 
--- a/crates/fireflyhead-policy/src/dispatch/wants.rs
+++ b/crates/fireflyhead-policy/src/dispatch/wants.rs
@@ -95,7 +95,7 @@
             if state.sent.is_some_and(|sent| now.since(sent) < REPEAT) {
                 continue;
             }
-            state.sent = Some(now);
+            let first = state.sent.replace(now).is_none();
             due.push(Want {
                 node: node.clone(),
                 upstream: state.target.clone(),
@@ -103,6 +103,7 @@
                 adapter: adapter.clone(),
                 waiting: state.waiting.max(1),
                 priority: state.priority,
+                first,
             });
             state.waiting = 0;
         }
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -103,6 +103,8 @@
     pub waiting: u32,
     /// Rank of the most urgent of them.
     pub priority: u8,
+    /// Whether the engine was not asked before; not sent to other nodes.
+    pub first: bool,
 }
 
 /// Datagram.
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -208,6 +208,7 @@
             adapter: Name::from(want.adapter),
             waiting: want.waiting,
             priority: u8::try_from(want.priority).unwrap_or(u8::MAX),
+            first: false,
         }
     }
 }
