Look at ejected upstreams only, not at all members, for a decision

Change: a service keeps the list of its ejected members. The bench stays in crates/fireflyhead-policy/benches.

--- /dev/null
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -0,0 +1,176 @@
+//! Time of one decision, by the number of engines, and size of a beat.
+//!
+//! `cargo bench -p fireflyhead-policy` prints both.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::BatchSize;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
+use fireflyhead_policy::dialect::ModelRef;
+use fireflyhead_policy::dispatch::DispatchSettings;
+use fireflyhead_policy::dispatch::Dispatcher;
+use fireflyhead_policy::dispatch::Job;
+use fireflyhead_policy::dispatch::JobId;
+use fireflyhead_policy::dispatch::SendOutcome;
+use fireflyhead_policy::fleet::UpstreamEntry;
+use fireflyhead_policy::fleet::UpstreamState;
+use fireflyhead_policy::message::Beat;
+use fireflyhead_policy::message::Datagram;
+use fireflyhead_policy::message::NodeState;
+use fireflyhead_policy::message::Placed;
+use fireflyhead_policy::message::Placement;
+use fireflyhead_policy::message::UpstreamLoad;
+use fireflyhead_schema::codec;
+use fireflyhead_schema::messages as wire;
+
+/// Adapter slots of an engine.
+const SLOTS: usize = 18;
+
+fn placement(n: usize) -> Placement {
+    Placement {
+        upstream: Name::from(format!("i-{n:010}")),
+        model: Name::from("base"),
+        born: 1,
+        fence: 1,
+        open: true,
+        adapters: (0..SLOTS)
+            .map(|slot| Placed {
+                adapter: Name::from(format!("a{}", n * SLOTS + slot)),
+                version: 1,
+                ready: true,
+            })
+            .collect(),
+    }
+}
+
+fn dispatcher(engines: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default());
+    for n in 0..engines {
+        let entry = UpstreamEntry {
+            id: Name::from(format!("i-{n:010}")),
+            service: Name::from("models"),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            zone: Name::from("zone-1"),
+            slots: 64,
+            state: UpstreamState::Ready,
+            born: 1,
+            models: Vec::new(),
+            adapters: Vec::new(),
+        };
+        dispatcher.listed(&Arc::new(entry));
+        dispatcher.placement(&placement(n));
+    }
+    dispatcher
+}
+
+fn job(id: u64, adapter: &str) -> Job {
+    let now = Time::from_millis(1_000);
+    Job {
+        id: JobId(id),
+        route: Name::from("draft"),
+        weight: 1.0,
+        floor: 0.05,
+        service: Name::from("models"),
+        model: Some(ModelRef { model: Name::from("base"), adapter: Some(Name::from(adapter)) }),
+        priority: 1,
+        arrived: now,
+        objective: now + Duration::from_secs(1),
+        deadline: now + Duration::from_secs(15),
+        prompt_tokens: 500,
+        output_tokens: 100,
+        tried: Vec::new(),
+    }
+}
+
+fn decisions(c: &mut Criterion) {
+    let now = Time::from_millis(1_000);
+    let mut group = c.benchmark_group("decision");
+    for engines in [18, 60, 555, 1_700] {
+        let mut ready = dispatcher(engines);
+        let mut id = 0;
+        group.bench_function(BenchmarkId::new("held adapter", engines), |b| {
+            b.iter(|| {
+                id += 1;
+                black_box(ready.submit(now, job(id, "a7")));
+                ready.done(now, JobId(id), SendOutcome::Abandoned);
+            });
+        });
+        group.bench_function(BenchmarkId::new("absent adapter", engines), |b| {
+            b.iter(|| {
+                id += 1;
+                black_box(ready.submit(now, job(id, "absent")));
+                ready.cancel(JobId(id));
+            });
+        });
+    }
+    group.finish();
+    c.bench_function("pass over 2,000 waiting", |b| {
+        b.iter_batched_ref(
+            || {
+                let mut ready = dispatcher(60);
+                for id in 0..2_000 {
+                    ready.submit(now, job(id, &format!("absent{}", id % 500)));
+                }
+                ready
+            },
+            |ready| black_box(ready.pump(now)),
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+/// Beat of a node with `engines` engines in custody and `loads` upstreams in use.
+fn beat(engines: usize, loads: usize) -> Datagram {
+    let address = "10.1.0.1:7380".parse().expect("an address");
+    let load = |n: usize| UpstreamLoad {
+        upstream: Name::from(format!("i-{n:010}")),
+        in_flight: 2,
+        pending_tokens: 700,
+        adapters: vec![(Name::from("a1234"), 1), (Name::from("a4321"), 1)],
+    };
+    Datagram::Beat(Box::new(Beat {
+        node: Name::from("edge-zone-a-1"),
+        incarnation: 1_773_335_973_543,
+        seq: 1_000,
+        zone: Name::from("zone-a"),
+        caller: address,
+        peer: address,
+        state: NodeState::Ready,
+        capacity: 250,
+        loading: 1,
+        loads: (0..loads).map(load).collect(),
+        placements: (0..engines).map(placement).collect(),
+    }))
+}
+
+fn beats(c: &mut Criterion) {
+    for (name, engines, loads) in [("9 nodes", 2, 18), ("79 nodes", 1, 10), ("330 nodes", 6, 60)] {
+        let datagram = beat(engines, loads);
+        let bytes = codec::encode(&wire::Datagram::from(&datagram)).expect("it is encoded");
+        println!("beat of a node among {name}: {} bytes", bytes.len());
+        c.bench_function(&format!("encode a beat, {name}"), |b| {
+            b.iter(|| codec::encode(&wire::Datagram::from(black_box(&datagram))));
+        });
+        c.bench_function(&format!("decode a beat, {name}"), |b| {
+            b.iter(|| {
+                let datagram: wire::Datagram =
+                    codec::decode(black_box(&bytes)).expect("it is decoded");
+                Datagram::try_from(datagram)
+            });
+        });
+    }
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().measurement_time(Duration::from_secs(2)).warm_up_time(Duration::from_millis(300));
+    targets = decisions, beats
+}
+criterion_main!(benches);
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -179,13 +179,20 @@
 struct Service {
     members: Vec<Name>,
     time_s: f64,
+    /// Members that were ejected, so that a decision looks at these few only.
+    ejected: Vec<Name>,
     /// Requests sent lately, by route.
     sent: HashMap<Name, f64>,
 }
 
 impl Default for Service {
     fn default() -> Service {
-        Service { members: Vec::new(), time_s: SERVICE_TIME_FIRST_S, sent: HashMap::new() }
+        Service {
+            members: Vec::new(),
+            time_s: SERVICE_TIME_FIRST_S,
+            ejected: Vec::new(),
+            sent: HashMap::new(),
+        }
     }
 }
 
@@ -371,7 +378,7 @@
         let Flight { upstream: name, service, adapter, sent, .. } = flight;
         if outcome == SendOutcome::Served {
             let sample = now.since(sent).as_secs_f64();
-            let service = self.services.entry(service).or_default();
+            let service = self.services.entry(service.clone()).or_default();
             service.time_s += SERVICE_TIME_ALPHA * (sample - service.time_s);
         }
         let Some(upstream) = self.upstreams.get_mut(&name) else { return };
@@ -379,7 +386,12 @@
         match outcome {
             SendOutcome::Served => upstream.health.success(),
             SendOutcome::Failed(kind) => {
-                upstream.health.failure(now, kind);
+                if upstream.health.failure(now, kind).is_some() {
+                    let ejected = &mut self.services.entry(service).or_default().ejected;
+                    if !ejected.contains(&name) {
+                        ejected.push(name);
+                    }
+                }
             }
             SendOutcome::Full => upstream.full(now),
             SendOutcome::AdapterAbsent => upstream.absent(now, adapter.as_ref()),
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -94,18 +94,18 @@
 
 impl Dispatcher {
     pub(super) fn choose(&mut self, now: Time, job: &Job) -> Choice {
-        let Some(service) = self.services.get(&job.service) else {
+        if !self.services.contains_key(&job.service) {
             return Choice::Wait(Blocked::NoUpstream);
-        };
-        let members = service.members.clone();
-        let spared = self.spared(now, &members);
+        }
+        let spared = self.spared(now, &job.service);
         let key = match &job.model {
             Some(model) => model.adapter.as_ref().map(|name| (model.model.clone(), name.clone())),
             None => None,
         };
         match key {
-            Some(key) => self.choose_replica(now, job, &members, &key, spared),
+            Some(key) => self.choose_replica(now, job, &key, spared),
             None => {
+                let members = self.services[&job.service].members.clone();
                 let candidates = self.candidates(now, job, &members, spared);
                 match best(&candidates) {
                     Some(candidate) if candidate.room => self.chosen(&candidate.id, None),
@@ -124,14 +124,7 @@
         }
     }
 
-    fn choose_replica(
-        &mut self,
-        now: Time,
-        job: &Job,
-        members: &[Name],
-        key: &AdapterKey,
-        spared: bool,
-    ) -> Choice {
+    fn choose_replica(&mut self, now: Time, job: &Job, key: &AdapterKey, spared: bool) -> Choice {
         let (least, expect) = self.version_rule(now, key);
         let replicas: Vec<Name> = self
             .replicas
@@ -154,7 +147,7 @@
                     self.upstreams[&id].adapters.get(key).is_some_and(|r| r.version < newest)
                 });
                 if old || (cost > REPLICATE_COST_MS && self.is_hot(key)) {
-                    self.want(now, job, members, key, spared);
+                    self.want(now, job, key, spared);
                 } else {
                     self.wants.met(key);
                 }
@@ -163,11 +156,11 @@
             Some((id, _, false)) => {
                 let slow = self.upstreams[&id].too_slow(job);
                 if slow || self.is_hot(key) {
-                    self.want(now, job, members, key, spared);
+                    self.want(now, job, key, spared);
                 }
                 Choice::Wait(Blocked::Full)
             }
-            None => match self.want(now, job, members, key, spared) {
+            None => match self.want(now, job, key, spared) {
                 true => Choice::Wait(Blocked::Adapter),
                 false => Choice::Wait(Blocked::NoUpstream),
             },
@@ -185,35 +178,24 @@
     }
 
     /// States that `key` is needed; `false` if no engine can take it.
-    fn want(
-        &mut self,
-        now: Time,
-        job: &Job,
-        members: &[Name],
-        key: &AdapterKey,
-        spared: bool,
-    ) -> bool {
+    fn want(&mut self, now: Time, job: &Job, key: &AdapterKey, spared: bool) -> bool {
         let target = match self.wants.target(now, key) {
             Some(target) if self.can_load(now, &target, key, spared) => Some(target),
-            Some(_) | None => self.home(now, job, members, key, spared),
+            Some(_) | None => self.home(now, job, key, spared),
+        };
+        let Some(target) = target else {
+            return !self.services[&job.service].members.is_empty();
         };
-        let Some(target) = target else { return !members.is_empty() };
         self.wants.state(now, key, &target, job);
         true
     }
 
     /// Engine on which `key` should be loaded: among its first homes the cheapest, with a lead for the first.
-    fn home(
-        &self,
-        now: Time,
-        job: &Job,
-        members: &[Name],
-        key: &AdapterKey,
-        spared: bool,
-    ) -> Option<Name> {
+    fn home(&self, now: Time, job: &Job, key: &AdapterKey, spared: bool) -> Option<Name> {
         let subject = key.1.as_str();
         let failed = self.wants.failed(now, key);
-        let mut homes: Vec<(u64, &Name)> = members
+        let mut homes: Vec<(u64, &Name)> = self.services[&job.service]
+            .members
             .iter()
             .filter(|id| self.can_load(now, id, key, spared) && Some(*id) != failed.as_ref())
             .filter(|id| !job.tried.contains(id) && !self.upstreams[*id].too_slow(job))
@@ -252,13 +234,12 @@
         })
     }
 
-    /// Whether so many upstreams are ejected that ejection is ignored.
-    fn spared(&self, now: Time, members: &[Name]) -> bool {
-        let ejected = members
-            .iter()
-            .filter(|id| self.upstreams.get(*id).is_some_and(|u| u.health.ejected(now)))
-            .count();
-        ejected as f64 > members.len() as f64 * MAX_EJECTED
+    /// Whether so many upstreams of `service` are ejected that ejection is ignored.
+    fn spared(&mut self, now: Time, service: &Name) -> bool {
+        let Some(service) = self.services.get_mut(service) else { return false };
+        let upstreams = &self.upstreams;
+        service.ejected.retain(|id| upstreams.get(id).is_some_and(|u| u.health.ejected(now)));
+        service.ejected.len() as f64 > service.members.len() as f64 * MAX_EJECTED
     }
 
     fn candidates(&mut self, now: Time, job: &Job, ids: &[Name], spared: bool) -> Vec<Candidate> {
