Split the keeper by what it calls; scale the loads under way with the engines

Structure: membership and custody calls to the store and calls to engines are modules of their own; deployments of the demo stand under the demo; an unused parameter is gone. Change: 0.45 for each engine, 8 at least; the small deployments keep 8.

--- a/crates/fireflyhead-gateway/src/keeper.rs
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -4,13 +4,15 @@
 //! [`residency`](fireflyhead_policy::residency) and carries out what they decide. One call at
 //! a time is under way to each engine.
 
+pub mod membership;
+mod orders;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::custody::Claim;
@@ -20,9 +22,6 @@
 use fireflyhead_policy::dialect::EngineReport;
 use fireflyhead_policy::dialect::Item;
 use fireflyhead_policy::dialect::Order;
-use fireflyhead_policy::dialect::OrderKind;
-use fireflyhead_policy::dialect::StoreCall;
-use fireflyhead_policy::dialect::StoreReply;
 use fireflyhead_policy::fleet::UpstreamEntry;
 use fireflyhead_policy::fleet::UpstreamState;
 use fireflyhead_policy::message::Placement;
@@ -40,17 +39,11 @@
 
 use crate::clock;
 use crate::state::Shared;
-use crate::store::Backoff;
 use crate::store::StoreClient;
-use crate::store::http_call;
 
-/// Prefix of the members' keys.
-const MEMBERS: &str = "fireflyhead/members/";
-/// Prefix of the custody records.
-const CUSTODY: &str = "fireflyhead/custody/";
-/// Time for an order or a report. Engines answer within milliseconds; one lost packet costs some
-/// 200 ms. An order without an answer is repeated, which its precondition makes safe.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+use self::membership::CUSTODY;
+use self::membership::MEMBERS;
+
 /// Interval of the work on engines.
 const TICK: Duration = Duration::from_millis(20);
 /// Interval at which the usage of adapters is read.
@@ -59,8 +52,12 @@
 const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest number of records in one transaction; the store takes up to 32 entries.
 const CLAIMS_PER_CALL: usize = 8;
-/// Adapter loads from the store over all nodes above which each of them takes longer.
+/// Adapter loads from the store over all nodes that are under way at least, and for each engine.
+/// More of them take longer in proportion; the platform names no figure, and its deployments
+/// carry 0.44 to 0.9 for each engine.
 const LOADS_AT_ONCE: u32 = 8;
+/// See [`LOADS_AT_ONCE`].
+const LOADS_PER_ENGINE: f64 = 0.45;
 /// Calls in a row without an answer from which other engines are asked to load adapters. A
 /// crashed engine stays listed for some seconds.
 const FAILURES_CLOSED: u32 = 2;
@@ -254,7 +251,7 @@
                     engine.residency.usage(now, &used);
                 }
             }
-            self.work(now, entry, me);
+            self.work(now, entry, listed.len(), me);
         }
         self.publish(now);
     }
@@ -274,20 +271,21 @@
         self.engines.insert(entry.id.clone(), EngineState { residency, busy: false, failures: 0 });
     }
 
-    /// Gives the next order to an engine.
-    fn work(&mut self, now: Time, entry: &UpstreamEntry, me: &ActorRef<Keeper>) {
+    /// Gives the next order to one of the `listed` engines.
+    fn work(&mut self, now: Time, entry: &UpstreamEntry, listed: usize, me: &ActorRef<Keeper>) {
         let Some(fence) = self.custody.may_order(now, entry.id.as_str()) else { return };
         if entry.state != UpstreamState::Ready {
             return;
         }
         let loading = self.loading(now);
+        let at_once = LOADS_AT_ONCE.max((listed as f64 * LOADS_PER_ENGINE) as u32);
         let model_gap = self.model_load_gap();
         let Some(engine) = self.engines.get_mut(&entry.id) else { return };
         if engine.busy {
             return;
         }
         let allowed = Allowance {
-            adapter: loading < LOADS_AT_ONCE || engine.residency.loading() == 0,
+            adapter: loading < at_once || engine.residency.loading() == 0,
             model: now.since(self.model_load_at) >= model_gap,
         };
         let dispatcher = self.shared.dispatcher();
@@ -301,7 +299,7 @@
         match &step {
             Step::Report => {
                 engine.residency.report_sent(now);
-                tokio::spawn(report(
+                tokio::spawn(orders::report(
                     Arc::clone(&self.shared),
                     self.http.clone(),
                     entry.id.clone(),
@@ -323,7 +321,7 @@
                     holder: self.shared.settings.node.clone(),
                     fence,
                 };
-                tokio::spawn(give_order(
+                tokio::spawn(orders::give_order(
                     Arc::clone(&self.shared),
                     self.http.clone(),
                     entry.id.clone(),
@@ -419,7 +417,7 @@
             return;
         }
         self.claiming = true;
-        tokio::spawn(claim(Arc::clone(&self.store), claims, orphans, me.clone()));
+        tokio::spawn(membership::claim(Arc::clone(&self.store), claims, orphans, me.clone()));
     }
 
     /// Records of this node whose engines have been gone for long.
@@ -511,225 +509,3 @@
         sleep(TICK).await;
     }
 }
-
-/// Keeps the node's membership in the store.
-pub async fn membership(shared: Arc<Shared>, store: Arc<StoreClient>, keeper: ActorRef<Keeper>) {
-    let ttl = shared.settings.lease_ttl;
-    let mut backoff = Backoff::new(Duration::from_millis(200), Duration::from_millis(1_000));
-    loop {
-        let sent = clock::now();
-        let lease = match store.call(&StoreCall::Grant { ttl }).await {
-            Ok(StoreReply::Lease { lease, .. }) => lease,
-            Ok(reply) => {
-                tracing::debug!(event = "lease_not_granted", ?reply);
-                sleep(backoff.wait()).await;
-                continue;
-            }
-            Err(error) => {
-                tracing::debug!(event = "lease_not_granted", %error);
-                sleep(backoff.wait()).await;
-                continue;
-            }
-        };
-        backoff.reset();
-        if !register(&shared, &store, lease, &mut backoff).await {
-            continue;
-        }
-        tracing::info!(event = "lease_granted", lease);
-        if keeper.tell(KeeperMsg::Lease { lease, sent }).await.is_err() {
-            return;
-        }
-        renew(&store, lease, ttl, &keeper, &shared, &mut backoff).await;
-        tracing::warn!(event = "lease_lost", lease);
-        if keeper.tell(KeeperMsg::LeaseLost).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Writes the member key; `false` if the lease has ended.
-async fn register(shared: &Shared, store: &StoreClient, lease: u64, backoff: &mut Backoff) -> bool {
-    let settings = &shared.settings;
-    let key = Name::from(format!("{MEMBERS}{}", settings.node));
-    let value = Bytes::from(settings.peer.to_string());
-    let call = StoreCall::Transaction {
-        conditions: Vec::new(),
-        writes: vec![(key, value, lease)],
-        removes: Vec::new(),
-    };
-    loop {
-        match store.call(&call).await {
-            Ok(StoreReply::Applied { .. }) => return true,
-            Ok(StoreReply::NoLease) => return false,
-            Ok(reply) => tracing::debug!(event = "not_registered", ?reply),
-            Err(error) => tracing::debug!(event = "not_registered", %error),
-        }
-        sleep(backoff.wait()).await;
-    }
-}
-
-/// Renews the lease until it has ended, and writes the member key again if it was taken away.
-async fn renew(
-    store: &StoreClient,
-    lease: u64,
-    ttl: Duration,
-    keeper: &ActorRef<Keeper>,
-    shared: &Shared,
-    backoff: &mut Backoff,
-) {
-    loop {
-        let sent = clock::now();
-        match store.call(&StoreCall::Renew { lease }).await {
-            Ok(StoreReply::Lease { .. }) => {
-                backoff.reset();
-                if keeper.tell(KeeperMsg::Lease { lease, sent }).await.is_err() {
-                    return;
-                }
-                sleep(ttl / 4).await;
-                let present = shared.members().contains_key(&shared.settings.node);
-                if !present {
-                    tracing::warn!(event = "member_key_missing", lease);
-                    register(shared, store, lease, backoff).await;
-                }
-            }
-            Ok(StoreReply::NoLease) => return,
-            Ok(reply) => {
-                tracing::debug!(event = "lease_not_renewed", ?reply);
-                sleep(backoff.wait()).await;
-            }
-            Err(error) => {
-                tracing::debug!(event = "lease_not_renewed", %error);
-                sleep(backoff.wait()).await;
-            }
-        }
-    }
-}
-
-/// Writes custody records and removes those of engines that are gone.
-async fn claim(
-    store: Arc<StoreClient>,
-    claims: Vec<Claim>,
-    orphans: Vec<(Name, u64)>,
-    keeper: ActorRef<Keeper>,
-) {
-    let key = |id: &Name| Name::from(format!("{CUSTODY}{id}"));
-    let call = StoreCall::Transaction {
-        conditions: claims
-            .iter()
-            .map(|claim| (key(&claim.upstream), claim.revision))
-            .chain(orphans.iter().map(|(id, revision)| (key(id), *revision)))
-            .collect(),
-        writes: claims
-            .iter()
-            .map(|claim| (key(&claim.upstream), Bytes::from(claim.holding.encode()), 0))
-            .collect(),
-        removes: orphans.iter().map(|(id, _)| key(id)).collect(),
-    };
-    let revision = match store.call(&call).await {
-        Ok(StoreReply::Applied { revision }) => Some(revision),
-        Ok(reply) => {
-            tracing::info!(event = "custody_not_claimed", ?reply);
-            None
-        }
-        // A claim that was carried out all the same is seen by the watch and claimed again.
-        Err(error) => {
-            tracing::warn!(event = "custody_not_claimed", %error);
-            None
-        }
-    };
-    let claims = if revision.is_some() { claims } else { Vec::new() };
-    if keeper.tell(KeeperMsg::Claimed { claims, revision }).await.is_err() {
-        tracing::debug!(event = "keeper_stopped");
-    }
-}
-
-async fn report(
-    shared: Arc<Shared>,
-    http: Client,
-    upstream: Name,
-    address: SocketAddr,
-    born: u64,
-    keeper: ActorRef<Keeper>,
-) {
-    let sent = clock::now();
-    let header = Some((shared.dialect.upstream_header(), upstream.as_str()));
-    let call = shared.dialect.report_call();
-    let report = match http_call(&http, address, call, header, ORDER_TIMEOUT).await {
-        Ok((200, body)) => match shared.dialect.report(&body) {
-            Ok(report) => Some(report),
-            Err(error) => {
-                tracing::warn!(event = "bad_report", %upstream, %error);
-                None
-            }
-        },
-        Ok((status, _)) => {
-            tracing::info!(event = "no_report", %upstream, status);
-            None
-        }
-        Err(error) => {
-            tracing::info!(event = "no_report", %upstream, %error);
-            None
-        }
-    };
-    let msg = KeeperMsg::Reported { upstream, born, sent, report };
-    if keeper.tell(msg).await.is_err() {
-        tracing::debug!(event = "keeper_stopped");
-    }
-}
-
-#[expect(clippy::too_many_arguments, reason = "one call site; the arguments are one order's")]
-async fn give_order(
-    shared: Arc<Shared>,
-    http: Client,
-    upstream: Name,
-    address: SocketAddr,
-    born: u64,
-    order: Order,
-    step: Step,
-    keeper: ActorRef<Keeper>,
-) {
-    let sent = clock::now();
-    let header = Some((shared.dialect.upstream_header(), upstream.as_str()));
-    let call = shared.dialect.order(&order);
-    let result = http_call(&http, address, call, header, ORDER_TIMEOUT).await;
-    let reply = match &result {
-        Ok((202, _)) => OrderReply::Accepted,
-        Ok((200, _)) => OrderReply::Holds,
-        Ok((409, _)) => OrderReply::Conflict,
-        Ok((421, _)) => OrderReply::Misdirected,
-        Ok((500.., _)) | Err(_) => OrderReply::Unanswered,
-        Ok(_) => OrderReply::Rejected,
-    };
-    let kind = match order.kind {
-        OrderKind::Load => "load",
-        OrderKind::Unload => "unload",
-    };
-    shared.metrics.order(kind, reply_name(reply));
-    tracing::info!(
-        event = "order",
-        %upstream,
-        kind,
-        adapter = order.adapter.as_ref().map(Name::as_str),
-        version = order.version,
-        precondition = order.precondition,
-        fence = order.fence,
-        reply = reply_name(reply),
-        error = result.err().map(|e| e.to_string()),
-        ms = clock::now().since(sent).as_millis() as u64
-    );
-    let msg = KeeperMsg::Ordered { upstream, born, step, reply };
-    if keeper.tell(msg).await.is_err() {
-        tracing::debug!(event = "keeper_stopped");
-    }
-}
-
-const fn reply_name(reply: OrderReply) -> &'static str {
-    match reply {
-        OrderReply::Accepted => "accepted",
-        OrderReply::Holds => "holds",
-        OrderReply::Conflict => "conflict",
-        OrderReply::Rejected => "rejected",
-        OrderReply::Misdirected => "misdirected",
-        OrderReply::Unanswered => "unanswered",
-    }
-}
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -32,6 +32,7 @@
 use crate::ingress::Phase;
 use crate::keeper;
 use crate::keeper::Keeper;
+use crate::keeper::membership;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
@@ -104,7 +105,7 @@
         let keeper = Keeper::spawn_with_mailbox(keeper, mailbox::bounded(KEEPER_MAILBOX));
         let mut tasks = JoinSet::new();
         tasks.spawn(keeper::ticks(keeper.clone()));
-        tasks.spawn(keeper::membership(Arc::clone(&shared), Arc::clone(&store), keeper.clone()));
+        tasks.spawn(membership::keep(Arc::clone(&shared), Arc::clone(&store), keeper.clone()));
         tasks.spawn(sync::follow(Arc::clone(&shared), store, keeper.clone()));
         tasks.spawn(beats::send(Arc::clone(&shared), Arc::clone(&socket), keeper.clone()));
         tasks.spawn(beats::receive(Arc::clone(&shared), socket, keeper.clone()));
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -280,7 +280,7 @@
         match self.choose(now, &job) {
             Choice::Send { upstream, version } => Some(self.send(now, &job, &upstream, version)),
             Choice::Wait(_) if self.waiting.len() >= MAX_WAITING => {
-                Some(self.reject(&job, RejectReason::QueueFull, Duration::from_secs(1)))
+                Some(Dispatcher::reject(RejectReason::QueueFull, Duration::from_secs(1)))
             }
             Choice::Wait(blocked) => match self.rejection(now, &job, blocked) {
                 Some(verdict) => Some(verdict),
@@ -590,7 +590,7 @@
         Verdict::Send { upstream: Arc::clone(upstream), version }
     }
 
-    fn reject(&self, _job: &Job, reason: RejectReason, wait: Duration) -> Verdict {
+    fn reject(reason: RejectReason, wait: Duration) -> Verdict {
         let (least, most) = RETRY_AFTER;
         Verdict::Reject { reason, retry_after: wait.clamp(least, most) }
     }
@@ -601,20 +601,21 @@
         let waited = now.since(job.arrived).as_secs_f64();
         match blocked {
             choice::Blocked::NoUpstream if waited >= total * ABSENT_WAIT_SHARE => {
-                Some(self.reject(job, RejectReason::NoUpstream, Duration::from_secs(1)))
+                Some(Dispatcher::reject(RejectReason::NoUpstream, Duration::from_secs(1)))
             }
             choice::Blocked::NoUpstream => None,
-            choice::Blocked::Adapter if waited >= total * WAIT_SHARE => {
-                Some(self.reject(job, RejectReason::AdapterUnavailable, Duration::from_millis(500)))
-            }
+            choice::Blocked::Adapter if waited >= total * WAIT_SHARE => Some(Dispatcher::reject(
+                RejectReason::AdapterUnavailable,
+                Duration::from_millis(500),
+            )),
             choice::Blocked::Adapter => None,
             choice::Blocked::Full if waited >= total * WAIT_SHARE => {
-                Some(self.reject(job, RejectReason::Overload, Duration::from_millis(500)))
+                Some(Dispatcher::reject(RejectReason::Overload, Duration::from_millis(500)))
             }
             choice::Blocked::Full => {
                 let wait = self.predicted_wait(job);
                 let left = job.deadline.since(now);
-                (wait > left).then(|| self.reject(job, RejectReason::Overload, wait - left))
+                (wait > left).then(|| Dispatcher::reject(RejectReason::Overload, wait - left))
             }
         }
     }
--- a/src/bin/fireflyhead/commands/demo.rs
+++ b/src/bin/fireflyhead/commands/demo.rs
@@ -8,8 +8,8 @@
 use clap::Command;
 use clap::value_parser;
 use fireflyhead::ops::demo;
-use fireflyhead::ops::deployments;
-use fireflyhead::ops::deployments::Deployment;
+use fireflyhead::ops::demo::deployments;
+use fireflyhead::ops::demo::deployments::Deployment;
 use fireflyhead::ops::output::Format;
 
 use crate::cli;
--- a/src/ops/demo.rs
+++ b/src/ops/demo.rs
@@ -3,6 +3,8 @@
 //! Every answer is checked against what its request must give, and every order against the
 //! upstreams' own count of runs.
 
+pub mod deployments;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,9 +38,9 @@
 use serde::Serialize;
 use tokio::task::JoinSet;
 
-use crate::ops::deployments::Deployment;
-use crate::ops::deployments::Kind;
-use crate::ops::deployments::Work;
+use crate::ops::demo::deployments::Deployment;
+use crate::ops::demo::deployments::Kind;
+use crate::ops::demo::deployments::Work;
 
 /// Nodes of the demo.
 const NODES: usize = 3;
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -5,7 +5,7 @@
 use std::process::Command;
 use std::process::Output;
 
-use fireflyhead::ops::deployments::Deployment;
+use fireflyhead::ops::demo::deployments::Deployment;
 use fireflyhead_platform_standin::store::Store;
 use fireflyhead_platform_standin::upstream::Upstream;
 use fireflyhead_platform_standin::upstream::UpstreamConfig;
--- a/tests/testsuite/demo.rs
+++ b/tests/testsuite/demo.rs
@@ -1,8 +1,8 @@
 //! The demo on both deployments.
 
 use fireflyhead::ops::demo;
-use fireflyhead::ops::deployments;
-use fireflyhead::ops::deployments::Deployment;
+use fireflyhead::ops::demo::deployments;
+use fireflyhead::ops::demo::deployments::Deployment;
 
 /// Guards against doubled orders, untrue rejections, wrong answers and overfull engines under
 /// a load of all classes, and against a deployment that is not served.
