Log an upstream when it is new or changes its state, not for each adapter

Change: such a change is an update without a line. Behaviour towards requests is the same. Test: fleet::new_adapters_are_an_update (failed before).

--- a/crates/fireflyhead-gateway/src/sync.rs
+++ b/crates/fireflyhead-gateway/src/sync.rs
@@ -220,6 +220,8 @@
                     );
                     self.shared.dispatcher().listed(entry);
                 }
+                // Frequent, and the adapters are known from beats; not worth a line.
+                FleetChange::Updated(entry) => self.shared.dispatcher().listed(entry),
                 FleetChange::Gone(id) => {
                     tracing::info!(event = "upstream_gone", upstream = %id);
                     self.shared.dispatcher().gone(id);
--- a/crates/fireflyhead-policy/src/fleet.rs
+++ b/crates/fireflyhead-policy/src/fleet.rs
@@ -54,6 +54,8 @@
 pub enum FleetChange {
     /// An upstream was listed, changed its state or started anew.
     Listed(Arc<UpstreamEntry>),
+    /// Something else in the entry of an upstream changed, such as its adapters.
+    Updated(Arc<UpstreamEntry>),
     /// An upstream is gone.
     Gone(Name),
 }
@@ -94,10 +96,17 @@
                 self.lapsed.remove(id);
                 match self.entries.get(id) {
                     Some(old) if **old == entry => Vec::new(),
-                    Some(_) | None => {
+                    old => {
+                        let same = old.is_some_and(|old| {
+                            (old.state, old.born, old.address)
+                                == (entry.state, entry.born, entry.address)
+                        });
                         let entry = Arc::new(entry);
                         self.entries.insert(id.clone(), Arc::clone(&entry));
-                        vec![FleetChange::Listed(entry)]
+                        match same {
+                            true => vec![FleetChange::Updated(entry)],
+                            false => vec![FleetChange::Listed(entry)],
+                        }
                     }
                 }
             }
--- a/crates/fireflyhead-policy/tests/policy/fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/fleet.rs
@@ -57,6 +57,16 @@
     assert!(fleet.get("engine-1").is_some());
 }
 
+/// Guards against a log line for each adapter that an engine loads.
+#[test]
+fn new_adapters_are_an_update() {
+    let (mut fleet, id) = with_one();
+    let mut changed = entry("engine-1", "models", 64);
+    changed.models.clear();
+    let changes = fleet.apply(ms(10), &id, Some(changed));
+    assert!(matches!(changes[..], [FleetChange::Updated(_)]));
+}
+
 /// Guards against state that outlives a restart under the same id.
 #[test]
 fn a_new_start_is_news() {
