Log the end of every request, also of callers that leave early

Cause: read as a newcomer: a request whose caller left before the answer began had no line for its end, and an upstream's error that was delivered after a failed repeat was logged as unknown. Change: one place ends a request and writes its line; a request that is dropped writes it too. An answer with no capacities known can't divide by zero. Test: callers::the_upstream_stops_when_the_caller_leaves counts both callers (failed before: 0 of 2).

--- a/crates/fireflyhead-gateway/src/directory.rs
+++ b/crates/fireflyhead-gateway/src/directory.rs
@@ -23,7 +23,6 @@
 const MAX_ADDRESSES: usize = 64;
 /// Nodes of the caller's own zone from which other zones are left out.
 const OWN_ZONE_NODES: usize = 2;
-
 /// Addresses that an answer holds at least, if there are as many, so that callers have a choice
 /// when one of them fails.
 const LEAST_ADDRESSES: usize = 3;
@@ -110,7 +109,7 @@
     }
     let mut rng = rand::rng();
     nodes.shuffle(&mut rng);
-    let largest = nodes.iter().map(|node| node.capacity).fold(0.0, f64::max);
+    let largest = nodes.iter().map(|node| node.capacity).fold(f64::MIN_POSITIVE, f64::max);
     let mut kept = Vec::new();
     let mut rest = Vec::new();
     for node in nodes {
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -11,6 +11,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -143,6 +144,7 @@
         arrived,
         objective: objective(arrived, route),
         deadline,
+        logged: AtomicBool::new(false),
     };
     call.run(open).await
 }
--- a/crates/fireflyhead-gateway/src/forward/call.rs
+++ b/crates/fireflyhead-gateway/src/forward/call.rs
@@ -1,6 +1,8 @@
 //! Tries of one request.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -55,6 +57,16 @@
     pub(super) arrived: Time,
     pub(super) objective: Time,
     pub(super) deadline: Time,
+    /// The line for the end was written.
+    pub(super) logged: AtomicBool,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.logged.load(Ordering::Relaxed) {
+            self.log_end(&Tries::default(), "caller_left", None, 0, "before the answer began");
+        }
+    }
 }
 
 /// What became of a request so far.
@@ -74,6 +86,18 @@
     pub(super) longest_pause: Duration,
 }
 
+/// End of all tries.
+enum End {
+    /// An upstream answered.
+    Answer { response: Response<Body>, upstream: Arc<UpstreamEntry> },
+    /// Nothing can take the request.
+    Reject { reason: &'static str, retry_after: Duration },
+    /// The request may have run.
+    Unknown(String),
+    /// The time of the request is over.
+    Deadline,
+}
+
 /// Result of placing a request.
 pub(super) enum Placed {
     /// An upstream with the number of the send.
@@ -94,13 +118,13 @@
             let (job, upstream, version) = match self.place(&mut tries).await {
                 Placed::Send { job, upstream, version } => (job, upstream, version),
                 Placed::Reject { reason, retry_after } => {
-                    return fallback.unwrap_or_else(|| self.reject(&tries, reason, retry_after));
+                    return self.end(&tries, End::Reject { reason, retry_after }, fallback);
                 }
-                Placed::Deadline => return fallback.unwrap_or_else(|| self.expire(&tries)),
+                Placed::Deadline => return self.end(&tries, End::Deadline, fallback),
             };
             let patience = self.patience(&tries);
             let exchange = self.exchange(job, &upstream, version, patience, None).await;
-            let done = match exchange {
+            let end = match exchange {
                 Exchange::Answer(answer) => {
                     tries.runs += 1;
                     tries.arrivals += 1;
@@ -120,7 +144,7 @@
                                     fallback = Some(response);
                                     None
                                 }
-                                false => Some(self.deliver(&tries, &upstream, response)),
+                                false => Some(End::Answer { response, upstream }),
                             }
                         }
                     }
@@ -130,28 +154,60 @@
                     self.log_try(&upstream.id, "not_sent", &error);
                     tries.tried.push(upstream.id.clone());
                     (tries.not_sent >= MAX_NOT_SENT)
-                        .then(|| self.reject(&tries, "not_sent", REFUSED_RETRY))
+                        .then_some(End::Reject { reason: "not_sent", retry_after: REFUSED_RETRY })
                 }
                 Exchange::NotRun(reason) => {
                     tries.arrivals += 1;
                     tries.not_run += 1;
                     self.log_try(&upstream.id, "not_run", &format!("{reason:?}"));
-                    self.refused(&mut tries, &upstream.id, reason)
+                    (!self.may_try_elsewhere(&tries, &upstream.id, reason))
+                        .then_some(End::Reject { reason: "refused", retry_after: REFUSED_RETRY })
                 }
                 Exchange::Unknown(error) => {
                     tries.runs += 1;
                     tries.arrivals += 1;
                     self.log_try(&upstream.id, "unknown", &error);
                     let repeat = self.may_repeat(&mut tries, &upstream.id);
-                    (!repeat).then(|| self.fail(&tries, &error))
+                    (!repeat).then_some(End::Unknown(error))
                 }
                 Exchange::Deadline => {
                     tries.runs += 1;
-                    Some(self.expire(&tries))
+                    Some(End::Deadline)
                 }
             };
-            if let Some(response) = done {
-                return fallback.filter(|_| !response.status().is_success()).unwrap_or(response);
+            if let Some(end) = end {
+                return self.end(&tries, end, fallback);
+            }
+        }
+    }
+
+    /// Answer at the end of all tries. An error that an upstream answered before goes first, since
+    /// it says more than an answer of the node.
+    fn end(&self, tries: &Tries, end: End, fallback: Option<Response<Body>>) -> Response<Body> {
+        match (end, fallback) {
+            (End::Answer { response, upstream }, _) => {
+                let total = clock::now().since(self.arrived);
+                self.shared.metrics.first_output(self.route.name.as_str(), total);
+                let code = response.status().as_u16();
+                self.log_end(tries, "answered", Some(&upstream.id), code, "");
+                response
+            }
+            (_, Some(response)) => {
+                let code = response.status().as_u16();
+                self.log_end(tries, "answered", None, code, "the error of an earlier try");
+                response
+            }
+            (End::Reject { reason, retry_after }, None) if tries.runs == 0 => {
+                self.shared.metrics.rejection(reason);
+                self.log_end(tries, "rejected", None, 503, reason);
+                refusal(retry_after)
+            }
+            // An earlier try may have run, so that nothing else is certain.
+            (End::Reject { reason, .. }, None) => self.fail(tries, reason),
+            (End::Unknown(reason), None) => self.fail(tries, &reason),
+            (End::Deadline, None) => {
+                self.log_end(tries, "deadline", None, 504, "");
+                status(StatusCode::GATEWAY_TIMEOUT)
             }
         }
     }
@@ -210,19 +266,14 @@
         self.shared.budget().take(now, &self.service, nodes)
     }
 
-    /// Answer after an upstream refused, or `None` if another one may be tried.
-    fn refused(
-        &self,
-        tries: &mut Tries,
-        upstream: &Name,
-        reason: NotRun,
-    ) -> Option<Response<Body>> {
+    /// Whether a request that `upstream` did not run is sent to another one; takes it out of the
+    /// budget.
+    fn may_try_elsewhere(&self, tries: &Tries, upstream: &Name, reason: NotRun) -> bool {
         // The dispatcher avoids the upstream by itself for an absent adapter or a full queue.
         if reason == NotRun::Misdirected {
             self.shared.pool.forget(upstream.as_str());
         }
-        let more = tries.not_run < MAX_NOT_RUN && self.take_budget();
-        (!more).then(|| self.reject(tries, "refused", REFUSED_RETRY))
+        tries.not_run < MAX_NOT_RUN && self.take_budget()
     }
 
     /// Moment up to which the head of the response is waited for.
@@ -248,38 +299,11 @@
         response
     }
 
-    fn deliver(
-        &self,
-        tries: &Tries,
-        upstream: &UpstreamEntry,
-        response: Response<Body>,
-    ) -> Response<Body> {
-        let total = clock::now().since(self.arrived);
-        self.shared.metrics.first_output(self.route.name.as_str(), total);
-        self.log_end(tries, "answered", Some(&upstream.id), response.status().as_u16(), "");
-        response
-    }
-
-    /// Answer that the request has not run; an unknown outcome if that is not certain.
-    fn reject(&self, tries: &Tries, reason: &'static str, retry_after: Duration) -> Response<Body> {
-        if tries.runs > 0 {
-            return self.fail(tries, reason);
-        }
-        self.shared.metrics.rejection(reason);
-        self.log_end(tries, "rejected", None, 503, reason);
-        refusal(retry_after)
-    }
-
     fn fail(&self, tries: &Tries, reason: &str) -> Response<Body> {
         self.log_end(tries, "unknown", None, 502, reason);
         status(StatusCode::BAD_GATEWAY)
     }
 
-    fn expire(&self, tries: &Tries) -> Response<Body> {
-        self.log_end(tries, "deadline", None, 504, "");
-        status(StatusCode::GATEWAY_TIMEOUT)
-    }
-
     fn log_try(&self, upstream: &Name, result: &'static str, reason: &str) {
         tracing::info!(
             event = "try_failed",
@@ -300,6 +324,7 @@
         code: u16,
         reason: &str,
     ) {
+        self.logged.store(true, Ordering::Relaxed);
         let total = clock::now().since(self.arrived);
         self.shared.metrics.request(self.route.name.as_str(), outcome, total);
         self.shared.metrics.queued(tries.queued);
