Remove two functions that nothing calls

Lease::reused with its field and Custody::holder. No behaviour changes. Checks: clippy and house checks of the workspace, tests of gateway, policy and commands; the platform suite was not run again to its end.

--- a/crates/fireflyhead-gateway/src/pool.rs
+++ b/crates/fireflyhead-gateway/src/pool.rs
@@ -61,7 +61,6 @@
 pub struct Lease {
     upstream: Name,
     connection: Connection,
-    reused: bool,
 }
 
 struct Idle {
@@ -117,12 +116,12 @@
         })
         .abort_handle();
         let connection = Connection { sender, driver, idle_limit: IDLE_LIMIT };
-        Ok(Lease { upstream: upstream.clone(), connection, reused: false })
+        Ok(Lease { upstream: upstream.clone(), connection })
     }
 
     /// Takes back a connection after a complete exchange.
     pub fn give_back(&self, lease: Lease) {
-        let Lease { upstream, connection, .. } = lease;
+        let Lease { upstream, connection } = lease;
         if connection.sender.is_closed() || connection.idle_limit.is_zero() {
             return;
         }
@@ -161,7 +160,7 @@
                 return None;
             }
             if connection.sender.is_ready() && age < connection.idle_limit {
-                return Some(Lease { upstream: upstream.clone(), connection, reused: true });
+                return Some(Lease { upstream: upstream.clone(), connection });
             }
         }
         None
@@ -190,11 +189,6 @@
             },
         }
     }
-
-    /// Whether the connection carried requests before.
-    pub fn reused(&self) -> bool {
-        self.reused
-    }
 }
 
 /// Time for which an upstream keeps an idle connection, less a margin; zero if it closes it.
--- a/crates/fireflyhead-policy/src/custody.rs
+++ b/crates/fireflyhead-policy/src/custody.rs
@@ -183,11 +183,6 @@
         self.tenures.get(upstream).map(|tenure| tenure.fence)
     }
 
-    /// Holder of an engine by the newest record.
-    pub fn holder(&self, upstream: &str) -> Option<&Name> {
-        self.records.get(upstream).map(|record| &record.holding.holder)
-    }
-
     /// Records of engines that are not in `listed`.
     pub fn orphans(&self, listed: impl Fn(&str) -> bool) -> Vec<(Name, u64)> {
         self.records
