--- a/crates/fireflyhead-gateway/src/beats.rs
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -1,9 +1,10 @@
 //! Datagrams between nodes.
 //!
-//! Every node sends its whole state to every other node: often within its zone, where most of
-//! its requests go, and less often to other zones, whose traffic is priced. The intervals grow
-//! with the number of nodes, so that the datagrams of one node stay bounded. When an adapter
-//! came into place, all are told at once.
+//! Every node sends its whole state to every other node: often within its zone, and less often
+//! to other zones, whose traffic is priced. The intervals grow with the number of nodes, so that
+//! the datagrams of one node stay bounded. When an adapter came into place, all are told at
+//! once. Places at engines are asked for at their holders, so that admission does not depend on
+//! the age of a beat.
 
 use std::collections::HashMap;
 use std::io;
@@ -25,21 +26,21 @@
 use crate::clock;
 use crate::keeper::Keeper;
 use crate::keeper::KeeperMsg;
+use crate::outgoing::MAX_DATAGRAM;
+use crate::outgoing::encode;
 use crate::state::Shared;
 
-/// Shortest interval of beats within the zone; load figures much older than this mislead the
-/// choice of upstreams.
-const INTERVAL: Duration = Duration::from_millis(40);
-/// Interval for each node of the zone, which bounds a node at 250 datagrams a second.
-const INTERVAL_PER_NODE: Duration = Duration::from_millis(4);
+/// Shortest interval of beats within the zone; load figures of plain upstreams and the choice
+/// among replicas depend on it.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Interval for each node of the zone, which bounds a node at 100 datagrams a second.
+const INTERVAL_PER_NODE: Duration = Duration::from_millis(10);
 /// Shortest interval of beats to other zones.
-const FAR_INTERVAL: Duration = Duration::from_millis(40);
-/// Interval for each node of other zones, which bounds a node at 167 datagrams a second.
-const FAR_INTERVAL_PER_NODE: Duration = Duration::from_millis(6);
+const FAR_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval for each node of other zones, which bounds a node at 125 datagrams a second.
+const FAR_INTERVAL_PER_NODE: Duration = Duration::from_millis(8);
 /// Interval at which wants are looked at.
 const WANT_INTERVAL: Duration = Duration::from_millis(15);
-/// Largest datagram.
-const MAX_DATAGRAM: usize = 60_000;
 
 /// Sends beats and wants until the process ends.
 pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>, keeper: ActorRef<Keeper>) {
@@ -90,6 +91,12 @@
         match decode(&buf[..len]) {
             Ok(Datagram::Beat(beat)) => take_beat(&shared, *beat),
             Ok(Datagram::Wants(wants)) => keeper_tell(&keeper, KeeperMsg::Wants(wants)).await,
+            Ok(Datagram::ToHolder { node, messages }) => {
+                shared.admit(clock::now(), &node, messages);
+            }
+            Ok(Datagram::Answers { holder, answers }) => {
+                shared.answered(clock::now(), &holder, answers);
+            }
             Err(error) => tracing::warn!(event = "bad_datagram", error, len),
         }
     }
@@ -107,11 +114,13 @@
     for node in silent {
         let beat = shared.peers().all().find(|peer| peer.beat.node == node).map(|p| p.beat.clone());
         let mut dispatcher = shared.dispatcher();
-        dispatcher.peer_load(&node, Vec::new());
+        dispatcher.peer_load(now, &node, Vec::new());
         for mut placement in beat.into_iter().flat_map(|beat| beat.placements) {
             placement.open = false;
-            dispatcher.placement(&placement);
+            dispatcher.placement(now, &node, &placement);
         }
+        drop(dispatcher);
+        shared.admission().forget(&node);
     }
     let nodes = shared.node_count(now);
     shared.dispatcher().set_nodes(nodes);
@@ -133,16 +142,23 @@
         return;
     }
     let mut dispatcher = shared.dispatcher();
-    dispatcher.peer_load(&beat.node, beat.loads);
     for placement in &beat.placements {
-        dispatcher.placement(placement);
+        dispatcher.placement(now, &beat.node, placement);
     }
+    dispatcher.peer_load(now, &beat.node, beat.loads);
     drop(dispatcher);
     shared.pump(now);
 }
 
 fn beat(shared: &Shared, seq: u64) -> Beat {
     let settings = &shared.settings;
+    let now = clock::now();
+    let held = shared.admission().loads(now);
+    let mut dispatcher = shared.dispatcher();
+    dispatcher.peer_load(now, &settings.node, held.clone());
+    let mut loads = dispatcher.plain_loads();
+    drop(dispatcher);
+    loads.extend(held);
     Beat {
         node: settings.node.clone(),
         incarnation: shared.incarnation,
@@ -153,7 +169,7 @@
         state: shared.node_state(),
         capacity: (settings.capacity * 1_000.0) as u32,
         loading: u32::try_from(shared.loading()).unwrap_or(u32::MAX),
-        loads: shared.dispatcher().loads(clock::now()),
+        loads,
         placements: shared.placements().clone(),
     }
 }
@@ -229,17 +245,7 @@
     datagram: &Datagram,
     targets: impl IntoIterator<Item = &SocketAddr>,
 ) {
-    let buf = match codec::encode(&wire::Datagram::from(datagram)) {
-        Ok(buf) if buf.len() <= MAX_DATAGRAM => buf,
-        Ok(buf) => {
-            tracing::error!(event = "datagram_too_large", len = buf.len());
-            return;
-        }
-        Err(error) => {
-            tracing::error!(event = "datagram_not_encoded", %error);
-            return;
-        }
-    };
+    let Some(buf) = encode(datagram) else { return };
     for target in targets {
         match socket.send_to(&buf, target).await {
             Ok(_) => {}
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -230,11 +230,11 @@
 
     fn finish(&mut self) {
         self.ended = true;
-        self.flight.end(SendOutcome::Served);
         if let Some(objective) = self.call.route.pause_objective {
             let late = self.tries.longest_pause > objective;
-            self.call.shared.dispatcher().paused(self.upstream.as_str(), late);
+            self.call.shared.dispatcher().paused(&self.upstream, late);
         }
+        self.flight.end(SendOutcome::Served);
         if let Some(lease) = self.lease.take() {
             self.call.shared.pool.give_back(lease);
         }
--- a/crates/fireflyhead-gateway/src/keeper.rs
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -245,14 +245,17 @@
                 continue;
             }
             self.ensure(entry);
+            self.shared.admission().hold(&entry.id, entry.slots, entry.born);
             if usage_due {
-                let used = self.shared.dispatcher().usage(now, entry.id.as_str());
+                let used = self.shared.admission().usage(entry.id.as_str());
                 if let Some(engine) = self.engines.get_mut(&entry.id) {
                     engine.residency.usage(now, &used);
                 }
             }
             self.work(now, entry, listed.len(), me);
         }
+        let engines = &self.engines;
+        self.shared.admission().retain(|upstream| engines.contains_key(upstream));
         self.publish(now);
     }
 
@@ -396,7 +399,7 @@
         drop(published);
         let mut dispatcher = self.shared.dispatcher();
         for placement in &placements {
-            dispatcher.placement(placement);
+            dispatcher.placement(now, &self.shared.settings.node, placement);
         }
         drop(dispatcher);
         self.shared.pump(now);
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod node;
+pub mod outgoing;
 pub mod pool;
 pub mod settings;
 pub mod state;
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -90,6 +90,7 @@
         let socket = Arc::new(UdpSocket::bind(settings.peer).await?);
         settings.peer = socket.local_addr()?;
         let dispatcher = Dispatcher::new(DispatchSettings {
+            node: settings.node.clone(),
             zone: settings.zone.clone(),
             version_bound: settings.version_bound,
             seed: clock::unix_millis(),
@@ -100,6 +101,7 @@
             window: settings.retry_window,
         });
         let shared = Arc::new(Shared::new(settings, dialect, metrics, dispatcher, budget));
+        shared.outgoing().open(Arc::clone(&socket));
 
         let keeper = Keeper::new(Arc::clone(&shared), Arc::clone(&store), http);
         let keeper = Keeper::spawn_with_mailbox(keeper, mailbox::bounded(KEEPER_MAILBOX));
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -13,6 +13,8 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::admission::Addressed;
+use fireflyhead_policy::admission::Admission;
 use fireflyhead_policy::budget::RetryBudget;
 use fireflyhead_policy::config::Config;
 use fireflyhead_policy::dialect::Dialect;
@@ -23,17 +25,25 @@
 use fireflyhead_policy::dispatch::Verdict;
 use fireflyhead_policy::fleet::Fleet;
 use fireflyhead_policy::limits::RouteLimits;
+use fireflyhead_policy::message::Answer;
+use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::message::NodeState;
 use fireflyhead_policy::message::Placement;
+use fireflyhead_policy::message::ToHolder;
 use fireflyhead_policy::peers::Peers;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::clock;
 use crate::metrics::Metrics;
+use crate::outgoing::Outgoing;
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
 
+/// Bits of a request's number below the start of the process; more requests than they count
+/// don't arrive in a millisecond of its life.
+const JOB_BITS: u32 = 16;
+
 /// State of a node. Locks are held for single decisions and never across an await.
 pub struct Shared {
     /// Settings at the start.
@@ -51,6 +61,8 @@
     config: Mutex<Option<Arc<Config>>>,
     fleet: Mutex<Fleet>,
     dispatcher: Mutex<Dispatcher>,
+    admission: Mutex<Admission>,
+    outgoing: Outgoing,
     budget: Mutex<RetryBudget>,
     limits: Mutex<RouteLimits>,
     peers: Mutex<Peers>,
@@ -87,6 +99,8 @@
             config: Mutex::new(None),
             fleet: Mutex::new(Fleet::default()),
             dispatcher: Mutex::new(dispatcher),
+            admission: Mutex::new(Admission::default()),
+            outgoing: Outgoing::default(),
             budget: Mutex::new(budget),
             limits: Mutex::new(RouteLimits::default()),
             peers: Mutex::new(Peers::default()),
@@ -94,7 +108,8 @@
             members: Mutex::new(HashMap::new()),
             verdicts: Mutex::new(HashMap::new()),
             loading: AtomicUsize::new(0),
-            next_job: AtomicU64::new(0),
+            // Holders tell requests apart by node and number, also across a restart.
+            next_job: AtomicU64::new(clock::unix_millis() << JOB_BITS),
             leaving: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
         }
@@ -125,6 +140,16 @@
         lock(&self.dispatcher)
     }
 
+    /// Admission to the engines in custody.
+    pub fn admission(&self) -> MutexGuard<'_, Admission> {
+        lock(&self.admission)
+    }
+
+    /// Datagrams to other nodes.
+    pub fn outgoing(&self) -> &Outgoing {
+        &self.outgoing
+    }
+
     /// Budget for repeated sends.
     pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.budget)
@@ -208,12 +233,92 @@
                 lock(&self.verdicts).insert(id, tx);
             }
         }
+        self.flush(now);
         PendingJob { shared: Arc::clone(self), id, rx }
     }
 
     /// Delivers the verdicts that became possible.
     pub fn pump(&self, now: Time) {
         let decided = self.dispatcher().pump(now);
+        self.deliver(now, decided);
+        let answers = self.admission().pump(now);
+        self.reply(now, answers);
+        self.flush(now);
+    }
+
+    /// Takes messages of `node` to this node as the holder of engines.
+    pub fn admit(&self, now: Time, node: &Name, messages: Vec<ToHolder>) {
+        let mut answers = Vec::new();
+        let mut admission = self.admission();
+        for message in messages {
+            match message {
+                ToHolder::Ask(ask) => answers.push(admission.ask(now, node, &ask)),
+                ToHolder::Progress(progress) => admission.progress(now, node, &progress),
+            }
+        }
+        answers.extend(admission.pump(now));
+        drop(admission);
+        self.reply(now, answers);
+    }
+
+    /// Takes answers of `holder`.
+    pub fn answered(&self, now: Time, holder: &Name, answers: Vec<Answer>) {
+        let mut dispatcher = self.dispatcher();
+        let decided = answers
+            .into_iter()
+            .filter_map(|answer| dispatcher.answered(now, holder, answer))
+            .collect();
+        drop(dispatcher);
+        self.deliver(now, decided);
+    }
+
+    /// Sends what the dispatcher has for the holders of engines.
+    fn flush(&self, now: Time) {
+        loop {
+            let outbox = self.dispatcher().outbox();
+            if outbox.is_empty() {
+                return;
+            }
+            let mut by_holder: HashMap<Name, Vec<ToHolder>> = HashMap::new();
+            for (holder, message) in outbox {
+                by_holder.entry(holder).or_default().push(message);
+            }
+            for (holder, messages) in by_holder {
+                let node = self.settings.node.clone();
+                match holder == node {
+                    true => self.admit(now, &node, messages),
+                    false => self.send(&holder, &Datagram::ToHolder { node, messages }),
+                }
+            }
+        }
+    }
+
+    fn reply(&self, now: Time, answers: Vec<Addressed>) {
+        let mut by_node: HashMap<Name, Vec<Answer>> = HashMap::new();
+        for Addressed { node, answer } in answers {
+            by_node.entry(node).or_default().push(answer);
+        }
+        for (node, answers) in by_node {
+            match node == self.settings.node {
+                true => self.answered(now, &node, answers),
+                false => {
+                    let holder = self.settings.node.clone();
+                    self.send(&node, &Datagram::Answers { holder, answers });
+                }
+            }
+        }
+    }
+
+    fn send(&self, node: &Name, datagram: &Datagram) {
+        let address = self.peers().address(node.as_str());
+        let address = address.or_else(|| self.members().get(node).copied());
+        match address {
+            Some(address) => self.outgoing.send(address, datagram),
+            None => tracing::debug!(event = "datagram_without_address", %node),
+        }
+    }
+
+    fn deliver(&self, now: Time, decided: Vec<(JobId, Verdict)>) {
         for (id, verdict) in decided {
             let tx = lock(&self.verdicts).remove(&id);
             let undelivered = match tx {
@@ -246,7 +351,10 @@
     fn drop(&mut self) {
         let waiting = lock(&self.shared.verdicts).remove(&self.id).is_some();
         match self.rx.try_recv() {
-            _ if waiting => self.shared.dispatcher().cancel(self.id),
+            _ if waiting => {
+                self.shared.dispatcher().cancel(self.id);
+                self.shared.flush(clock::now());
+            }
             // The caller left before it could act on the verdict; nothing was sent.
             Ok(Verdict::Send { .. }) => {
                 self.shared.dispatcher().done(clock::now(), self.id, SendOutcome::Abandoned);
--- a/crates/fireflyhead-policy/benches/dispatch.rs
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -65,7 +65,7 @@
             adapters: Vec::new(),
         };
         dispatcher.listed(&Arc::new(entry));
-        dispatcher.placement(&placement(n));
+        dispatcher.placement(Time::default(), &Name::from("node-1"), &placement(n));
     }
     dispatcher
 }
@@ -134,6 +134,7 @@
         in_flight: 2,
         pending_tokens: 700,
         adapters: vec![(Name::from("a1234"), 1), (Name::from("a4321"), 1)],
+        ..UpstreamLoad::default()
     };
     Datagram::Beat(Box::new(Beat {
         node: Name::from("edge-zone-a-1"),
--- /dev/null
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -0,0 +1,393 @@
+//! Admission of requests to engines, decided by the node that has custody of an engine.
+//!
+//! Answers prompts of many nodes that meet at one engine: the holder knows every request there,
+//! so it can pace prompts and order waiting requests over all nodes. Figures that nodes tell
+//! each other are too old for that when there are many nodes. A node that gets no answer decides
+//! by itself, so a lost holder costs a timeout and pacing, not requests.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::Name;
+use crate::Time;
+use crate::dispatch::ENGINE_WINDOW;
+use crate::dispatch::Job;
+use crate::dispatch::JobId;
+use crate::dispatch::PREFILL_WAIT_SHARE;
+use crate::dispatch::WAIT_SHARE;
+use crate::dispatch::load::EngineLoad;
+use crate::dispatch::load::read_rate;
+use crate::dispatch::load::takes_prompt;
+use crate::dispatch::queue::Queue;
+use crate::dispatch::queue::Shares;
+use crate::message::Answer;
+use crate::message::Ask;
+use crate::message::Progress;
+use crate::message::ProgressEvent;
+use crate::message::Reply;
+use crate::message::UpstreamLoad;
+
+/// Time for which an engine that said it was full gets no request.
+const FULL_FOR: Duration = Duration::from_millis(60);
+/// Requests that wait for one engine before further ones are rejected.
+const MAX_WAITING: usize = 500;
+/// Time after which a caller is asked to return when its request waited for too long.
+const RETURN_AFTER: Duration = Duration::from_millis(500);
+/// Weight of the newest sample in the mean time that a request takes.
+const RUN_TIME_ALPHA: f64 = 0.05;
+/// Time that a request takes before the first sample, in seconds.
+const RUN_TIME_FIRST_S: f64 = 1.0;
+/// Time past the deadline after which a request counts as ended. Its node reports the end
+/// earlier, but reports can be lost.
+const EXPIRE_AFTER: Duration = Duration::from_secs(1);
+
+/// Answer for a node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Addressed {
+    /// Node.
+    pub node: Name,
+    /// Answer.
+    pub answer: Answer,
+}
+
+/// Node and its number of the request.
+type Origin = (Name, JobId);
+
+#[derive(Debug)]
+enum Place {
+    Waiting,
+    Running { tokens: u32, output: bool, since: Time },
+}
+
+#[derive(Debug)]
+struct Entry {
+    /// Number in the queue; numbers of nodes may coincide.
+    local: JobId,
+    place: Place,
+    adapter: Option<Name>,
+    expires: Time,
+}
+
+/// Requests at one engine.
+#[derive(Debug)]
+struct Ledger {
+    upstream: Name,
+    born: u64,
+    slots: u32,
+    load: EngineLoad,
+    queue: Queue,
+    queued_tokens: u32,
+    shares: Shares,
+    entries: HashMap<Origin, Entry>,
+    origins: HashMap<JobId, Origin>,
+    next_local: u64,
+    full_until: Time,
+    run_time_s: f64,
+}
+
+/// Admission to the engines in custody.
+#[derive(Debug, Default)]
+pub struct Admission {
+    ledgers: HashMap<Name, Ledger>,
+}
+
+impl Admission {
+    /// Opens the engine, or starts anew after it started anew.
+    pub fn hold(&mut self, upstream: &Name, slots: u32, born: u64) {
+        match self.ledgers.get_mut(upstream) {
+            Some(ledger) if ledger.born == born => ledger.slots = slots,
+            Some(_) | None => {
+                self.ledgers.insert(upstream.clone(), Ledger::new(upstream.clone(), slots, born));
+            }
+        }
+    }
+
+    /// Closes the engines that `keep` denies.
+    pub fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.ledgers.retain(|upstream, _| keep(upstream));
+    }
+
+    /// Takes the request of `node` for a place and answers it at once.
+    pub fn ask(&mut self, now: Time, node: &Name, ask: &Ask) -> Addressed {
+        let answer = match self.ledgers.get_mut(&ask.upstream) {
+            Some(ledger) => ledger.ask(now, node, ask),
+            None => Answer {
+                job: ask.job,
+                reply: Reply::NotHolder,
+                load: UpstreamLoad { upstream: ask.upstream.clone(), ..UpstreamLoad::default() },
+            },
+        };
+        Addressed { node: node.clone(), answer }
+    }
+
+    /// Takes what `node` tells of a request.
+    pub fn progress(&mut self, now: Time, node: &Name, progress: &Progress) {
+        if let Some(ledger) = self.ledgers.get_mut(&progress.upstream) {
+            ledger.progress(now, node, &progress.event);
+        }
+    }
+
+    /// Grants the places that became free and rejects what waited for too long.
+    pub fn pump(&mut self, now: Time) -> Vec<Addressed> {
+        self.ledgers.values_mut().flat_map(|ledger| ledger.pump(now)).collect()
+    }
+
+    /// Forgets the requests of a node that fell silent.
+    pub fn forget(&mut self, node: &Name) {
+        for ledger in self.ledgers.values_mut() {
+            let origins: Vec<Origin> =
+                ledger.entries.keys().filter(|origin| origin.0 == *node).cloned().collect();
+            origins.iter().for_each(|origin| ledger.end(origin, None));
+        }
+    }
+
+    /// Load of all engines in custody.
+    pub fn loads(&self, now: Time) -> Vec<UpstreamLoad> {
+        self.ledgers
+            .values()
+            .map(|ledger| UpstreamLoad {
+                adapters: ledger
+                    .load
+                    .in_use()
+                    .iter()
+                    .map(|(name, count)| (name.clone(), *count))
+                    .collect(),
+                ..ledger.figures(now)
+            })
+            .collect()
+    }
+
+    /// Requests of all nodes for each adapter of an engine.
+    pub fn usage(&self, upstream: &str) -> HashMap<Name, u32> {
+        self.ledgers.get(upstream).map(|ledger| ledger.load.in_use().clone()).unwrap_or_default()
+    }
+
+    /// Requests that wait here.
+    pub fn waiting(&self) -> usize {
+        self.ledgers.values().map(|ledger| ledger.queue.len()).sum()
+    }
+}
+
+impl Ledger {
+    fn new(upstream: Name, slots: u32, born: u64) -> Ledger {
+        Ledger {
+            upstream,
+            born,
+            slots,
+            load: EngineLoad::default(),
+            queue: Queue::default(),
+            queued_tokens: 0,
+            shares: Shares::default(),
+            entries: HashMap::new(),
+            origins: HashMap::new(),
+            next_local: 0,
+            full_until: Time::default(),
+            run_time_s: RUN_TIME_FIRST_S,
+        }
+    }
+
+    fn ask(&mut self, now: Time, node: &Name, ask: &Ask) -> Answer {
+        let origin = (node.clone(), ask.job);
+        let reply = match self.entries.get(&origin).map(|entry| &entry.place) {
+            // The node asks again because an answer was lost or is slow to come.
+            Some(Place::Running { .. }) => Reply::Granted,
+            Some(Place::Waiting) => Reply::Queued,
+            None => {
+                self.next_local += 1;
+                let local = JobId(self.next_local);
+                let job = ask.to_job(now, local);
+                match self.takes(now, &job) {
+                    true => {
+                        self.grant(now, origin, &job);
+                        Reply::Granted
+                    }
+                    false => self.enqueue(now, origin, job),
+                }
+            }
+        };
+        Answer { job: ask.job, reply, load: self.figures(now) }
+    }
+
+    fn enqueue(&mut self, now: Time, origin: Origin, job: Job) -> Reply {
+        let wait = self.predicted_wait(now, &job);
+        let left = job.deadline.since(now);
+        if wait > left || self.queue.len() >= MAX_WAITING {
+            return Reply::Denied { retry_after: wait.saturating_sub(left) };
+        }
+        self.queued_tokens += job.prompt_tokens;
+        self.origins.insert(job.id, origin.clone());
+        let entry = Entry {
+            local: job.id,
+            place: Place::Waiting,
+            adapter: job.adapter().cloned(),
+            expires: job.deadline + EXPIRE_AFTER,
+        };
+        self.entries.insert(origin, entry);
+        self.queue.insert(job);
+        Reply::Queued
+    }
+
+    /// Whether the engine has a place for `job` and time to read its prompt.
+    fn takes(&self, now: Time, job: &Job) -> bool {
+        let places = (f64::from(self.slots) * ENGINE_WINDOW).max(1.0);
+        let objective = job.objective.since(job.arrived);
+        let late = now.since(job.arrived) >= objective.mul_f64(PREFILL_WAIT_SHARE);
+        let backlog = self.load.backlog(now);
+        now >= self.full_until
+            && f64::from(self.load.in_flight()) < places
+            && takes_prompt(backlog, self.load.late_pauses(), job.prompt_tokens, late)
+    }
+
+    fn grant(&mut self, now: Time, origin: Origin, job: &Job) {
+        self.load.started(now, job.adapter(), job.prompt_tokens);
+        self.shares.count(&job.route);
+        let place = Place::Running { tokens: job.prompt_tokens, output: false, since: now };
+        let entry = Entry {
+            local: job.id,
+            place,
+            adapter: job.adapter().cloned(),
+            expires: job.deadline + EXPIRE_AFTER,
+        };
+        self.entries.insert(origin, entry);
+    }
+
+    /// Time until `job` gets a place, from what waits before it and the engine's pace.
+    fn predicted_wait(&self, now: Time, job: &Job) -> Duration {
+        let (ahead, tokens) = self
+            .queue
+            .before(job)
+            .fold((0, 0), |(count, sum), other| (count + 1, sum + other.prompt_tokens));
+        let backlog = self.load.backlog(now);
+        let reading = f64::from(tokens + backlog) / read_rate(self.load.late_pauses());
+        let places = (f64::from(self.slots) * ENGINE_WINDOW).max(1.0);
+        let busy = f64::from(self.load.in_flight()) >= places;
+        let running = match busy {
+            true => f64::from(ahead + 1) * self.run_time_s / places,
+            false => 0.0,
+        };
+        Duration::try_from_secs_f64(reading.max(running)).unwrap_or(Duration::MAX)
+    }
+
+    fn progress(&mut self, now: Time, node: &Name, event: &ProgressEvent) {
+        match event {
+            ProgressEvent::Output(job) => {
+                let entry = self.entries.get_mut(&(node.clone(), *job));
+                if let Some(Place::Running { tokens, output, .. }) =
+                    entry.map(|entry| &mut entry.place)
+                    && !*output
+                {
+                    *output = true;
+                    self.load.output(*tokens);
+                }
+            }
+            ProgressEvent::Ended(job) => self.end(&(node.clone(), *job), Some(now)),
+            ProgressEvent::Full(job) => {
+                self.full_until = now + FULL_FOR;
+                self.end(&(node.clone(), *job), None);
+            }
+            ProgressEvent::Paused { late } => self.load.paused(*late),
+            ProgressEvent::Running { job, adapter, left } => {
+                let origin = (node.clone(), *job);
+                if self.entries.contains_key(&origin) {
+                    return;
+                }
+                self.load.adopted(adapter.as_ref());
+                let entry = Entry {
+                    local: JobId(0),
+                    place: Place::Running { tokens: 0, output: true, since: now },
+                    adapter: adapter.clone(),
+                    expires: now + *left + EXPIRE_AFTER,
+                };
+                self.entries.insert(origin, entry);
+            }
+        }
+    }
+
+    /// Ends a request, at `now` if it ran to its end.
+    fn end(&mut self, origin: &Origin, now: Option<Time>) {
+        let Some(entry) = self.entries.remove(origin) else { return };
+        match entry.place {
+            Place::Waiting => {
+                self.origins.remove(&entry.local);
+                self.queue.cancel(entry.local);
+                self.count_queue();
+            }
+            Place::Running { tokens, output, since } => {
+                if !output {
+                    self.load.output(tokens);
+                }
+                self.load.ended(entry.adapter.as_ref());
+                if let Some(now) = now {
+                    let sample = now.since(since).as_secs_f64();
+                    self.run_time_s += RUN_TIME_ALPHA * (sample - self.run_time_s);
+                }
+            }
+        }
+    }
+
+    fn count_queue(&mut self) {
+        self.queued_tokens = self.queue.iter().map(|job| job.prompt_tokens).sum();
+    }
+
+    fn pump(&mut self, now: Time) -> Vec<Addressed> {
+        self.expire(now);
+        if self.queue.len() == 0 {
+            return Vec::new();
+        }
+        let mut decided = Vec::new();
+        for key in self.queue.order(now, |_| Some(&self.shares)) {
+            let Some(job) = self.queue.remove(&key) else { continue };
+            let total = job.deadline.since(job.arrived);
+            let reply = match self.takes(now, &job) {
+                true => Reply::Granted,
+                false if now.since(job.arrived) >= total.mul_f64(WAIT_SHARE) => {
+                    Reply::Denied { retry_after: RETURN_AFTER }
+                }
+                false => {
+                    self.queue.insert(job);
+                    continue;
+                }
+            };
+            let Some(origin) = self.origins.remove(&job.id) else { continue };
+            match reply {
+                Reply::Granted => self.grant(now, origin.clone(), &job),
+                Reply::Denied { .. } | Reply::Queued | Reply::NotHolder => {
+                    self.entries.remove(&origin);
+                }
+            }
+            decided.push((origin, reply));
+        }
+        self.count_queue();
+        let load = self.figures(now);
+        decided
+            .into_iter()
+            .map(|((node, job), reply)| Addressed {
+                node,
+                answer: Answer { job, reply, load: load.clone() },
+            })
+            .collect()
+    }
+
+    fn expire(&mut self, now: Time) {
+        let expired: Vec<Origin> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| now >= entry.expires)
+            .map(|(origin, _)| origin.clone())
+            .collect();
+        expired.iter().for_each(|origin| self.end(origin, None));
+    }
+
+    /// Load without the adapters.
+    fn figures(&self, now: Time) -> UpstreamLoad {
+        UpstreamLoad {
+            upstream: self.upstream.clone(),
+            total: true,
+            in_flight: self.load.in_flight(),
+            pending_tokens: self.load.backlog(now),
+            queued_tokens: self.queued_tokens,
+            late_permille: (self.load.late_pauses() * 1_000.0) as u32,
+            adapters: Vec::new(),
+        }
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -11,13 +11,17 @@
 //! - lost, slow or failing upstreams: they cost more, are ejected for a while, never more
 //!   than a share of a service.
 //!
-//! State of other nodes comes from their beats and ages out with them.
+//! The requests of all nodes at an engine meet at its holder, which admits them
+//! ([`admission`](crate::admission)); without a holder that answers, a node decides by its own
+//! requests alone.
 
+mod asked;
 mod choice;
+pub(crate) mod load;
+pub(crate) mod queue;
 mod upstreams;
 mod wants;
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,28 +36,29 @@
 use crate::fleet::UpstreamEntry;
 use crate::health::Failure;
 use crate::message::Placement;
+use crate::message::ProgressEvent;
 use crate::message::UpstreamLoad;
 use crate::message::Want;
 
+use self::asked::Asked;
 use self::choice::Choice;
+use self::queue::Queue;
+use self::queue::Shares;
 use self::upstreams::Upstream;
 use self::wants::Wants;
 
 /// Requests that wait in one node before further ones are rejected.
 const MAX_WAITING: usize = 2_000;
-/// Waiting requests that one pass looks at, so that a pass stays short in a flood.
-const PASS_LIMIT: usize = 256;
 /// Share of the time up to the deadline for which a request waits at most.
-const WAIT_SHARE: f64 = 0.4;
-/// Time from a send to the first output of an engine without a backlog.
-const FIRST_OUTPUT_TIME: Duration = Duration::from_millis(200);
+pub(crate) const WAIT_SHARE: f64 = 0.4;
+/// Share of an engine's slots that are filled before requests wait.
+pub(crate) const ENGINE_WINDOW: f64 = 0.95;
+/// Share of the objective for which a request waits for a small backlog.
+pub(crate) const PREFILL_WAIT_SHARE: f64 = 0.45;
 /// Share of the time up to the deadline for which a request waits for a service without upstreams.
 const ABSENT_WAIT_SHARE: f64 = 0.1;
 /// Weight of the newest sample in the mean service time.
 const SERVICE_TIME_ALPHA: f64 = 0.05;
-/// Factor by which older requests lose weight in the shares of routes with each new one; about
-/// the last hundred requests count.
-const SHARE_DECAY: f64 = 0.99;
 /// Service time before the first sample, in seconds.
 const SERVICE_TIME_FIRST_S: f64 = 0.1;
 /// Shortest and longest time after which a caller is asked to return.
@@ -94,6 +99,18 @@
     pub tried: Vec<Name>,
 }
 
+impl Job {
+    /// Adapter that the request needs.
+    pub fn adapter(&self) -> Option<&Name> {
+        self.model.as_ref()?.adapter.as_ref()
+    }
+
+    fn adapter_key(&self) -> Option<AdapterKey> {
+        let model = self.model.as_ref()?;
+        Some((model.model.clone(), model.adapter.clone()?))
+    }
+}
+
 /// Reason for a rejection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RejectReason {
@@ -158,6 +175,8 @@
 /// Settings of a dispatcher.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatchSettings {
+    /// Node.
+    pub node: Name,
     /// Zone of the node.
     pub zone: Name,
     /// Time after which requests must not begin on an older adapter version.
@@ -168,7 +187,12 @@
 
 impl Default for DispatchSettings {
     fn default() -> DispatchSettings {
-        DispatchSettings { zone: Name::from(""), version_bound: Duration::from_secs(5), seed: 0 }
+        DispatchSettings {
+            node: Name::from(""),
+            zone: Name::from(""),
+            version_bound: Duration::from_secs(5),
+            seed: 0,
+        }
     }
 }
 
@@ -181,8 +205,7 @@
     time_s: f64,
     /// Members that were ejected, so that a decision looks at these few only.
     ejected: Vec<Name>,
-    /// Requests sent lately, by route.
-    sent: HashMap<Name, f64>,
+    shares: Shares,
 }
 
 impl Default for Service {
@@ -191,29 +214,11 @@
             members: Vec::new(),
             time_s: SERVICE_TIME_FIRST_S,
             ejected: Vec::new(),
-            sent: HashMap::new(),
+            shares: Shares::default(),
         }
     }
 }
 
-impl Service {
-    /// Counts a request of `route` that was sent.
-    fn count(&mut self, route: &Name) {
-        for sent in self.sent.values_mut() {
-            *sent *= SHARE_DECAY;
-        }
-        self.sent.retain(|_, sent| *sent > 0.01);
-        *self.sent.entry(route.clone()).or_insert(0.0) += 1.0;
-    }
-
-    /// Share of the requests sent lately that were of `route`.
-    fn share(&self, route: &Name) -> f64 {
-        let total: f64 = self.sent.values().sum();
-        let own = self.sent.get(route).copied().unwrap_or(0.0);
-        if total > 0.0 { own / total } else { 1.0 }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct NewVersion {
     version: u64,
@@ -228,18 +233,10 @@
     adapter: Option<Name>,
     tokens: u32,
     sent: Time,
+    deadline: Time,
     output: bool,
 }
 
-/// Order in which waiting requests are looked at: rank, weighted objective, arrival number.
-type QueueKey = (u8, Time, JobId);
-
-fn queue_key(job: &Job) -> QueueKey {
-    let slack = job.objective.since(job.arrived).as_secs_f64() / job.weight.max(0.001);
-    let weighted = Duration::try_from_secs_f64(slack).unwrap_or(Duration::MAX);
-    (job.priority, job.arrived + weighted, job.id)
-}
-
 /// Decisions of one node on its requests.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -249,7 +246,8 @@
     services: HashMap<Name, Service>,
     replicas: HashMap<AdapterKey, Vec<Name>>,
     versions: HashMap<AdapterKey, NewVersion>,
-    waiting: BTreeMap<QueueKey, Job>,
+    waiting: Queue,
+    asked: Asked,
     flights: HashMap<JobId, Flight>,
     wants: Wants,
     peer_loads: HashMap<Name, Vec<UpstreamLoad>>,
@@ -267,7 +265,8 @@
             services: HashMap::new(),
             replicas: HashMap::new(),
             versions: HashMap::new(),
-            waiting: BTreeMap::new(),
+            waiting: Queue::default(),
+            asked: Asked::default(),
             flights: HashMap::new(),
             wants: Wants::default(),
             peer_loads: HashMap::new(),
@@ -278,14 +277,20 @@
     /// Adds a request; its verdict comes from [`Dispatcher::pump`] or at once.
     pub fn submit(&mut self, now: Time, job: Job) -> Option<Verdict> {
         match self.choose(now, &job) {
-            Choice::Send { upstream, version } => Some(self.send(now, &job, &upstream, version)),
-            Choice::Wait(_) if self.waiting.len() >= MAX_WAITING => {
+            Choice::Send { upstream, version } => {
+                Some(self.send_unasked(now, &job, &upstream, version))
+            }
+            Choice::Ask(_) | Choice::Wait(_) if self.waiting() >= MAX_WAITING => {
                 Some(Dispatcher::reject(RejectReason::QueueFull, Duration::from_secs(1)))
             }
+            Choice::Ask(upstream) => {
+                self.ask(now, job, &upstream);
+                None
+            }
             Choice::Wait(blocked) => match self.rejection(now, &job, blocked) {
                 Some(verdict) => Some(verdict),
                 None => {
-                    self.waiting.insert(queue_key(&job), job);
+                    self.waiting.insert(job);
                     None
                 }
             },
@@ -294,9 +299,11 @@
 
     /// Looks at the waiting requests in their order and returns those that are decided.
     pub fn pump(&mut self, now: Time) -> Vec<(JobId, Verdict)> {
-        let mut decided = Vec::new();
+        let mut decided = self.check_asked(now);
         let mut blocked: Vec<(Name, Option<ModelRef>)> = Vec::new();
-        for key in self.queue_order(now) {
+        let services = &self.services;
+        let shares = |job: &Job| services.get(&job.service).map(|service| &service.shares);
+        for key in self.waiting.order(now, shares) {
             let Some(job) = self.waiting.remove(&key) else { continue };
             // What one request can't have, no later request with the same needs can have either.
             let known = blocked
@@ -308,9 +315,10 @@
             };
             match choice {
                 Choice::Send { upstream, version } => {
-                    let verdict = self.send(now, &job, &upstream, version);
+                    let verdict = self.send_unasked(now, &job, &upstream, version);
                     decided.push((job.id, verdict));
                 }
+                Choice::Ask(upstream) => self.ask(now, job, &upstream),
                 Choice::Wait(reason) => {
                     if !known && job.tried.is_empty() {
                         blocked.push((job.service.clone(), job.model.clone()));
@@ -322,7 +330,7 @@
                             if known {
                                 self.wants.more(&job);
                             }
-                            self.waiting.insert(key, job);
+                            self.waiting.insert(job);
                         }
                     }
                 }
@@ -331,32 +339,12 @@
         decided
     }
 
-    /// Waiting requests in the order in which they are looked at.
-    ///
-    /// Routes below their floor come first. Within a rank, those that can still be on time come before those that are late already:
-    /// in an overload the oldest-first order would make every request late.
-    fn queue_order(&self, now: Time) -> Vec<QueueKey> {
-        let timely = now + FIRST_OUTPUT_TIME;
-        let below_floor = |job: &Job| {
-            let service = self.services.get(&job.service);
-            service.is_some_and(|service| service.share(&job.route) < job.floor)
-        };
-        let mut order: Vec<(u8, bool, QueueKey)> = self
-            .waiting
-            .iter()
-            .map(|(key, job)| match below_floor(job) {
-                true => (0, false, *key),
-                false => (job.priority.saturating_add(1), job.objective < timely, *key),
-            })
-            .collect();
-        order.sort_unstable();
-        order.truncate(PASS_LIMIT);
-        order.into_iter().map(|(_, _, key)| key).collect()
-    }
-
     /// Forgets a waiting request whose caller left.
     pub fn cancel(&mut self, id: JobId) {
-        self.waiting.retain(|key, _| key.2 != id);
+        match self.asked.remove(id) {
+            Some(asked) => self.tell(&asked.upstream, ProgressEvent::Ended(id)),
+            None => self.waiting.cancel(id),
+        }
     }
 
     /// Records that the first output of a request arrived.
@@ -366,9 +354,11 @@
             return;
         }
         flight.output = true;
-        if let Some(upstream) = self.upstreams.get_mut(&flight.upstream) {
-            upstream.pending_tokens = upstream.pending_tokens.saturating_sub(flight.tokens);
+        let name = flight.upstream.clone();
+        if let Some(upstream) = self.upstreams.get_mut(&name) {
+            upstream.own.output(flight.tokens);
         }
+        self.tell(&name, ProgressEvent::Output(id));
     }
 
     /// Records the end of a send.
@@ -381,8 +371,17 @@
             let service = self.services.entry(service.clone()).or_default();
             service.time_s += SERVICE_TIME_ALPHA * (sample - service.time_s);
         }
+        let event = match outcome {
+            SendOutcome::Full => ProgressEvent::Full(id),
+            SendOutcome::Served
+            | SendOutcome::Failed(_)
+            | SendOutcome::AdapterAbsent
+            | SendOutcome::Misdirected
+            | SendOutcome::Abandoned => ProgressEvent::Ended(id),
+        };
+        self.tell(&name, event);
         let Some(upstream) = self.upstreams.get_mut(&name) else { return };
-        upstream.landed(adapter.as_ref());
+        upstream.own.ended(adapter.as_ref());
         match outcome {
             SendOutcome::Served => upstream.health.success(),
             SendOutcome::Failed(kind) => {
@@ -401,10 +400,11 @@
     }
 
     /// Records whether a stream of `upstream` paused for longer than its objective.
-    pub fn paused(&mut self, upstream: &str, late: bool) {
+    pub fn paused(&mut self, upstream: &Name, late: bool) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.paused(late);
+            upstream.own.paused(late);
         }
+        self.tell(upstream, ProgressEvent::Paused { late });
     }
 
     /// Takes the load that an upstream reported with a response.
@@ -450,10 +450,11 @@
                 replicas.retain(|replica| replica != id);
             }
         }
+        self.asked.requeue(id, &mut self.waiting);
     }
 
-    /// Takes what the holder of an engine states about its adapters.
-    pub fn placement(&mut self, placement: &Placement) {
+    /// Takes what `holder` states about the adapters of an engine in its custody.
+    pub fn placement(&mut self, now: Time, holder: &Name, placement: &Placement) {
         let model = &placement.model;
         let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         if placement.fence < upstream.fence || placement.born != upstream.entry.born {
@@ -461,6 +462,18 @@
         }
         upstream.fence = placement.fence;
         upstream.open = placement.open;
+        match placement.open {
+            true if upstream.holder.as_ref() == Some(holder) => {}
+            true => {
+                upstream.holder = Some(holder.clone());
+                self.tell_running(now, &placement.upstream);
+            }
+            false => {
+                upstream.holder = None;
+                self.asked.requeue(&placement.upstream, &mut self.waiting);
+            }
+        }
+        let Some(upstream) = self.upstreams.get_mut(&placement.upstream) else { return };
         let stale: Vec<AdapterKey> = upstream
             .adapters
             .keys()
@@ -484,21 +497,28 @@
         }
     }
 
-    /// Takes the load of a peer; an empty list clears it.
-    pub fn peer_load(&mut self, node: &Name, loads: Vec<UpstreamLoad>) {
+    /// Takes the loads that a peer states: its own at plain upstreams, those of all nodes at the
+    /// engines in its custody. An empty list clears them.
+    pub fn peer_load(&mut self, now: Time, node: &Name, loads: Vec<UpstreamLoad>) {
         let old = self.peer_loads.remove(node).unwrap_or_default();
         for load in &old {
             if let Some(upstream) = self.upstreams.get_mut(&load.upstream) {
                 upstream.remove_peer(load);
             }
         }
-        for load in &loads {
-            if let Some(upstream) = self.upstreams.get_mut(&load.upstream) {
-                upstream.add_peer(load);
+        let mut plain = Vec::new();
+        for load in loads {
+            let Some(upstream) = self.upstreams.get_mut(&load.upstream) else { continue };
+            match load.total {
+                true => upstream.stated_by(now, node, load),
+                false => {
+                    upstream.add_peer(&load);
+                    plain.push(load);
+                }
             }
         }
-        if !loads.is_empty() {
-            self.peer_loads.insert(node.clone(), loads);
+        if !plain.is_empty() {
+            self.peer_loads.insert(node.clone(), plain);
         }
     }
 
@@ -523,21 +543,9 @@
         self.versions.get(&(model.clone(), adapter.clone())).map(|news| news.version)
     }
 
-    /// Load of this node on each upstream.
-    pub fn loads(&self, now: Time) -> Vec<UpstreamLoad> {
-        self.upstreams.values().filter_map(|upstream| upstream.load(now)).collect()
-    }
-
-    /// Requests of all nodes for each adapter of an engine.
-    pub fn usage(&self, now: Time, upstream: &str) -> HashMap<Name, u32> {
-        let own = self.upstreams.get(upstream).and_then(|upstream| upstream.load(now));
-        let peers =
-            self.peer_loads.values().flatten().filter(|load| load.upstream.as_str() == upstream);
-        let mut usage = HashMap::new();
-        for (adapter, count) in own.iter().chain(peers).flat_map(|load| &load.adapters) {
-            *usage.entry(adapter.clone()).or_insert(0) += count;
-        }
-        usage
+    /// Load of this node on the plain upstreams.
+    pub fn plain_loads(&self) -> Vec<UpstreamLoad> {
+        self.upstreams.values().filter_map(Upstream::plain_load).collect()
     }
 
     /// Adapters that should be loaded, stated again at intervals until they are in place.
@@ -547,7 +555,7 @@
 
     /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.waiting.len() + self.asked.len()
     }
 
     /// Number of sends in progress.
@@ -565,6 +573,24 @@
         }
     }
 
+    /// Sends a request that no holder admitted; one that is only slow to answer learns of it.
+    fn send_unasked(
+        &mut self,
+        now: Time,
+        job: &Job,
+        upstream: &Arc<UpstreamEntry>,
+        version: Option<u64>,
+    ) -> Verdict {
+        let verdict = self.send(now, job, upstream, version);
+        let running = ProgressEvent::Running {
+            job: job.id,
+            adapter: job.adapter().cloned(),
+            left: job.deadline.since(now),
+        };
+        self.tell(&upstream.id, running);
+        verdict
+    }
+
     fn send(
         &mut self,
         now: Time,
@@ -572,10 +598,10 @@
         upstream: &Arc<UpstreamEntry>,
         version: Option<u64>,
     ) -> Verdict {
-        let adapter = job.model.as_ref().and_then(|model| model.adapter.clone());
+        let adapter = job.adapter().cloned();
         let tokens = job.prompt_tokens;
         if let Some(upstream) = self.upstreams.get_mut(&upstream.id) {
-            upstream.departed(now, adapter.as_ref(), tokens);
+            upstream.own.started(now, adapter.as_ref(), tokens);
         }
         let flight = Flight {
             upstream: upstream.id.clone(),
@@ -583,10 +609,11 @@
             adapter,
             tokens,
             sent: now,
+            deadline: job.deadline,
             output: false,
         };
         self.flights.insert(job.id, flight);
-        self.services.entry(job.service.clone()).or_default().count(&job.route);
+        self.services.entry(job.service.clone()).or_default().shares.count(&job.route);
         Verdict::Send { upstream: Arc::clone(upstream), version }
     }
 
@@ -630,10 +657,9 @@
             .map(|upstream| upstream.entry.slots)
             .sum();
         let places = f64::from(slots.max(1)) / self.nodes as f64;
-        let before = self.waiting.range(..queue_key(job)).map(|(_, other)| other);
         let mut ahead = 0;
         let mut ahead_of_route = 0;
-        for other in before.filter(|other| other.service == job.service) {
+        for other in self.waiting.before(job).filter(|other| other.service == job.service) {
             ahead += 1;
             ahead_of_route += usize::from(other.route == job.route);
         }
--- /dev/null
+++ b/crates/fireflyhead-policy/src/dispatch/asked.rs
@@ -0,0 +1,203 @@
+//! Requests for which a place was asked for at the holder of an engine.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::Name;
+use crate::Time;
+use crate::message::Answer;
+use crate::message::Ask;
+use crate::message::Progress;
+use crate::message::ProgressEvent;
+use crate::message::Reply;
+use crate::message::ToHolder;
+
+use super::Dispatcher;
+use super::Job;
+use super::JobId;
+use super::RejectReason;
+use super::Verdict;
+use super::WAIT_SHARE;
+use super::queue::Queue;
+
+/// Time for which an answer is waited for. A host may stand still for the rest of a tenth of a
+/// second once its processor quota is used up.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time after which a queued request is asked about again, in case the grant was lost.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+/// Time for which a holder that gave no answer is not asked.
+const SILENT_FOR: Duration = Duration::from_secs(1);
+
+/// Request for which a place was asked for.
+#[derive(Debug)]
+pub(super) struct Question {
+    pub(super) job: Job,
+    pub(super) upstream: Name,
+    /// Time of the last question.
+    sent: Time,
+    /// Whether that one was answered.
+    answered: bool,
+}
+
+/// Requests for which places were asked for, and what is to be sent to holders.
+#[derive(Debug, Default)]
+pub(super) struct Asked {
+    questions: HashMap<JobId, Question>,
+    outbox: Vec<(Name, ToHolder)>,
+}
+
+impl Asked {
+    pub(super) fn len(&self) -> usize {
+        self.questions.len()
+    }
+
+    pub(super) fn remove(&mut self, id: JobId) -> Option<Question> {
+        self.questions.remove(&id)
+    }
+
+    /// Moves the requests that were asked for at `upstream` back to the queue of the node.
+    pub(super) fn requeue(&mut self, upstream: &Name, queue: &mut Queue) {
+        for (_, question) in self.questions.extract_if(|_, q| q.upstream == *upstream) {
+            queue.insert(question.job);
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Messages to holders since the last call, with the node that each is for.
+    pub fn outbox(&mut self) -> Vec<(Name, ToHolder)> {
+        std::mem::take(&mut self.asked.outbox)
+    }
+
+    /// Takes the answer of `holder`; returns the verdict if it decides the request.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        holder: &Name,
+        answer: Answer,
+    ) -> Option<(JobId, Verdict)> {
+        let Answer { job: id, reply, load } = answer;
+        let name = load.upstream.clone();
+        if let Some(upstream) = self.upstreams.get_mut(&name) {
+            upstream.figures(now, holder, load);
+        }
+        let Some(question) = self.asked.questions.get_mut(&id).filter(|q| q.upstream == name)
+        else {
+            // The request was given up or went elsewhere meanwhile.
+            if reply == Reply::Granted && !self.runs_at(id, &name) {
+                self.tell(&name, ProgressEvent::Ended(id));
+            }
+            return None;
+        };
+        question.answered = true;
+        if reply == Reply::Queued {
+            return None;
+        }
+        let question = self.asked.questions.remove(&id)?;
+        match reply {
+            Reply::Denied { retry_after } => {
+                Some((id, Dispatcher::reject(RejectReason::Overload, retry_after)))
+            }
+            Reply::Granted if self.still_fits(now, &question.job, &name) => {
+                let expect = self.expected_version(now, &question.job);
+                let entry = self.upstreams.get(&name).map(|u| u.entry.clone())?;
+                Some((id, self.send(now, &question.job, &entry, expect)))
+            }
+            Reply::Granted => {
+                self.tell(&name, ProgressEvent::Ended(id));
+                self.waiting.insert(question.job);
+                None
+            }
+            Reply::NotHolder | Reply::Queued => {
+                if let Some(upstream) = self.upstreams.get_mut(&name) {
+                    upstream.holder_silent(now, SILENT_FOR);
+                }
+                self.waiting.insert(question.job);
+                None
+            }
+        }
+    }
+
+    /// Asks for a place for `job` at `upstream`.
+    pub(super) fn ask(&mut self, now: Time, job: Job, upstream: &Name) {
+        let Some(holder) = self.upstreams.get(upstream).and_then(|u| u.asked_holder(now)) else {
+            self.waiting.insert(job);
+            return;
+        };
+        let ask = ToHolder::Ask(Ask::new(now, upstream, &job));
+        self.asked.outbox.push((holder.clone(), ask));
+        let question = Question { upstream: upstream.clone(), sent: now, answered: false, job };
+        self.asked.questions.insert(question.job.id, question);
+    }
+
+    /// Gives up what waited for too long, asks again, and decides without holders that are
+    /// silent.
+    pub(super) fn check_asked(&mut self, now: Time) -> Vec<(JobId, Verdict)> {
+        let mut rejected = Vec::new();
+        let mut silent: Vec<Name> = Vec::new();
+        let mut again: Vec<JobId> = Vec::new();
+        for (id, question) in &self.asked.questions {
+            let job = &question.job;
+            let total = job.deadline.since(job.arrived);
+            let age = now.since(question.sent);
+            if now.since(job.arrived) >= total.mul_f64(WAIT_SHARE) {
+                rejected.push(*id);
+            } else if !question.answered && age >= ANSWER_TIMEOUT {
+                silent.push(question.upstream.clone());
+            } else if question.answered && age >= ASK_AGAIN {
+                again.push(*id);
+            }
+        }
+        for id in again {
+            let Some(question) = self.asked.remove(id) else { continue };
+            self.ask(now, question.job, &question.upstream);
+        }
+        for name in silent {
+            if let Some(upstream) = self.upstreams.get_mut(&name) {
+                upstream.holder_silent(now, SILENT_FOR);
+            }
+            self.asked.requeue(&name, &mut self.waiting);
+        }
+        rejected
+            .into_iter()
+            .map(|id| {
+                if let Some(question) = self.asked.remove(id) {
+                    self.tell(&question.upstream, ProgressEvent::Ended(id));
+                }
+                (id, Dispatcher::reject(RejectReason::Overload, Duration::from_millis(500)))
+            })
+            .collect()
+    }
+
+    /// Tells the holder of `upstream`, if it has one.
+    pub(super) fn tell(&mut self, upstream: &Name, event: ProgressEvent) {
+        let holder = self.upstreams.get(upstream).and_then(|upstream| upstream.holder.clone());
+        if let Some(holder) = holder {
+            let progress = Progress { upstream: upstream.clone(), event };
+            self.asked.outbox.push((holder, ToHolder::Progress(progress)));
+        }
+    }
+
+    /// Tells a new holder of `upstream` what runs there, and asks it for what waited at the one
+    /// before.
+    pub(super) fn tell_running(&mut self, now: Time, upstream: &Name) {
+        let running: Vec<ProgressEvent> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| flight.upstream == *upstream)
+            .map(|(id, flight)| ProgressEvent::Running {
+                job: *id,
+                adapter: flight.adapter.clone(),
+                left: flight.deadline.since(now),
+            })
+            .collect();
+        for event in running {
+            self.tell(upstream, event);
+        }
+        self.asked.requeue(upstream, &mut self.waiting);
+    }
+
+    fn runs_at(&self, id: JobId, upstream: &Name) -> bool {
+        self.flights.get(&id).is_some_and(|flight| flight.upstream == *upstream)
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -12,7 +12,11 @@
 
 use super::AdapterKey;
 use super::Dispatcher;
+use super::ENGINE_WINDOW;
 use super::Job;
+use super::PREFILL_WAIT_SHARE;
+use super::load::is_too_slow;
+use super::load::takes_prompt;
 use super::upstreams::Upstream;
 
 /// Cost of a prompt token that an engine has still to read, in ms; engines read some 20 tokens a ms.
@@ -29,17 +33,6 @@
 const NOISE_MS: f64 = 3.0;
 /// Cost of the best replica from which another one is loaded, in ms.
 const REPLICATE_COST_MS: f64 = 110.0;
-/// Share of an engine's slots that nodes fill before requests wait in the nodes.
-const ENGINE_WINDOW: f64 = 0.95;
-/// Backlog below which a prompt of any size is added.
-const NO_BACKLOG_TOKENS: u32 = 300;
-/// Prompt tokens that an engine may have unread when another prompt is added.
-///
-/// An engine reads prompts between the steps of its running requests, so a longer backlog
-/// stretches the pause between the events of every stream there beyond its objective.
-const PREFILL_WINDOW_TOKENS: u32 = 2_500;
-/// Share of the objective for which a request waits for a window to open.
-const PREFILL_WAIT_SHARE: f64 = 0.45;
 /// Share of a plain service's slots that nodes fill; above 1 because responses take a while to be seen.
 const SERVICE_WINDOW: f64 = 1.5;
 /// Largest share of a service that is ejected at once.
@@ -54,10 +47,6 @@
 const DISTURBANCE_COST_MS: f64 = 1.5;
 /// Cost for each token of the output on an engine whose streams all pause for too long, in ms.
 const SLOW_TOKEN_COST_MS: f64 = 0.3;
-/// Prompt from which an engine with late pauses is avoided; it takes several steps to read.
-const LARGE_PROMPT_TOKENS: u32 = 1_500;
-/// Share of late pauses from which an engine is avoided for large prompts.
-const SLOW_SHARE: f64 = 0.4;
 /// Homes among which the first load of an adapter chooses.
 const HOMES: usize = 3;
 /// Cost difference for which an adapter leaves its first home, in ms.
@@ -81,7 +70,12 @@
 /// Choice for a request.
 #[derive(Debug)]
 pub(super) enum Choice {
-    Send { upstream: Arc<UpstreamEntry>, version: Option<u64> },
+    Send {
+        upstream: Arc<UpstreamEntry>,
+        version: Option<u64>,
+    },
+    /// Ask the holder of this engine for a place.
+    Ask(Name),
     Wait(Blocked),
 }
 
@@ -98,17 +92,13 @@
             return Choice::Wait(Blocked::NoUpstream);
         }
         let spared = self.spared(now, &job.service);
-        let key = match &job.model {
-            Some(model) => model.adapter.as_ref().map(|name| (model.model.clone(), name.clone())),
-            None => None,
-        };
-        match key {
+        match job.adapter_key() {
             Some(key) => self.choose_replica(now, job, &key, spared),
             None => {
                 let members = self.services[&job.service].members.clone();
                 let candidates = self.candidates(now, job, &members, spared);
                 match best(&candidates) {
-                    Some(candidate) if candidate.room => self.chosen(&candidate.id, None),
+                    Some(candidate) if candidate.room => self.chosen(now, &candidate.id, None),
                     Some(_) => Choice::Wait(Blocked::Full),
                     None => Choice::Wait(Blocked::NoUpstream),
                 }
@@ -146,16 +136,16 @@
                 let old = self.newest(&key.0, &key.1).is_some_and(|newest| {
                     self.upstreams[&id].adapters.get(key).is_some_and(|r| r.version < newest)
                 });
-                if old || (cost > REPLICATE_COST_MS && self.is_hot(key)) {
+                if old || (cost > REPLICATE_COST_MS && self.is_hot(now, key)) {
                     self.want(now, job, key, spared);
                 } else {
                     self.wants.met(key);
                 }
-                self.chosen(&id, expect)
+                self.chosen(now, &id, expect)
             }
             Some((id, _, false)) => {
-                let slow = self.upstreams[&id].too_slow(job);
-                if slow || self.is_hot(key) {
+                let slow = self.upstreams[&id].too_slow(now, job);
+                if slow || self.is_hot(now, key) {
                     self.want(now, job, key, spared);
                 }
                 Choice::Wait(Blocked::Full)
@@ -198,7 +188,7 @@
             .members
             .iter()
             .filter(|id| self.can_load(now, id, key, spared) && Some(*id) != failed.as_ref())
-            .filter(|id| !job.tried.contains(id) && !self.upstreams[*id].too_slow(job))
+            .filter(|id| !job.tried.contains(id) && !self.upstreams[*id].too_slow(now, job))
             .map(|id| (rendezvous::weight(subject, id.as_str()), id))
             .collect();
         homes.sort_unstable_by(|a, b| b.cmp(a));
@@ -215,12 +205,12 @@
     }
 
     /// Whether the replicas of `key` have enough requests for a further one.
-    fn is_hot(&self, key: &AdapterKey) -> bool {
+    fn is_hot(&self, now: Time, key: &AdapterKey) -> bool {
         let Some(replicas) = self.replicas.get(key) else { return false };
         let uses: u32 = replicas
             .iter()
             .filter_map(|id| self.upstreams.get(id))
-            .map(|upstream| upstream.uses(&key.1))
+            .map(|upstream| upstream.uses(now, &key.1))
             .sum();
         uses as usize >= replicas.len() * REPLICA_USES as usize
     }
@@ -261,8 +251,10 @@
             };
             let window = if engine { ENGINE_WINDOW } else { SERVICE_WINDOW };
             let places = (f64::from(upstream.entry.slots) * window).max(1.0);
-            let room = f64::from(upstream.in_flight()) < places
-                && (!engine || upstream.takes_prompt(now, job, late));
+            let admitted = upstream.asked_holder(now).is_some();
+            let room = admitted
+                || f64::from(upstream.in_flight(now)) < places
+                    && (!engine || upstream.takes_prompt(now, job, late));
             let failures = upstream.health.failure_rate() * FAILURE_COST_MS;
             candidates.push(Candidate {
                 id: id.clone(),
@@ -273,36 +265,52 @@
         candidates
     }
 
-    fn chosen(&self, id: &Name, version: Option<u64>) -> Choice {
-        Choice::Send { upstream: Arc::clone(&self.upstreams[id].entry), version }
+    fn chosen(&self, now: Time, id: &Name, version: Option<u64>) -> Choice {
+        let upstream = &self.upstreams[id];
+        match upstream.asked_holder(now) {
+            Some(_) => Choice::Ask(id.clone()),
+            None => Choice::Send { upstream: Arc::clone(&upstream.entry), version },
+        }
+    }
+
+    /// Whether `job` may still be sent to `id` once a place was granted.
+    pub(super) fn still_fits(&mut self, now: Time, job: &Job, id: &Name) -> bool {
+        let spared = self.spared(now, &job.service);
+        let least = job.adapter_key().map_or(0, |key| self.version_rule(now, &key).0);
+        self.upstreams.get(id).is_some_and(|upstream| {
+            let held = job.adapter_key().is_none_or(|key| {
+                upstream.adapters.get(&key).is_some_and(|r| r.ready && r.version >= least)
+                    && !upstream.denies(now, &key.1)
+            });
+            held && upstream.usable(now) && (spared || !upstream.health.ejected(now))
+        })
+    }
+
+    /// Version that must answer `job`.
+    pub(super) fn expected_version(&self, now: Time, job: &Job) -> Option<u64> {
+        self.version_rule(now, &job.adapter_key()?).1
     }
 }
 
 impl Upstream {
-    /// Whether a prompt may be added to those that the engine has still to read. A request that
-    /// has waited for long takes more.
+    /// Whether a prompt may be added, by the requests that this node knows of.
     fn takes_prompt(&self, now: Time, job: &Job, late: bool) -> bool {
-        let backlog = self.backlog(now);
-        let window = match late {
-            true => PREFILL_WINDOW_TOKENS * 2,
-            false if self.too_slow(job) => return false,
-            false => PREFILL_WINDOW_TOKENS,
-        };
-        backlog < NO_BACKLOG_TOKENS || backlog + job.prompt_tokens <= window
+        takes_prompt(self.backlog(now), self.late_pauses(now), job.prompt_tokens, late)
     }
 
     /// Whether a large prompt should go elsewhere.
-    fn too_slow(&self, job: &Job) -> bool {
-        job.prompt_tokens >= LARGE_PROMPT_TOKENS && self.late_pauses() >= SLOW_SHARE
+    fn too_slow(&self, now: Time, job: &Job) -> bool {
+        is_too_slow(self.late_pauses(now), job.prompt_tokens)
     }
 
     fn engine_cost(&self, now: Time, job: &Job) -> f64 {
         let prompt = f64::from(job.prompt_tokens) / 1_000.0;
         let output = f64::from(job.output_tokens);
+        let running = f64::from(self.in_flight(now));
         f64::from(self.backlog(now)) * TOKEN_COST_MS
-            + f64::from(self.in_flight()) * ENGINE_REQUEST_COST_MS
-            + f64::from(self.in_flight()) * prompt * DISTURBANCE_COST_MS
-            + self.late_pauses() * (LATE_PAUSE_COST_MS + output * SLOW_TOKEN_COST_MS)
+            + running * ENGINE_REQUEST_COST_MS
+            + running * prompt * DISTURBANCE_COST_MS
+            + self.late_pauses(now) * (LATE_PAUSE_COST_MS + output * SLOW_TOKEN_COST_MS)
     }
 
     fn service_cost(&self, now: Time) -> f64 {
@@ -314,7 +322,7 @@
             }
             Some(_) | None => 0,
         };
-        let load = self.in_flight().max(reported / 2);
+        let load = self.in_flight(now).max(reported / 2);
         let excess = load.saturating_sub(slots.saturating_sub(1));
         f64::from(load) / f64::from(slots) * 6.0 * REQUEST_COST_MS + f64::from(excess) * 20.0
     }
--- /dev/null
+++ b/crates/fireflyhead-policy/src/dispatch/load.rs
@@ -0,0 +1,141 @@
+//! Load of one engine: requests, unread prompt tokens, adapters in use, stalled streams.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::Name;
+use crate::Time;
+
+/// Backlog below which a prompt of any size is added.
+const NO_BACKLOG_TOKENS: u32 = 300;
+/// Prompt tokens that an engine may have unread when another prompt is added.
+///
+/// An engine reads prompts between the steps of its running requests, so a longer backlog
+/// stretches the pause between the events of every stream there beyond its objective.
+const PREFILL_WINDOW_TOKENS: u32 = 2_500;
+/// Prompt from which an engine with late pauses is avoided; it takes several steps to read.
+const LARGE_PROMPT_TOKENS: u32 = 1_500;
+/// Share of late pauses from which an engine is avoided for large prompts.
+const SLOW_SHARE: f64 = 0.4;
+/// Weight of the newest stream in the share of late pauses.
+const PAUSE_ALPHA: f64 = 0.08;
+/// Prompt tokens that one engine may be sent a second.
+///
+/// Engines read about 20,000 a second while they generate nothing. At half of that, steps
+/// that read a prompt alternate with steps that don't, and pauses stay within objectives.
+const READ_TOKENS_PER_S: f64 = 11_000.0;
+/// Share of the read rate that an engine loses whose streams all pause for too long.
+const LATE_PACE_CUT: f64 = 0.5;
+
+/// Requests of one engine that are known exactly: those of the own node, or at the holder of
+/// the engine those of all nodes.
+#[derive(Debug, Default)]
+pub(crate) struct EngineLoad {
+    /// Prompt tokens sent lately, drained at the read rate.
+    level: f64,
+    level_at: Time,
+    in_flight: u32,
+    /// Prompt tokens of requests without output.
+    pending_tokens: u32,
+    in_use: HashMap<Name, u32>,
+    /// Share of the streams whose longest pause was over its objective, newest first.
+    late_pauses: f64,
+}
+
+impl EngineLoad {
+    /// Counts a request that is sent.
+    pub(crate) fn started(&mut self, now: Time, adapter: Option<&Name>, tokens: u32) {
+        self.level = self.level(now) + f64::from(tokens);
+        self.level_at = now;
+        self.pending_tokens += tokens;
+        self.adopted(adapter);
+    }
+
+    /// Counts a request that runs already and whose prompt is read.
+    pub(crate) fn adopted(&mut self, adapter: Option<&Name>) {
+        self.in_flight += 1;
+        if let Some(adapter) = adapter {
+            *self.in_use.entry(adapter.clone()).or_insert(0) += 1;
+        }
+    }
+
+    /// Records the first output of a request with a prompt of `tokens`.
+    pub(crate) fn output(&mut self, tokens: u32) {
+        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
+    }
+
+    /// Records the end of a request.
+    pub(crate) fn ended(&mut self, adapter: Option<&Name>) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let Some(adapter) = adapter else { return };
+        match self.in_use.get_mut(adapter) {
+            Some(count) if *count > 1 => *count -= 1,
+            Some(_) => {
+                self.in_use.remove(adapter);
+            }
+            None => {}
+        }
+    }
+
+    /// Records whether a stream paused for longer than its objective.
+    pub(crate) fn paused(&mut self, late: bool) {
+        let sample = if late { 1.0 } else { 0.0 };
+        self.late_pauses += PAUSE_ALPHA * (sample - self.late_pauses);
+    }
+
+    /// Requests in flight.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Adapters in use, with the number of their requests.
+    pub(crate) fn in_use(&self) -> &HashMap<Name, u32> {
+        &self.in_use
+    }
+
+    /// Requests that use `adapter`.
+    pub(crate) fn uses(&self, adapter: &Name) -> u32 {
+        self.in_use.get(adapter).copied().unwrap_or(0)
+    }
+
+    /// Share of the streams that paused for too long.
+    pub(crate) fn late_pauses(&self) -> f64 {
+        self.late_pauses
+    }
+
+    /// Prompt tokens that the engine has still to read.
+    pub(crate) fn backlog(&self, now: Time) -> u32 {
+        self.pending_tokens.max(self.level(now) as u32)
+    }
+
+    fn level(&self, now: Time) -> f64 {
+        drained(self.level, now.since(self.level_at), self.late_pauses)
+    }
+}
+
+/// Prompt tokens that are left of `tokens` after `elapsed`.
+pub(crate) fn drained(tokens: f64, elapsed: Duration, late_pauses: f64) -> f64 {
+    (tokens - elapsed.as_secs_f64() * read_rate(late_pauses)).max(0.0)
+}
+
+/// Prompt tokens a second that an engine is sent, by the share of its streams that pause for too
+/// long.
+pub(crate) fn read_rate(late_pauses: f64) -> f64 {
+    READ_TOKENS_PER_S * (1.0 - LATE_PACE_CUT * late_pauses)
+}
+
+/// Whether a prompt of `tokens` may be added to a backlog. A request that has waited for long
+/// takes more.
+pub(crate) fn takes_prompt(backlog: u32, late_pauses: f64, tokens: u32, late: bool) -> bool {
+    let window = match late {
+        true => PREFILL_WINDOW_TOKENS * 2,
+        false if is_too_slow(late_pauses, tokens) => return false,
+        false => PREFILL_WINDOW_TOKENS,
+    };
+    backlog < NO_BACKLOG_TOKENS || backlog + tokens <= window
+}
+
+/// Whether a large prompt should go elsewhere.
+pub(crate) fn is_too_slow(late_pauses: f64, tokens: u32) -> bool {
+    tokens >= LARGE_PROMPT_TOKENS && late_pauses >= SLOW_SHARE
+}
--- /dev/null
+++ b/crates/fireflyhead-policy/src/dispatch/queue.rs
@@ -0,0 +1,117 @@
+//! Waiting requests and their order.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::Name;
+use crate::Time;
+
+use super::Job;
+use super::JobId;
+
+/// Time from a send to the first output of an engine without a backlog.
+const FIRST_OUTPUT_TIME: Duration = Duration::from_millis(200);
+/// Waiting requests that one pass looks at, so that a pass stays short in a flood.
+const PASS_LIMIT: usize = 256;
+/// Factor by which older requests lose weight in the shares of routes with each new one; about
+/// the last hundred requests count.
+const SHARE_DECAY: f64 = 0.99;
+
+/// Order in which waiting requests are looked at: rank, weighted objective, number.
+pub(crate) type QueueKey = (u8, Time, JobId);
+
+fn queue_key(job: &Job) -> QueueKey {
+    let slack = job.objective.since(job.arrived).as_secs_f64() / job.weight.max(0.001);
+    let weighted = Duration::try_from_secs_f64(slack).unwrap_or(Duration::MAX);
+    (job.priority, job.arrived + weighted, job.id)
+}
+
+/// Waiting requests.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    waiting: BTreeMap<QueueKey, Job>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub(crate) fn insert(&mut self, job: Job) {
+        self.waiting.insert(queue_key(&job), job);
+    }
+
+    /// Takes a request out.
+    pub(crate) fn remove(&mut self, key: &QueueKey) -> Option<Job> {
+        self.waiting.remove(key)
+    }
+
+    /// Forgets a request.
+    pub(crate) fn cancel(&mut self, id: JobId) {
+        self.waiting.retain(|key, _| key.2 != id);
+    }
+
+    /// Number of requests.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Requests.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.waiting.values()
+    }
+
+    /// Requests whose rank and objective come before those of `job`.
+    pub(crate) fn before(&self, job: &Job) -> impl Iterator<Item = &Job> {
+        self.waiting.range(..queue_key(job)).map(|(_, other)| other)
+    }
+
+    /// Requests in the order in which they are looked at, with `shares` of the requests of each
+    /// service that were sent lately.
+    ///
+    /// Routes below their floor come first. Within a rank, those that can still be on time come
+    /// before those that are late already: in an overload the oldest-first order would make
+    /// every request late.
+    pub(crate) fn order<'a>(
+        &self,
+        now: Time,
+        shares: impl Fn(&Job) -> Option<&'a Shares>,
+    ) -> Vec<QueueKey> {
+        let timely = now + FIRST_OUTPUT_TIME;
+        let below_floor =
+            |job: &Job| shares(job).is_some_and(|shares| shares.of(&job.route) < job.floor);
+        let mut order: Vec<(u8, bool, QueueKey)> = self
+            .waiting
+            .iter()
+            .map(|(key, job)| match below_floor(job) {
+                true => (0, false, *key),
+                false => (job.priority.saturating_add(1), job.objective < timely, *key),
+            })
+            .collect();
+        order.sort_unstable();
+        order.truncate(PASS_LIMIT);
+        order.into_iter().map(|(_, _, key)| key).collect()
+    }
+}
+
+/// Requests sent lately, by route.
+#[derive(Debug, Default)]
+pub(crate) struct Shares {
+    sent: HashMap<Name, f64>,
+}
+
+impl Shares {
+    /// Counts a request of `route` that was sent.
+    pub(crate) fn count(&mut self, route: &Name) {
+        for sent in self.sent.values_mut() {
+            *sent *= SHARE_DECAY;
+        }
+        self.sent.retain(|_, sent| *sent > 0.01);
+        *self.sent.entry(route.clone()).or_insert(0.0) += 1.0;
+    }
+
+    /// Share of the requests sent lately that were of `route`.
+    fn of(&self, route: &Name) -> f64 {
+        let total: f64 = self.sent.values().sum();
+        let own = self.sent.get(route).copied().unwrap_or(0.0);
+        if total > 0.0 { own / total } else { 1.0 }
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -13,22 +13,15 @@
 use crate::message::UpstreamLoad;
 
 use super::AdapterKey;
+use super::load::EngineLoad;
+use super::load::drained;
 
 /// Time for which an upstream that said it was full gets no request.
 const FULL_FOR: Duration = Duration::from_millis(60);
 /// Time for which an adapter that an engine denied is not looked for there.
 const ABSENT_FOR: Duration = Duration::from_millis(150);
-
-/// Weight of the newest stream in the share of late pauses.
-const PAUSE_ALPHA: f64 = 0.08;
-
-/// Prompt tokens that one engine may be sent a second.
-///
-/// Engines read about 20,000 a second while they generate nothing. At half of that, steps
-/// that read a prompt alternate with steps that don't, and pauses stay within objectives.
-const READ_TOKENS_PER_S: f64 = 11_000.0;
-/// Share of the read rate that an engine loses whose streams all pause for too long.
-const LATE_PACE_CUT: f64 = 0.5;
+/// Age up to which the load that a holder stated counts.
+const STATED_FOR: Duration = Duration::from_secs(3);
 
 /// Adapter in an engine.
 #[derive(Clone, Copy, Debug)]
@@ -49,18 +42,16 @@
     /// Another upstream answered at its address.
     pub(super) misdirected: bool,
     pub(super) reported: Option<(Time, LoadReport)>,
-    /// Prompt tokens of this node's requests without output.
-    pub(super) pending_tokens: u32,
-    /// Prompt tokens that this node sent lately, drained at the read rate.
-    level: f64,
-    level_at: Time,
-    in_flight: u32,
-    in_use: HashMap<Name, u32>,
-    peer_in_use: HashMap<Name, u32>,
-    /// Share of the streams whose longest pause was over its objective, newest first.
-    late_pauses: f64,
+    /// Requests of this node.
+    pub(super) own: EngineLoad,
+    /// Requests of the other nodes at a plain upstream.
     peer_in_flight: u32,
-    peer_pending: u32,
+    /// Node that admits requests to the engine.
+    pub(super) holder: Option<Name>,
+    /// The holder gave no answer and is not asked before this time.
+    silent_until: Time,
+    /// Load of all nodes at the engine as its holder stated it.
+    stated: Option<(Time, UpstreamLoad)>,
     full_until: Time,
     denied: HashMap<Name, Time>,
 }
@@ -75,15 +66,11 @@
             open: false,
             misdirected: false,
             reported: None,
-            pending_tokens: 0,
-            level: 0.0,
-            level_at: Time::default(),
-            in_flight: 0,
-            in_use: HashMap::new(),
-            peer_in_use: HashMap::new(),
-            late_pauses: 0.0,
+            own: EngineLoad::default(),
             peer_in_flight: 0,
-            peer_pending: 0,
+            holder: None,
+            silent_until: Time::default(),
+            stated: None,
             full_until: Time::default(),
             denied: HashMap::new(),
         }
@@ -94,49 +81,66 @@
         self.entry.state == UpstreamState::Ready && !self.misdirected && now >= self.full_until
     }
 
+    /// Holder that admits requests now; without one the node decides by itself.
+    pub(super) fn asked_holder(&self, now: Time) -> Option<&Name> {
+        self.holder.as_ref().filter(|_| self.open && now >= self.silent_until)
+    }
+
+    /// Records that the holder gave no answer.
+    pub(super) fn holder_silent(&mut self, now: Time, span: Duration) {
+        self.silent_until = now + span;
+    }
+
     /// Requests in flight from all nodes.
-    pub(super) fn in_flight(&self) -> u32 {
-        self.in_flight + self.peer_in_flight
+    pub(super) fn in_flight(&self, now: Time) -> u32 {
+        let stated = self.stated(now).map_or(0, |(_, load)| load.in_flight);
+        stated.max(self.own.in_flight()) + self.peer_in_flight
     }
 
     /// Prompt tokens from all nodes that keep the engine from its other requests.
     pub(super) fn backlog(&self, now: Time) -> u32 {
-        self.own_backlog(now) + self.peer_pending
+        let stated = self.stated(now).map_or(0, |(at, load)| {
+            let tokens = f64::from(load.pending_tokens + load.queued_tokens);
+            drained(tokens, now.since(at), self.late_pauses(now)) as u32
+        });
+        stated.max(self.own.backlog(now))
     }
 
-    fn own_backlog(&self, now: Time) -> u32 {
-        self.pending_tokens.max(self.level(now) as u32)
+    /// Share of the streams that paused for too long.
+    pub(super) fn late_pauses(&self, now: Time) -> f64 {
+        let stated = self.stated(now).map(|(_, load)| f64::from(load.late_permille) / 1_000.0);
+        stated.unwrap_or_else(|| self.own.late_pauses())
     }
 
-    fn level(&self, now: Time) -> f64 {
-        let drained = now.since(self.level_at).as_secs_f64() * READ_TOKENS_PER_S * self.pace();
-        (self.level - drained).max(0.0)
+    /// Requests of all nodes that use `adapter`.
+    pub(super) fn uses(&self, now: Time, adapter: &Name) -> u32 {
+        let stated = self
+            .stated(now)
+            .and_then(|(_, load)| load.adapters.iter().find(|(name, _)| name == adapter))
+            .map_or(0, |(_, count)| *count);
+        stated.max(self.own.uses(adapter))
     }
 
-    /// Pace relative to an engine whose streams are on time.
-    fn pace(&self) -> f64 {
-        1.0 - LATE_PACE_CUT * self.late_pauses
+    fn stated(&self, now: Time) -> Option<(Time, &UpstreamLoad)> {
+        let (at, load) = self.stated.as_ref()?;
+        (now.since(*at) < STATED_FOR).then_some((*at, load))
     }
 
-    pub(super) fn denies(&self, now: Time, adapter: &Name) -> bool {
-        self.denied.get(adapter).is_some_and(|until| now < *until)
+    /// Takes the load that `node` states, if it is the holder.
+    pub(super) fn stated_by(&mut self, now: Time, node: &Name, load: UpstreamLoad) {
+        if self.holder.as_ref() == Some(node) {
+            self.stated = Some((now, load));
+        }
     }
 
-    pub(super) fn departed(&mut self, now: Time, adapter: Option<&Name>, tokens: u32) {
-        self.level = self.level(now) + f64::from(tokens);
-        self.level_at = now;
-        self.in_flight += 1;
-        self.pending_tokens += tokens;
-        if let Some(adapter) = adapter {
-            *self.in_use.entry(adapter.clone()).or_insert(0) += 1;
-        }
+    /// Takes figures that came with an answer of `node`; they name no adapters.
+    pub(super) fn figures(&mut self, now: Time, node: &Name, load: UpstreamLoad) {
+        let adapters = self.stated.take().map(|(_, stated)| stated.adapters).unwrap_or_default();
+        self.stated_by(now, node, UpstreamLoad { adapters, ..load });
     }
 
-    pub(super) fn landed(&mut self, adapter: Option<&Name>) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(adapter) = adapter {
-            subtract(&mut self.in_use, adapter, 1);
-        }
+    pub(super) fn denies(&self, now: Time, adapter: &Name) -> bool {
+        self.denied.get(adapter).is_some_and(|until| now < *until)
     }
 
     pub(super) fn full(&mut self, now: Time) {
@@ -152,55 +156,18 @@
 
     pub(super) fn add_peer(&mut self, load: &UpstreamLoad) {
         self.peer_in_flight += load.in_flight;
-        self.peer_pending += load.pending_tokens;
-        for (adapter, count) in &load.adapters {
-            *self.peer_in_use.entry(adapter.clone()).or_insert(0) += count;
-        }
     }
 
     pub(super) fn remove_peer(&mut self, load: &UpstreamLoad) {
         self.peer_in_flight = self.peer_in_flight.saturating_sub(load.in_flight);
-        self.peer_pending = self.peer_pending.saturating_sub(load.pending_tokens);
-        for (adapter, count) in &load.adapters {
-            subtract(&mut self.peer_in_use, adapter, *count);
-        }
-    }
-
-    /// Requests of all nodes that use `adapter`.
-    pub(super) fn uses(&self, adapter: &Name) -> u32 {
-        let count = |uses: &HashMap<Name, u32>| uses.get(adapter).copied().unwrap_or(0);
-        count(&self.in_use) + count(&self.peer_in_use)
-    }
-
-    /// Records whether a stream paused for longer than its objective.
-    pub(super) fn paused(&mut self, late: bool) {
-        let sample = if late { 1.0 } else { 0.0 };
-        self.late_pauses += PAUSE_ALPHA * (sample - self.late_pauses);
     }
 
-    /// Share of the streams that paused for too long.
-    pub(super) fn late_pauses(&self) -> f64 {
-        self.late_pauses
-    }
-
-    /// Load of this node; `None` if there is none.
-    pub(super) fn load(&self, now: Time) -> Option<UpstreamLoad> {
-        (self.in_flight > 0).then(|| UpstreamLoad {
+    /// Load of this node at a plain upstream; `None` if there is none.
+    pub(super) fn plain_load(&self) -> Option<UpstreamLoad> {
+        (self.holder.is_none() && self.own.in_flight() > 0).then(|| UpstreamLoad {
             upstream: self.entry.id.clone(),
-            in_flight: self.in_flight,
-            pending_tokens: self.own_backlog(now),
-            adapters: self.in_use.iter().map(|(name, count)| (name.clone(), *count)).collect(),
+            in_flight: self.own.in_flight(),
+            ..UpstreamLoad::default()
         })
     }
 }
-
-/// Lowers a count and drops it at zero.
-fn subtract(counts: &mut HashMap<Name, u32>, key: &Name, by: u32) {
-    match counts.get_mut(key) {
-        Some(count) if *count > by => *count -= by,
-        Some(_) => {
-            counts.remove(key);
-        }
-        None => {}
-    }
-}
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`config`]: which route and service a request belongs to
 //! - [`fleet`]: which upstreams exist, also while the store is unavailable
 //! - [`dispatch`]: which upstream a request goes to, what waits and what is rejected
+//! - [`admission`]: when an engine takes a prompt, decided for all nodes by its holder
 //! - [`health`]: which upstreams are avoided after failures
 //! - [`budget`]: how many repeats a service may receive
 //! - [`custody`]: which node gives orders to an upstream
 //! - [`residency`]: which adapters an upstream holds
 //! - [`peers`]: which nodes are alive and what they reported
 
+pub mod admission;
 pub mod budget;
 pub mod config;
 pub mod custody;
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -1,13 +1,19 @@
 //! Datagrams between nodes.
 //!
-//! A [`Beat`] states what a node has in flight and which adapters the engines hold that it
-//! gives orders to. Each beat is complete by itself, so a lost one costs only freshness.
+//! A [`Beat`] states a node's requests at plain upstreams, and of the engines that it gives
+//! orders to the adapters and the load. Each beat is complete by itself, so a lost one costs
+//! only freshness. An [`Ask`] requests a place at an engine from its holder.
 
 pub mod wire;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::Name;
+use crate::Time;
+use crate::dialect::ModelRef;
+use crate::dispatch::Job;
+use crate::dispatch::JobId;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,15 +26,23 @@
     Leaving,
 }
 
-/// Load that a node has on one upstream.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// Load of one upstream: at a plain upstream that of the sender, at an engine that of all nodes
+/// as its holder counts it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct UpstreamLoad {
     /// Upstream.
     pub upstream: Name,
+    /// Whether the figures count the requests of all nodes.
+    pub total: bool,
     /// Requests in flight.
     pub in_flight: u32,
-    /// Prompt tokens of the requests that have no output yet.
+    /// Prompt tokens that an engine has still to read.
     pub pending_tokens: u32,
+    /// Prompt tokens of the requests that wait for an engine.
+    pub queued_tokens: u32,
+    /// Streams that paused for longer than their objective, in thousandths of an engine's
+    /// recent streams.
+    pub late_permille: u32,
     /// Adapters in use, with the number of their requests.
     pub adapters: Vec<(Name, u32)>,
 }
@@ -82,7 +96,7 @@
     pub capacity: u32,
     /// Adapter loads under way that this node ordered.
     pub loading: u32,
-    /// Load by upstream.
+    /// Load of the plain upstreams that the node uses and of the engines in its custody.
     pub loads: Vec<UpstreamLoad>,
     /// Adapters of the engines in this node's custody.
     pub placements: Vec<Placement>,
@@ -107,11 +121,164 @@
     pub first: bool,
 }
 
-/// Datagram.
+/// Question for a place at an engine. Times are spans, because the clocks of hosts differ.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Engine.
+    pub upstream: Name,
+    /// Number of the request at the node that asks.
+    pub job: JobId,
+    /// Route.
+    pub route: Name,
+    /// Weight among the routes of its rank, above 0.
+    pub weight: f64,
+    /// Share of the engine's requests that the route is served with before more urgent work.
+    pub floor: f64,
+    /// Base model.
+    pub model: Name,
+    /// Adapter.
+    pub adapter: Option<Name>,
+    /// Rank, 0 is the most urgent.
+    pub priority: u8,
+    /// Time since the arrival of the request at the node.
+    pub waited: Duration,
+    /// Time from the arrival up to which the response is on time.
+    pub objective: Duration,
+    /// Time from the arrival after which nobody waits for the response.
+    pub deadline: Duration,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+}
+
+impl Ask {
+    /// Question for `job` at `upstream`.
+    pub fn new(now: Time, upstream: &Name, job: &Job) -> Ask {
+        Ask {
+            upstream: upstream.clone(),
+            job: job.id,
+            route: job.route.clone(),
+            weight: job.weight,
+            floor: job.floor,
+            model: job.model.as_ref().map_or_else(|| Name::from(""), |model| model.model.clone()),
+            adapter: job.adapter().cloned(),
+            priority: job.priority,
+            waited: now.since(job.arrived),
+            objective: job.objective.since(job.arrived),
+            deadline: job.deadline.since(job.arrived),
+            prompt_tokens: job.prompt_tokens,
+        }
+    }
+
+    /// The request as the holder keeps it, under its own number.
+    pub fn to_job(&self, now: Time, id: JobId) -> Job {
+        let arrived = now - self.waited;
+        Job {
+            id,
+            route: self.route.clone(),
+            weight: self.weight,
+            floor: self.floor,
+            service: Name::from(""),
+            model: Some(ModelRef { model: self.model.clone(), adapter: self.adapter.clone() }),
+            priority: self.priority,
+            arrived,
+            objective: arrived + self.objective,
+            deadline: arrived + self.deadline,
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: 0,
+            tried: Vec::new(),
+        }
+    }
+}
+
+/// Decision of the holder of an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// The request may be sent.
+    Granted,
+    /// The request waits at the holder.
+    Queued,
+    /// The request would wait for too long.
+    Denied {
+        /// Time after which a place is likely.
+        retry_after: Duration,
+    },
+    /// The node has no custody of the engine.
+    NotHolder,
+}
+
+/// Answer to an [`Ask`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// Number of the request at the node that asked.
+    pub job: JobId,
+    /// Decision.
+    pub reply: Reply,
+    /// Load of the engine, without adapters.
+    pub load: UpstreamLoad,
+}
+
+/// What became of a request at an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ProgressEvent {
+    /// Its first output came.
+    Output(JobId),
+    /// It ended, or is not wanted any more.
+    Ended(JobId),
+    /// The engine had no place for it.
+    Full(JobId),
+    /// A stream ended.
+    Paused {
+        /// Whether it paused for longer than its objective.
+        late: bool,
+    },
+    /// It was admitted by an earlier holder, or by none.
+    Running {
+        /// Number of the request at the node.
+        job: JobId,
+        /// Adapter.
+        adapter: Option<Name>,
+        /// Time to its deadline.
+        left: Duration,
+    },
+}
+
+/// Message to the holder of an engine about a request there.
 #[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Progress {
+    /// Engine.
+    pub upstream: Name,
+    /// Event.
+    pub event: ProgressEvent,
+}
+
+/// Message to the holder of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToHolder {
+    /// Question for a place.
+    Ask(Ask),
+    /// What became of a request.
+    Progress(Progress),
+}
+
+/// Datagram.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Datagram {
     /// State of a node.
     Beat(Box<Beat>),
     /// Adapters that a node needs.
     Wants(Vec<Want>),
+    /// Messages to the holder of engines.
+    ToHolder {
+        /// Node that sends them.
+        node: Name,
+        /// Messages.
+        messages: Vec<ToHolder>,
+    },
+    /// Answers of the holder of engines.
+    Answers {
+        /// Node that sends them.
+        holder: Name,
+        /// Answers.
+        answers: Vec<Answer>,
+    },
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -1,20 +1,28 @@
 //! Messages as they travel between nodes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use fireflyhead_schema::messages as wire;
 
 use crate::Name;
+use crate::dispatch::JobId;
+use crate::message::Answer;
+use crate::message::Ask;
 use crate::message::Beat;
 use crate::message::Datagram;
 use crate::message::NodeState;
 use crate::message::Placed;
 use crate::message::Placement;
+use crate::message::Progress;
+use crate::message::ProgressEvent;
+use crate::message::Reply;
+use crate::message::ToHolder;
 use crate::message::UpstreamLoad;
 use crate::message::Want;
 
 /// Reason for which a message is not understood.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(displaydoc::Display)]
 pub enum WireError {
     /// the datagram is empty
@@ -23,6 +31,10 @@
     Address(String),
     /// {0} is not a state of a node
     State(i32),
+    /// {0} is not an answer to a question for a place
+    Reply(i32),
+    /// {0} is not a weight
+    Weight(f64),
 }
 
 impl std::error::Error for WireError {}
@@ -35,6 +47,16 @@
                 let wants = wants.iter().map(wire::Want::from).collect();
                 wire::datagram::Body::Wants(wire::Wants { wants })
             }
+            Datagram::ToHolder { node, messages } => {
+                let node = node.to_string();
+                let messages = messages.iter().map(wire::HolderMessage::from).collect();
+                wire::datagram::Body::ToHolder(wire::HolderMessages { node, messages })
+            }
+            Datagram::Answers { holder, answers } => {
+                let holder = holder.to_string();
+                let answers = answers.iter().map(wire::Answer::from).collect();
+                wire::datagram::Body::Answers(wire::Answers { answers, holder })
+            }
         };
         wire::Datagram { body: Some(body) }
     }
@@ -51,11 +73,173 @@
             Some(wire::datagram::Body::Wants(wants)) => {
                 Ok(Datagram::Wants(wants.wants.into_iter().map(Want::from).collect()))
             }
+            Some(wire::datagram::Body::ToHolder(wire::HolderMessages { node, messages })) => {
+                let messages = messages.into_iter().map(ToHolder::try_from);
+                Ok(Datagram::ToHolder {
+                    node: Name::from(node),
+                    messages: messages.collect::<Result<_, _>>()?,
+                })
+            }
+            Some(wire::datagram::Body::Answers(wire::Answers { answers, holder })) => {
+                let answers = answers.into_iter().map(Answer::try_from);
+                Ok(Datagram::Answers {
+                    holder: Name::from(holder),
+                    answers: answers.collect::<Result<_, _>>()?,
+                })
+            }
             None => Err(WireError::Empty),
         }
     }
 }
 
+impl From<&ToHolder> for wire::HolderMessage {
+    fn from(message: &ToHolder) -> wire::HolderMessage {
+        let body = match message {
+            ToHolder::Ask(ask) => wire::holder_message::Body::Ask(ask.into()),
+            ToHolder::Progress(progress) => wire::holder_message::Body::Progress(progress.into()),
+        };
+        wire::HolderMessage { body: Some(body) }
+    }
+}
+
+impl TryFrom<wire::HolderMessage> for ToHolder {
+    type Error = WireError;
+
+    fn try_from(message: wire::HolderMessage) -> Result<ToHolder, WireError> {
+        match message.body {
+            Some(wire::holder_message::Body::Ask(ask)) => Ok(ToHolder::Ask(ask.try_into()?)),
+            Some(wire::holder_message::Body::Progress(progress)) => {
+                Ok(ToHolder::Progress(progress.try_into()?))
+            }
+            None => Err(WireError::Empty),
+        }
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl From<&Ask> for wire::Ask {
+    fn from(ask: &Ask) -> wire::Ask {
+        wire::Ask {
+            upstream: ask.upstream.to_string(),
+            job: ask.job.0,
+            route: ask.route.to_string(),
+            weight: ask.weight,
+            floor: ask.floor,
+            model: ask.model.to_string(),
+            adapter: ask.adapter.as_ref().map(Name::to_string),
+            priority: u32::from(ask.priority),
+            waited_us: micros(ask.waited),
+            objective_us: micros(ask.objective),
+            deadline_us: micros(ask.deadline),
+            prompt_tokens: ask.prompt_tokens,
+        }
+    }
+}
+
+impl TryFrom<wire::Ask> for Ask {
+    type Error = WireError;
+
+    fn try_from(ask: wire::Ask) -> Result<Ask, WireError> {
+        let weight = |weight: f64| match weight.is_finite() {
+            true => Ok(weight),
+            false => Err(WireError::Weight(weight)),
+        };
+        Ok(Ask {
+            upstream: Name::from(ask.upstream),
+            job: JobId(ask.job),
+            route: Name::from(ask.route),
+            weight: weight(ask.weight)?,
+            floor: weight(ask.floor)?,
+            model: Name::from(ask.model),
+            adapter: ask.adapter.map(Name::from),
+            priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
+            waited: Duration::from_micros(ask.waited_us),
+            objective: Duration::from_micros(ask.objective_us),
+            deadline: Duration::from_micros(ask.deadline_us),
+            prompt_tokens: ask.prompt_tokens,
+        })
+    }
+}
+
+impl From<&Answer> for wire::Answer {
+    fn from(answer: &Answer) -> wire::Answer {
+        let (reply, retry_after) = match answer.reply {
+            Reply::Granted => (wire::Reply::Granted, Duration::ZERO),
+            Reply::Queued => (wire::Reply::Queued, Duration::ZERO),
+            Reply::Denied { retry_after } => (wire::Reply::Denied, retry_after),
+            Reply::NotHolder => (wire::Reply::NotHolder, Duration::ZERO),
+        };
+        wire::Answer {
+            job: answer.job.0,
+            reply: reply.into(),
+            retry_after_us: micros(retry_after),
+            load: Some((&answer.load).into()),
+        }
+    }
+}
+
+impl TryFrom<wire::Answer> for Answer {
+    type Error = WireError;
+
+    fn try_from(answer: wire::Answer) -> Result<Answer, WireError> {
+        let retry_after = Duration::from_micros(answer.retry_after_us);
+        let reply = match wire::Reply::try_from(answer.reply) {
+            Ok(wire::Reply::Granted) => Reply::Granted,
+            Ok(wire::Reply::Queued) => Reply::Queued,
+            Ok(wire::Reply::Denied) => Reply::Denied { retry_after },
+            Ok(wire::Reply::NotHolder) => Reply::NotHolder,
+            Ok(wire::Reply::Unspecified) | Err(_) => return Err(WireError::Reply(answer.reply)),
+        };
+        let load = answer.load.ok_or(WireError::Empty)?;
+        Ok(Answer { job: JobId(answer.job), reply, load: load.into() })
+    }
+}
+
+impl From<&Progress> for wire::Progress {
+    fn from(progress: &Progress) -> wire::Progress {
+        let event = match &progress.event {
+            ProgressEvent::Output(job) => wire::progress::Event::Output(job.0),
+            ProgressEvent::Ended(job) => wire::progress::Event::Ended(job.0),
+            ProgressEvent::Full(job) => wire::progress::Event::Full(job.0),
+            ProgressEvent::Paused { late } => {
+                wire::progress::Event::Paused(wire::Paused { late: *late })
+            }
+            ProgressEvent::Running { job, adapter, left } => {
+                wire::progress::Event::Running(wire::Running {
+                    job: job.0,
+                    adapter: adapter.as_ref().map(Name::to_string),
+                    left_us: micros(*left),
+                })
+            }
+        };
+        wire::Progress { upstream: progress.upstream.to_string(), event: Some(event) }
+    }
+}
+
+impl TryFrom<wire::Progress> for Progress {
+    type Error = WireError;
+
+    fn try_from(progress: wire::Progress) -> Result<Progress, WireError> {
+        let event = match progress.event.ok_or(WireError::Empty)? {
+            wire::progress::Event::Output(job) => ProgressEvent::Output(JobId(job)),
+            wire::progress::Event::Ended(job) => ProgressEvent::Ended(JobId(job)),
+            wire::progress::Event::Full(job) => ProgressEvent::Full(JobId(job)),
+            wire::progress::Event::Paused(wire::Paused { late }) => ProgressEvent::Paused { late },
+            wire::progress::Event::Running(wire::Running { job, adapter, left_us }) => {
+                ProgressEvent::Running {
+                    job: JobId(job),
+                    adapter: adapter.map(Name::from),
+                    left: Duration::from_micros(left_us),
+                }
+            }
+        };
+        Ok(Progress { upstream: Name::from(progress.upstream), event })
+    }
+}
+
 impl From<&Beat> for wire::Beat {
     fn from(beat: &Beat) -> wire::Beat {
         wire::Beat {
@@ -133,6 +317,9 @@
             upstream: load.upstream.to_string(),
             in_flight: load.in_flight,
             pending_tokens: load.pending_tokens,
+            queued_tokens: load.queued_tokens,
+            late_permille: load.late_permille,
+            total: load.total,
             adapters: load.adapters.iter().map(usage).collect(),
         }
     }
@@ -145,6 +332,9 @@
             upstream: Name::from(load.upstream),
             in_flight: load.in_flight,
             pending_tokens: load.pending_tokens,
+            queued_tokens: load.queued_tokens,
+            late_permille: load.late_permille,
+            total: load.total,
             adapters: load.adapters.into_iter().map(usage).collect(),
         }
     }
--- a/crates/fireflyhead-policy/src/peers.rs
+++ b/crates/fireflyhead-policy/src/peers.rs
@@ -4,6 +4,7 @@
 //! callers after [`SILENCE`], long before its entry in the store lapses.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::Name;
@@ -73,6 +74,11 @@
         self.live(now).filter(|peer| peer.beat.state == NodeState::Ready)
     }
 
+    /// Peer address of `node`.
+    pub fn address(&self, node: &str) -> Option<SocketAddr> {
+        self.peers.get(node).map(|peer| peer.beat.peer)
+    }
+
     /// All peers that are remembered.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
--- a/crates/fireflyhead-policy/src/types.rs
+++ b/crates/fireflyhead-policy/src/types.rs
@@ -14,6 +14,12 @@
 #[derive(Deserialize, Serialize)]
 pub struct Name(Arc<str>);
 
+impl Default for Name {
+    fn default() -> Name {
+        Name::from("")
+    }
+}
+
 impl Name {
     /// Name as a string slice.
     pub fn as_str(&self) -> &str {
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/admission.rs
@@ -0,0 +1,282 @@
+//! Admission by the holder of an engine, and nodes whose holder does not answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
+use fireflyhead_policy::admission::Admission;
+use fireflyhead_policy::dispatch::DispatchSettings;
+use fireflyhead_policy::dispatch::Dispatcher;
+use fireflyhead_policy::dispatch::JobId;
+use fireflyhead_policy::dispatch::RejectReason;
+use fireflyhead_policy::dispatch::SendOutcome;
+use fireflyhead_policy::dispatch::Verdict;
+use fireflyhead_policy::message::Answer;
+use fireflyhead_policy::message::Ask;
+use fireflyhead_policy::message::Progress;
+use fireflyhead_policy::message::ProgressEvent;
+use fireflyhead_policy::message::Reply;
+use fireflyhead_policy::message::ToHolder;
+use fireflyhead_policy::message::UpstreamLoad;
+use proptest::prelude::*;
+
+use crate::setup::ENGINES;
+use crate::setup::entry;
+use crate::setup::job;
+use crate::setup::ms;
+use crate::setup::placement;
+
+const ENGINE: &str = "engine-0";
+const HOLDER: &str = "node-9";
+
+fn engine() -> Name {
+    Name::from(ENGINE)
+}
+
+fn holder() -> Admission {
+    let mut admission = Admission::default();
+    admission.hold(&engine(), 64, 1);
+    admission
+}
+
+fn node(n: usize) -> Name {
+    Name::from(format!("node-{n}"))
+}
+
+fn ask(id: u64, now: Time, tokens: u32) -> Ask {
+    Ask::new(now, &engine(), &job(id, now, "hot", tokens))
+}
+
+fn progress(event: ProgressEvent) -> Progress {
+    Progress { upstream: engine(), event }
+}
+
+/// Dispatcher of `node-1` whose only engine is in the custody of `node-9`.
+fn asker() -> Dispatcher {
+    let settings = DispatchSettings { node: node(1), ..DispatchSettings::default() };
+    let mut dispatcher = Dispatcher::new(settings);
+    dispatcher.listed(&Arc::new(entry(ENGINE, ENGINES, 64)));
+    dispatcher.placement(ms(0), &Name::from(HOLDER), &placement(ENGINE, &["hot"], 1));
+    dispatcher
+}
+
+fn asked(dispatcher: &mut Dispatcher) -> Vec<JobId> {
+    let outbox = dispatcher.outbox();
+    let asks = outbox.into_iter().filter_map(|(_, message)| match message {
+        ToHolder::Ask(ask) => Some(ask.job),
+        ToHolder::Progress(_) => None,
+    });
+    asks.collect()
+}
+
+fn answer(id: u64, reply: Reply) -> Answer {
+    let load = UpstreamLoad { upstream: engine(), total: true, ..UpstreamLoad::default() };
+    Answer { job: JobId(id), reply, load }
+}
+
+/// Replays a burst of 40 nodes with one prompt each at one engine: from their beats, every node
+/// sees an idle engine, and running streams stall behind 40 prompts.
+#[test]
+fn prompts_of_many_nodes_are_paced() {
+    let mut admission = holder();
+    let replies: Vec<Reply> = (0..40)
+        .map(|n| admission.ask(ms(0), &node(n), &ask(1, ms(0), 1_200)).answer.reply)
+        .collect();
+    let granted = replies.iter().filter(|reply| **reply == Reply::Granted).count();
+    assert_eq!(granted, 2, "the window takes 2,500 tokens: {replies:?}");
+    let mut sent = granted;
+    for now in (0..2_000).step_by(10) {
+        for n in 0..40 {
+            admission.progress(ms(now), &node(n), &progress(ProgressEvent::Output(JobId(1))));
+        }
+        sent += admission.pump(ms(now)).len();
+        // Twice the window once requests waited for long, and what 11,000 tokens a second drain.
+        let most = 5_000.0 + 11.0 * now as f64;
+        assert!(sent as f64 * 1_200.0 <= most, "{sent} prompts after {now} ms");
+    }
+    assert!(sent >= 18, "the engine reads 18 prompts in 2 s, {sent} were sent");
+}
+
+/// Guards against a queue of one node that passes more urgent work of another.
+#[test]
+fn the_most_urgent_request_of_all_nodes_goes_first() {
+    let mut admission = holder();
+    for n in 0..6 {
+        admission.ask(ms(0), &node(n), &ask(1, ms(0), 1_200));
+    }
+    let mut urgent = ask(1, ms(1), 1_200);
+    urgent.priority = 0;
+    assert_eq!(admission.ask(ms(1), &node(7), &urgent).answer.reply, Reply::Queued);
+    for n in 0..2 {
+        admission.progress(ms(2), &node(n), &progress(ProgressEvent::Output(JobId(1))));
+    }
+    let granted = admission.pump(ms(120));
+    assert_eq!(granted.first().map(|to| to.node.clone()), Some(node(7)), "{granted:?}");
+}
+
+/// Guards against a place that is taken twice by a question that was repeated, and against
+/// places that stay taken when a node ends, is forgotten, or its report is lost.
+#[test]
+fn places_are_counted_once_and_given_back() {
+    let mut admission = holder();
+    let in_flight = |admission: &Admission, now| admission.loads(now)[0].in_flight;
+    for _ in 0..3 {
+        let reply = admission.ask(ms(0), &node(1), &ask(1, ms(0), 100)).answer.reply;
+        assert_eq!(reply, Reply::Granted);
+    }
+    admission.ask(ms(0), &node(1), &ask(2, ms(0), 100));
+    admission.ask(ms(0), &node(2), &ask(1, ms(0), 100));
+    assert_eq!(in_flight(&admission, ms(0)), 3);
+    for _ in 0..2 {
+        admission.progress(ms(1), &node(1), &progress(ProgressEvent::Ended(JobId(1))));
+    }
+    assert_eq!(in_flight(&admission, ms(1)), 2);
+    admission.forget(&node(2));
+    assert_eq!(in_flight(&admission, ms(1)), 1);
+    admission.pump(ms(15_900));
+    assert_eq!(in_flight(&admission, ms(15_900)), 1, "the caller may wait for 15 s");
+    admission.pump(ms(16_100));
+    assert_eq!(in_flight(&admission, ms(16_100)), 0);
+}
+
+/// Guards against a request that is held although its wait passes its deadline.
+#[test]
+fn a_wait_beyond_the_deadline_is_denied_at_once() {
+    let mut admission = holder();
+    let replies: Vec<Reply> = (0..200)
+        .map(|n| admission.ask(ms(0), &node(n), &ask(1, ms(0), 1_100)).answer.reply)
+        .collect();
+    let queued = replies.iter().filter(|reply| **reply == Reply::Queued).count();
+    // 15 s at 10 prompts a second.
+    assert!((140..=150).contains(&queued), "{queued} wait");
+    let Some(Reply::Denied { retry_after }) = replies.last() else { panic!("{replies:?}") };
+    assert!(*retry_after < Duration::from_secs(1), "a place is free after {retry_after:?}");
+}
+
+/// Guards against a lost holder that holds up its engine's requests: the node decides by itself
+/// after a timeout, and asks again a second later.
+#[test]
+fn a_silent_holder_costs_one_timeout() {
+    let mut dispatcher = asker();
+    assert_eq!(dispatcher.submit(ms(0), job(1, ms(0), "hot", 500)), None);
+    assert_eq!(asked(&mut dispatcher), [JobId(1)]);
+    assert!(dispatcher.pump(ms(100)).is_empty());
+    let decided = dispatcher.pump(ms(130));
+    assert!(matches!(decided[..], [(JobId(1), Verdict::Send { .. })]), "{decided:?}");
+    let next = dispatcher.submit(ms(200), job(2, ms(200), "hot", 500));
+    assert!(matches!(next, Some(Verdict::Send { .. })), "{next:?}");
+    assert_eq!(dispatcher.submit(ms(1_200), job(3, ms(1_200), "hot", 500)), None);
+    assert_eq!(asked(&mut dispatcher), [JobId(3)]);
+}
+
+/// Guards against a grant that was lost: a queued request is asked about again.
+#[test]
+fn a_lost_grant_is_asked_for_again() {
+    let mut dispatcher = asker();
+    dispatcher.submit(ms(0), job(1, ms(0), "hot", 500));
+    dispatcher.answered(ms(2), &Name::from(HOLDER), answer(1, Reply::Queued));
+    assert_eq!(asked(&mut dispatcher), [JobId(1)]);
+    dispatcher.pump(ms(300));
+    assert!(asked(&mut dispatcher).is_empty());
+    dispatcher.pump(ms(410));
+    assert_eq!(asked(&mut dispatcher), [JobId(1)]);
+    let verdict = dispatcher.answered(ms(412), &Name::from(HOLDER), answer(1, Reply::Granted));
+    assert!(matches!(verdict, Some((JobId(1), Verdict::Send { .. }))));
+    // A second grant is for the same place.
+    assert_eq!(dispatcher.answered(ms(413), &Name::from(HOLDER), answer(1, Reply::Granted)), None);
+    assert_eq!(dispatcher.in_flight(), 1);
+}
+
+/// Guards against a request that waits at a holder past its share of the deadline, and
+/// against a place that a grant keeps after its request was given up.
+#[test]
+fn a_request_that_is_given_up_returns_its_place() {
+    let mut dispatcher = asker();
+    dispatcher.submit(ms(0), job(1, ms(0), "hot", 500));
+    dispatcher.outbox();
+    let mut decided = Vec::new();
+    for now in (0..6_100).step_by(100) {
+        dispatcher.answered(ms(now), &Name::from(HOLDER), answer(1, Reply::Queued));
+        decided.extend(dispatcher.pump(ms(now)));
+    }
+    assert!(matches!(
+        decided[..],
+        [(JobId(1), Verdict::Reject { reason: RejectReason::Overload, .. })]
+    ));
+    dispatcher.outbox();
+    assert_eq!(
+        dispatcher.answered(ms(6_200), &Name::from(HOLDER), answer(1, Reply::Granted)),
+        None
+    );
+    let outbox = dispatcher.outbox();
+    let ended = ToHolder::Progress(progress(ProgressEvent::Ended(JobId(1))));
+    assert_eq!(outbox, [(Name::from(HOLDER), ended)]);
+}
+
+/// Guards against a new holder that takes an engine for idle: it learns what runs there, and
+/// what waited at the holder before is asked for again.
+#[test]
+fn a_new_holder_learns_what_runs() {
+    let mut dispatcher = asker();
+    dispatcher.submit(ms(0), job(1, ms(0), "hot", 500));
+    dispatcher.answered(ms(1), &Name::from(HOLDER), answer(1, Reply::Granted));
+    dispatcher.submit(ms(1), job(2, ms(1), "hot", 500));
+    dispatcher.answered(ms(2), &Name::from(HOLDER), answer(2, Reply::Queued));
+    dispatcher.outbox();
+    let mut moved = placement(ENGINE, &["hot"], 1);
+    moved.fence = 2;
+    dispatcher.placement(ms(10), &node(5), &moved);
+    dispatcher.pump(ms(10));
+    let outbox = dispatcher.outbox();
+    assert!(outbox.iter().all(|(to, _)| *to == node(5)), "{outbox:?}");
+    let mut admission = holder();
+    for (_, message) in outbox {
+        match message {
+            ToHolder::Ask(ask) => {
+                assert_eq!(admission.ask(ms(10), &node(1), &ask).answer.reply, Reply::Granted);
+            }
+            ToHolder::Progress(progress) => admission.progress(ms(10), &node(1), &progress),
+        }
+    }
+    assert_eq!(admission.loads(ms(10))[0].in_flight, 2);
+    dispatcher.done(ms(20), JobId(1), SendOutcome::Served);
+}
+
+proptest! {
+    /// Guards against places that are lost or counted twice when datagrams are lost, repeated
+    /// or late: whatever arrives, the load falls back to zero once all requests have ended.
+    #[test]
+    fn no_order_of_messages_leaves_load_behind(
+        events in prop::collection::vec((0_u64..6, 0_usize..3, 0_u8..7, 0_u64..40), 1..120)
+    ) {
+        let mut admission = holder();
+        let mut now = 0;
+        for (id, from, kind, pause) in events {
+            now += pause;
+            let job = JobId(id);
+            let event = match kind {
+                0 | 1 => {
+                    admission.ask(ms(now), &node(from), &ask(id, ms(now), 900));
+                    continue;
+                }
+                2 => ProgressEvent::Output(job),
+                3 => ProgressEvent::Ended(job),
+                4 => ProgressEvent::Full(job),
+                5 => ProgressEvent::Running { job, adapter: None, left: Duration::from_secs(3) },
+                _ => {
+                    admission.pump(ms(now));
+                    admission.forget(&node(from));
+                    continue;
+                }
+            };
+            admission.progress(ms(now), &node(from), &progress(event));
+        }
+        prop_assert!(admission.loads(ms(now))[0].in_flight <= 18, "six requests of three nodes");
+        admission.pump(ms(now + 20_000));
+        let load = &admission.loads(ms(now + 40_000))[0];
+        prop_assert_eq!((load.in_flight, load.pending_tokens, load.queued_tokens), (0, 0, 0));
+        prop_assert!(load.adapters.is_empty());
+        prop_assert_eq!(admission.waiting(), 0);
+    }
+}
--- a/crates/fireflyhead-policy/tests/policy/limits.rs
+++ b/crates/fireflyhead-policy/tests/policy/limits.rs
@@ -7,8 +7,8 @@
 use fireflyhead_policy::dispatch::SendOutcome;
 use fireflyhead_policy::limits::RouteLimits;
 
-use crate::setup::dispatcher;
 use crate::setup::ms;
+use crate::setup::node;
 use crate::setup::order;
 
 /// Guards against a flood of one route above its rate, and against a limit that each node
@@ -42,7 +42,7 @@
 /// of what is served is its floor.
 #[test]
 fn lesser_work_keeps_its_floor_in_a_flood_of_urgent_work() {
-    let mut dispatcher = dispatcher(0, 1);
+    let mut node = node(0, 1);
     let mut next = 0;
     let mut running: Vec<JobId> = Vec::new();
     let mut sent = [0_u32; 2];
@@ -52,14 +52,14 @@
             next += 1;
             let job = Job { floor, ..order(next * 2 + u64::from(priority == 2), now, priority) };
             let id = job.id;
-            if dispatcher.submit(now, job).is_some() {
+            if node.submit(now, job).is_some() {
                 running.push(id);
             }
         }
         if running.len() >= 9 {
-            dispatcher.done(now, running.remove(0), SendOutcome::Served);
+            node.done(now, running.remove(0), SendOutcome::Served);
         }
-        for (id, verdict) in dispatcher.pump(now) {
+        for (id, verdict) in node.pump(now) {
             if matches!(verdict, fireflyhead_policy::dispatch::Verdict::Send { .. }) {
                 sent[(id.0 % 2) as usize] += 1;
                 running.push(id);
--- a/crates/fireflyhead-policy/tests/policy/loads.rs
+++ b/crates/fireflyhead-policy/tests/policy/loads.rs
@@ -11,14 +11,18 @@
 use fireflyhead_policy::dispatch::Verdict;
 use fireflyhead_policy::fleet::UpstreamState;
 use fireflyhead_policy::health::Failure;
-use fireflyhead_policy::message::UpstreamLoad;
+use fireflyhead_policy::message::Ask;
+use fireflyhead_policy::message::Progress;
+use fireflyhead_policy::message::ProgressEvent;
+use fireflyhead_policy::message::Reply;
 
 use crate::setup::DESK;
 use crate::setup::MODEL;
-use crate::setup::dispatcher;
+use crate::setup::NODE;
 use crate::setup::entry;
 use crate::setup::job;
 use crate::setup::ms;
+use crate::setup::node;
 use crate::setup::order;
 use crate::setup::place;
 use crate::setup::placement;
@@ -33,16 +37,16 @@
 /// Guards against a request for an absent adapter that holds back requests behind it.
 #[test]
 fn a_rare_adapter_waits_without_holding_back_others() {
-    let mut dispatcher = dispatcher(3, 0);
-    place(&mut dispatcher, "engine-0", &["hot"]);
-    assert_eq!(dispatcher.submit(ms(0), job(1, ms(0), "rare", 500)), None);
-    let hot = dispatcher.submit(ms(0), job(2, ms(0), "hot", 500));
+    let mut node = node(3, 0);
+    place(&mut node, "engine-0", &["hot"]);
+    assert_eq!(node.submit(ms(0), job(1, ms(0), "rare", 500)), None);
+    let hot = node.submit(ms(0), job(2, ms(0), "hot", 500));
     assert_eq!(target(hot.as_ref()).as_deref(), Some("engine-0"));
-    let wants = dispatcher.wants(ms(0), &Name::from("node-1"));
+    let wants = node.wants(ms(0), &Name::from("node-1"));
     assert_eq!(wants.len(), 1);
     let home = wants[0].upstream.to_string();
-    place(&mut dispatcher, &home, &["rare"]);
-    let decided = dispatcher.pump(ms(250));
+    place(&mut node, &home, &["rare"]);
+    let decided = node.pump(ms(250));
     assert_eq!(decided.len(), 1);
     assert_eq!(target(Some(&decided[0].1)), Some(home));
 }
@@ -53,9 +57,9 @@
     let homes = |adapter: &str| {
         (0..3)
             .map(|_| {
-                let mut dispatcher = dispatcher(18, 0);
-                dispatcher.submit(ms(0), job(1, ms(0), adapter, 500));
-                dispatcher.wants(ms(0), &Name::from("node"))[0].upstream.clone()
+                let mut node = node(18, 0);
+                node.submit(ms(0), job(1, ms(0), adapter, 500));
+                node.wants(ms(0), &Name::from("node"))[0].upstream.clone()
             })
             .collect::<Vec<Name>>()
     };
@@ -71,103 +75,112 @@
 /// Guards against replicas of adapters that one engine serves well, which evict rare ones.
 #[test]
 fn only_adapters_in_use_get_replicas() {
-    let mut dispatcher = dispatcher(6, 0);
-    place(&mut dispatcher, "engine-0", &["warm"]);
-    dispatcher.submit(ms(0), job(1, ms(0), "warm", 2_400));
+    let mut node = node(6, 0);
+    place(&mut node, "engine-0", &["warm"]);
+    node.submit(ms(0), job(1, ms(0), "warm", 2_400));
     // The engine has a backlog, but nobody else uses the adapter.
-    assert_eq!(dispatcher.submit(ms(5), job(2, ms(5), "warm", 2_400)), None);
-    assert!(dispatcher.wants(ms(5), &Name::from("node")).is_empty());
+    assert_eq!(node.submit(ms(5), job(2, ms(5), "warm", 2_400)), None);
+    assert!(node.wants(ms(5), &Name::from("node")).is_empty());
     for n in 3..9 {
-        dispatcher.output(JobId(n - 2));
+        node.output(JobId(n - 2));
         let now = ms(n * 1_000);
-        dispatcher.pump(now);
-        dispatcher.submit(now, job(n, now, "warm", 2_400));
+        node.pump(now);
+        node.submit(now, job(n, now, "warm", 2_400));
     }
-    dispatcher.submit(ms(8_100), job(20, ms(8_100), "warm", 2_400));
-    let wants = dispatcher.wants(ms(8_100), &Name::from("node"));
+    node.submit(ms(8_100), job(20, ms(8_100), "warm", 2_400));
+    let wants = node.wants(ms(8_100), &Name::from("node"));
     assert_eq!(wants.len(), 1, "six requests in use call for a replica");
 }
 
 /// Guards against pauses in running streams: an engine reads prompts between their steps.
 #[test]
 fn prompts_are_spread_and_paced() {
-    let mut dispatcher = dispatcher(2, 0);
-    place(&mut dispatcher, "engine-0", &["hot"]);
-    place(&mut dispatcher, "engine-1", &["hot"]);
-    let sent: Vec<Option<String>> = (0..6)
-        .map(|n| target(dispatcher.submit(ms(n), job(n, ms(n), "hot", 1_200)).as_ref()))
-        .collect();
+    let mut node = node(2, 0);
+    place(&mut node, "engine-0", &["hot"]);
+    place(&mut node, "engine-1", &["hot"]);
+    let sent: Vec<Option<String>> =
+        (0..6).map(|n| target(node.submit(ms(n), job(n, ms(n), "hot", 1_200)).as_ref())).collect();
     let on = |id: &str| sent.iter().flatten().filter(|sent| *sent == id).count();
     assert_eq!((on("engine-0"), on("engine-1")), (2, 2), "{sent:?}");
     // Half a second later both engines have read what they had.
-    (0..6).for_each(|n| dispatcher.output(JobId(n)));
-    assert_eq!(dispatcher.pump(ms(400)).len(), 2);
+    (0..6).for_each(|n| node.output(JobId(n)));
+    assert_eq!(node.pump(ms(400)).len(), 2);
 }
 
 /// Guards against pacing that makes a request late by itself.
 #[test]
 fn pacing_ends_before_the_objective() {
-    let mut dispatcher = dispatcher(1, 0);
-    place(&mut dispatcher, "engine-0", &["hot"]);
+    let mut node = node(1, 0);
+    place(&mut node, "engine-0", &["hot"]);
     for n in 0..3 {
-        dispatcher.submit(ms(0), job(n, ms(0), "hot", 2_000));
+        node.submit(ms(0), job(n, ms(0), "hot", 2_000));
     }
-    let decided = dispatcher.pump(ms(460));
+    let decided = node.pump(ms(460));
     assert!(!decided.is_empty(), "a request waits past 0.45 of its objective");
 }
 
 /// Guards against bursts from several nodes: what the others sent counts like the own.
 #[test]
 fn load_of_other_nodes_is_avoided() {
-    let mut dispatcher = dispatcher(2, 0);
-    place(&mut dispatcher, "engine-0", &["hot"]);
-    place(&mut dispatcher, "engine-1", &["hot"]);
-    let load = UpstreamLoad {
-        upstream: Name::from("engine-0"),
-        in_flight: 8,
-        pending_tokens: 4_000,
-        adapters: vec![(Name::from("hot"), 8)],
-    };
-    dispatcher.peer_load(&Name::from("node-2"), vec![load]);
+    let mut node = node(2, 0);
+    place(&mut node, "engine-0", &["hot"]);
+    place(&mut node, "engine-1", &["hot"]);
+    let other = Name::from("node-2");
+    for n in 0..2 {
+        let ask = Ask::new(ms(0), &Name::from("engine-0"), &job(n, ms(0), "hot", 1_200));
+        assert_eq!(node.admission.ask(ms(0), &other, &ask).answer.reply, Reply::Granted);
+    }
+    for n in 2..8 {
+        let running = ProgressEvent::Running {
+            job: JobId(n),
+            adapter: Some(Name::from("hot")),
+            left: Duration::from_secs(10),
+        };
+        let progress = Progress { upstream: Name::from("engine-0"), event: running };
+        node.admission.progress(ms(0), &other, &progress);
+    }
+    for load in node.admission.loads(ms(0)) {
+        node.peer_load(ms(0), &Name::from(NODE), vec![load]);
+    }
     for n in 0..2 {
-        let verdict = dispatcher.submit(ms(0), job(n, ms(0), "hot", 1_000));
+        let verdict = node.submit(ms(0), job(n, ms(0), "hot", 1_000));
         assert_eq!(target(verdict.as_ref()).as_deref(), Some("engine-1"));
     }
-    assert_eq!(dispatcher.usage(ms(0), "engine-0").get("hot"), Some(&8));
-    dispatcher.peer_load(&Name::from("node-2"), Vec::new());
-    assert!(dispatcher.usage(ms(0), "engine-0").is_empty(), "a silent node's figures age out");
+    assert_eq!(node.usage(ms(0), "engine-0").get("hot"), Some(&8));
+    node.admission.forget(&other);
+    assert!(node.usage(ms(0), "engine-0").is_empty(), "a silent node's requests are forgotten");
 }
 
 /// Guards against a flood of lesser work in front of urgent work.
 #[test]
 fn urgent_work_leaves_the_queue_first() {
-    let mut dispatcher = dispatcher(0, 1);
+    let mut node = node(0, 1);
     let filled: Vec<u64> = (0..9).collect();
     for n in &filled {
-        assert!(dispatcher.submit(ms(0), order(*n, ms(0), 2)).is_some());
+        assert!(node.submit(ms(0), order(*n, ms(0), 2)).is_some());
     }
     for n in 10..14 {
-        assert_eq!(dispatcher.submit(ms(1), order(n, ms(1), 2)), None);
+        assert_eq!(node.submit(ms(1), order(n, ms(1), 2)), None);
     }
-    assert_eq!(dispatcher.submit(ms(2), order(20, ms(2), 0)), None);
-    dispatcher.done(ms(60), JobId(0), SendOutcome::Served);
-    let decided = dispatcher.pump(ms(60));
+    assert_eq!(node.submit(ms(2), order(20, ms(2), 0)), None);
+    node.done(ms(60), JobId(0), SendOutcome::Served);
+    let decided = node.pump(ms(60));
     assert_eq!(decided.iter().map(|(id, _)| *id).collect::<Vec<_>>(), vec![JobId(20)]);
 }
 
 /// Guards against requests that are held until their deadline although they can't be served.
 #[test]
 fn a_wait_beyond_the_deadline_is_rejected_at_once() {
-    let mut dispatcher = dispatcher(0, 1);
+    let mut node = node(0, 1);
     // Samples of one second teach the pace of the service.
     for n in 0..200 {
-        dispatcher.submit(ms(n * 1_000), order(n, ms(n * 1_000), 2));
-        dispatcher.done(ms(n * 1_000 + 1_000), JobId(n), SendOutcome::Served);
+        node.submit(ms(n * 1_000), order(n, ms(n * 1_000), 2));
+        node.done(ms(n * 1_000 + 1_000), JobId(n), SendOutcome::Served);
     }
     let now = ms(200_000);
     let mut rejected = Vec::new();
     for n in 1_000..1_060 {
-        match dispatcher.submit(now, order(n, now, 2)) {
+        match node.submit(now, order(n, now, 2)) {
             Some(Verdict::Reject { reason, retry_after }) => rejected.push((reason, retry_after)),
             Some(Verdict::Send { .. }) | None => {}
         }
@@ -176,38 +189,38 @@
     assert_eq!(rejected.len(), 60 - 9 - 24, "rejected {}", rejected.len());
     assert!(rejected.iter().all(|(reason, _)| *reason == RejectReason::Overload));
     assert!(rejected.iter().all(|(_, wait)| *wait >= Duration::from_millis(200)));
-    assert_eq!(dispatcher.waiting(), 24);
+    assert_eq!(node.waiting(), 24);
 }
 
 /// Guards against a request that is held to near its deadline for an adapter that never comes.
 #[test]
 fn an_adapter_that_does_not_come_is_given_up() {
-    let mut dispatcher = dispatcher(2, 0);
-    dispatcher.submit(ms(0), job(1, ms(0), "rare", 500));
-    assert!(dispatcher.pump(ms(5_900)).is_empty());
-    let decided = dispatcher.pump(ms(6_100));
+    let mut node = node(2, 0);
+    node.submit(ms(0), job(1, ms(0), "rare", 500));
+    assert!(node.pump(ms(5_900)).is_empty());
+    let decided = node.pump(ms(6_100));
     assert!(matches!(
         decided[..],
         [(JobId(1), Verdict::Reject { reason: RejectReason::AdapterUnavailable, .. })]
     ));
-    assert_eq!(dispatcher.waiting(), 0);
+    assert_eq!(node.waiting(), 0);
 }
 
 /// Guards against new work at an upstream that is leaving or failing.
 #[test]
 fn leaving_and_failing_upstreams_are_avoided() {
-    let mut dispatcher = dispatcher(0, 3);
+    let mut node = node(0, 3);
     let mut leaving = entry("desk-0", DESK, 6);
     leaving.state = UpstreamState::Draining;
-    dispatcher.listed(&Arc::new(leaving));
+    node.listed(&Arc::new(leaving));
     for n in 0..3 {
-        let verdict = dispatcher.submit(ms(0), order(100 + n, ms(0), 0));
+        let verdict = node.submit(ms(0), order(100 + n, ms(0), 0));
         assert_ne!(target(verdict.as_ref()).as_deref(), Some("desk-0"));
     }
     let mut failing = None;
     for n in 0..40 {
         let now = ms(1_000 + n);
-        let verdict = dispatcher.submit(now, order(200 + n, now, 0));
+        let verdict = node.submit(now, order(200 + n, now, 0));
         let outcome = match target(verdict.as_ref()).as_deref() {
             Some("desk-1") => {
                 failing = Some(n);
@@ -215,7 +228,7 @@
             }
             Some(_) | None => SendOutcome::Served,
         };
-        dispatcher.done(now, JobId(200 + n), outcome);
+        node.done(now, JobId(200 + n), outcome);
     }
     assert!(failing.is_some_and(|last| last < 20), "last request to it: {failing:?}");
 }
@@ -223,14 +236,14 @@
 /// Guards against ejecting a whole service when all of its upstreams fail a part of their requests.
 #[test]
 fn not_all_upstreams_are_ejected() {
-    let mut dispatcher = dispatcher(0, 3);
+    let mut node = node(0, 3);
     for n in 0..200 {
         let now = ms(n);
-        if dispatcher.submit(now, order(n, now, 0)).is_some() {
-            dispatcher.done(now, JobId(n), SendOutcome::Failed(Failure::Broken));
+        if node.submit(now, order(n, now, 0)).is_some() {
+            node.done(now, JobId(n), SendOutcome::Failed(Failure::Broken));
         }
     }
-    let verdict = dispatcher.submit(ms(201), order(900, ms(201), 0));
+    let verdict = node.submit(ms(201), order(900, ms(201), 0));
     assert!(matches!(verdict, Some(Verdict::Send { .. })));
 }
 
@@ -238,14 +251,14 @@
 /// waiting for the new one while the old one may still answer.
 #[test]
 fn an_old_version_is_used_only_within_its_bound() {
-    let mut dispatcher = dispatcher(2, 0);
-    place(&mut dispatcher, "engine-0", &["a1"]);
-    dispatcher.version(ms(0), &Name::from(MODEL), &Name::from("a1"), 2);
-    let early = dispatcher.submit(ms(1_000), job(1, ms(1_000), "a1", 100));
+    let mut node = node(2, 0);
+    place(&mut node, "engine-0", &["a1"]);
+    node.version(ms(0), &Name::from(MODEL), &Name::from("a1"), 2);
+    let early = node.submit(ms(1_000), job(1, ms(1_000), "a1", 100));
     assert!(matches!(early, Some(Verdict::Send { version: None, .. })));
-    assert_eq!(dispatcher.submit(ms(3_000), job(2, ms(3_000), "a1", 100)), None);
-    dispatcher.placement(&placement("engine-1", &["a1"], 2));
-    let decided = dispatcher.pump(ms(3_100));
+    assert_eq!(node.submit(ms(3_000), job(2, ms(3_000), "a1", 100)), None);
+    node.place(&placement("engine-1", &["a1"], 2));
+    let decided = node.pump(ms(3_100));
     let Some((_, Verdict::Send { upstream, version })) = decided.first() else {
         panic!("not sent: {decided:?}");
     };
@@ -255,11 +268,11 @@
 /// Guards against sending a request again to an upstream that failed it.
 #[test]
 fn a_tried_upstream_is_not_chosen_again() {
-    let mut dispatcher = dispatcher(0, 2);
+    let mut node = node(0, 2);
     let tried = vec![Name::from("desk-0")];
     for n in 0..4 {
         let again = Job { tried: tried.clone(), ..order(n, ms(0), 0) };
-        let verdict = dispatcher.submit(ms(0), again);
+        let verdict = node.submit(ms(0), again);
         assert_eq!(target(verdict.as_ref()).as_deref(), Some("desk-1"));
     }
 }
@@ -267,13 +280,13 @@
 /// Guards against state of the incarnation before a restart.
 #[test]
 fn a_restarted_engine_holds_nothing() {
-    let mut dispatcher = dispatcher(1, 0);
-    place(&mut dispatcher, "engine-0", &["a1"]);
+    let mut node = node(1, 0);
+    place(&mut node, "engine-0", &["a1"]);
     let mut restarted = entry("engine-0", "models", 64);
     restarted.born = 2;
-    dispatcher.listed(&Arc::new(restarted));
-    assert_eq!(dispatcher.submit(ms(0), job(1, ms(0), "a1", 100)), None);
+    node.listed(&Arc::new(restarted));
+    assert_eq!(node.submit(ms(0), job(1, ms(0), "a1", 100)), None);
     // A late statement about the first incarnation changes nothing.
-    place(&mut dispatcher, "engine-0", &["a1"]);
-    assert!(dispatcher.pump(ms(1)).is_empty());
+    place(&mut node, "engine-0", &["a1"]);
+    assert!(node.pump(ms(1)).is_empty());
 }
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, in virtual time: one module per decision or load pattern.
 
+mod admission;
 mod budget;
 mod config;
 mod custody;
--- a/crates/fireflyhead-policy/tests/policy/replay.rs
+++ b/crates/fireflyhead-policy/tests/policy/replay.rs
@@ -10,7 +10,6 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
-use fireflyhead_policy::dispatch::Dispatcher;
 use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::dispatch::SendOutcome;
 use fireflyhead_policy::dispatch::Verdict;
@@ -21,8 +20,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::setup::MODEL;
-use crate::setup::dispatcher;
+use crate::setup::Node;
 use crate::setup::job;
+use crate::setup::node;
 
 const STEP_US: u64 = 9_500;
 const TOKENS_PER_MS: u64 = 19;
@@ -61,7 +61,7 @@
 /// Plays requests of one node: `per_s` a second for `seconds`, adapters by a Zipf law.
 fn play(engines: usize, per_s: u64, seconds: u64, adapters: usize, seed: u64) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut dispatcher = dispatcher(engines, 0);
+    let mut node = node(engines, 0);
     let mut world: Vec<Engine> = (0..engines).map(|_| Engine::default()).collect();
     let weights: Vec<f64> = (1..=adapters).map(|rank| (rank as f64).powf(-1.2)).collect();
     let total: f64 = weights.iter().sum();
@@ -90,12 +90,12 @@
             id += 1;
             arrived.insert(JobId(id), now);
             prompts.insert(JobId(id), prompt);
-            let verdict = dispatcher.submit(time, job(id, time, &adapter, prompt as u32));
+            let verdict = node.submit(time, job(id, time, &adapter, prompt as u32));
             verdicts.extend(verdict.map(|verdict| (JobId(id), verdict)));
         }
         if now % 10_000 == 0 {
-            verdicts.extend(dispatcher.pump(time));
-            load(&mut dispatcher, &mut world, now, &mut outcome);
+            verdicts.extend(node.pump(time));
+            load(&mut node, &mut world, now, &mut outcome);
         }
         for (id, verdict) in verdicts {
             match verdict {
@@ -116,19 +116,19 @@
             }
         }
         for engine in &mut world {
-            step(engine, now, &mut dispatcher, &arrived, &mut outcome);
+            step(engine, now, &mut node, &arrived, &mut outcome);
         }
     }
-    outcome.unfinished = dispatcher.waiting() + dispatcher.in_flight();
+    outcome.unfinished = node.waiting() + node.in_flight();
     outcome
 }
 
 /// Loads what the node wants, in place of the adapter that was used least lately.
-fn load(dispatcher: &mut Dispatcher, world: &mut [Engine], now: u64, outcome: &mut Outcome) {
+fn load(node: &mut Node, world: &mut [Engine], now: u64, outcome: &mut Outcome) {
     let time = Time::from_micros(now);
-    for want in dispatcher.wants(time, &Name::from("node-1")) {
+    for want in node.wants(time, &Name::from("node-1")) {
         let at: usize = want.upstream.as_str()["engine-".len()..].parse().expect("a number");
-        let usage = dispatcher.usage(time, want.upstream.as_str());
+        let usage = node.usage(time, want.upstream.as_str());
         let engine = &mut world[at];
         if engine.held.contains_key(&want.adapter) {
             continue;
@@ -150,7 +150,7 @@
     }
     for (at, engine) in world.iter_mut().enumerate() {
         let upstream = Name::from(format!("engine-{at}"));
-        let usage = dispatcher.usage(time, upstream.as_str());
+        let usage = node.usage(time, upstream.as_str());
         for (name, (_, used)) in &mut engine.held {
             if usage.contains_key(name) {
                 *used = now;
@@ -166,14 +166,7 @@
             })
             .collect();
         let model = Name::from(MODEL);
-        dispatcher.placement(&Placement {
-            upstream,
-            model,
-            born: 1,
-            fence: 1,
-            open: true,
-            adapters,
-        });
+        node.place(&Placement { upstream, model, born: 1, fence: 1, open: true, adapters });
     }
 }
 
@@ -181,7 +174,7 @@
 fn step(
     engine: &mut Engine,
     now: u64,
-    dispatcher: &mut Dispatcher,
+    node: &mut Node,
     arrived: &HashMap<JobId, u64>,
     outcome: &mut Outcome,
 ) {
@@ -202,7 +195,7 @@
         if run.made % STRIDE == 0 {
             if run.first.is_none() {
                 run.first = Some(end);
-                dispatcher.output(run.id);
+                node.output(run.id);
             }
             if let Some(last) = run.last_event {
                 run.pause = run.pause.max(end - last);
@@ -220,7 +213,7 @@
             true => outcome.on_time += 1,
             false => outcome.late += 1,
         }
-        dispatcher.done(time, run.id, SendOutcome::Served);
+        node.done(time, run.id, SendOutcome::Served);
     }
 }
 
@@ -259,14 +252,14 @@
 /// requests take under 10 us each on the mean, measured with a wide margin for busy machines.
 #[test]
 fn decisions_stay_fast_in_a_flood() {
-    let mut dispatcher = dispatcher(18, 0);
+    let mut node = node(18, 0);
     for n in 0..2_000 {
         let time = Time::from_micros(n);
-        dispatcher.submit(time, job(n, time, &format!("a{n}"), 500));
+        node.submit(time, job(n, time, &format!("a{n}"), 500));
     }
     let started = std::time::Instant::now();
     for n in 0..200 {
-        dispatcher.pump(Time::from_micros(2_000 + n));
+        node.pump(Time::from_micros(2_000 + n));
     }
     let pass = started.elapsed() / 200;
     assert!(pass < Duration::from_millis(60), "a pass takes {pass:?}");
