Bound late requests by unread prompts and predict waits from the measured read rate

Change: a request past 0.45 of its objective is held back only by prompts without output, not by the pace, and without the doubled window; waits are predicted from the rate at which the engine really read.

--- a/crates/fireflyhead-gateway/src/forward/exchange.rs
+++ b/crates/fireflyhead-gateway/src/forward/exchange.rs
@@ -44,7 +44,9 @@
 
     /// Records the first output.
     pub(super) fn output(&self) {
-        self.shared.dispatcher().output(self.id);
+        let now = clock::now();
+        self.shared.dispatcher().output(now, self.id);
+        self.shared.flush(now);
     }
 
     /// Records the end.
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -273,7 +273,7 @@
     }
 
     /// Sends what the dispatcher has for the holders of engines.
-    fn flush(&self, now: Time) {
+    pub fn flush(&self, now: Time) {
         loop {
             let outbox = self.dispatcher().outbox();
             if outbox.is_empty() {
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -16,7 +16,6 @@
 use crate::dispatch::PREFILL_WAIT_SHARE;
 use crate::dispatch::WAIT_SHARE;
 use crate::dispatch::load::EngineLoad;
-use crate::dispatch::load::read_rate;
 use crate::dispatch::load::takes_prompt;
 use crate::dispatch::queue::Queue;
 use crate::dispatch::queue::Shares;
@@ -209,7 +208,7 @@
     }
 
     fn enqueue(&mut self, now: Time, origin: Origin, job: Job) -> Reply {
-        let wait = self.predicted_wait(now, &job);
+        let wait = self.predicted_wait(&job);
         let left = job.deadline.since(now);
         if wait > left || self.queue.len() >= MAX_WAITING {
             return Reply::Denied { retry_after: wait.saturating_sub(left) };
@@ -232,7 +231,11 @@
         let places = (f64::from(self.slots) * ENGINE_WINDOW).max(1.0);
         let objective = job.objective.since(job.arrived);
         let late = now.since(job.arrived) >= objective.mul_f64(PREFILL_WAIT_SHARE);
-        let backlog = self.load.backlog(now);
+        // What waited for long is not paced any more: a late answer is worth less than a pause.
+        let backlog = match late {
+            true => self.load.pending_tokens(),
+            false => self.load.backlog(now),
+        };
         now >= self.full_until
             && f64::from(self.load.in_flight()) < places
             && takes_prompt(backlog, self.load.late_pauses(), job.prompt_tokens, late)
@@ -252,13 +255,13 @@
     }
 
     /// Time until `job` gets a place, from what waits before it and the engine's pace.
-    fn predicted_wait(&self, now: Time, job: &Job) -> Duration {
+    fn predicted_wait(&self, job: &Job) -> Duration {
         let (ahead, tokens) = self
             .queue
             .before(job)
             .fold((0, 0), |(count, sum), other| (count + 1, sum + other.prompt_tokens));
-        let backlog = self.load.backlog(now);
-        let reading = f64::from(tokens + backlog) / read_rate(self.load.late_pauses());
+        let backlog = self.load.pending_tokens();
+        let reading = f64::from(tokens + backlog) / self.load.reads_per_s();
         let places = (f64::from(self.slots) * ENGINE_WINDOW).max(1.0);
         let busy = f64::from(self.load.in_flight()) >= places;
         let running = match busy {
@@ -277,7 +280,7 @@
                     && !*output
                 {
                     *output = true;
-                    self.load.output(*tokens);
+                    self.load.output(now, *tokens);
                 }
             }
             ProgressEvent::Ended(job) => self.end(&(node.clone(), *job), Some(now)),
@@ -314,7 +317,7 @@
             }
             Place::Running { tokens, output, since } => {
                 if !output {
-                    self.load.output(tokens);
+                    self.load.unread(tokens);
                 }
                 self.load.ended(entry.adapter.as_ref());
                 if let Some(now) = now {
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -348,7 +348,7 @@
     }
 
     /// Records that the first output of a request arrived.
-    pub fn output(&mut self, id: JobId) {
+    pub fn output(&mut self, now: Time, id: JobId) {
         let Some(flight) = self.flights.get_mut(&id) else { return };
         if flight.output {
             return;
@@ -356,14 +356,14 @@
         flight.output = true;
         let name = flight.upstream.clone();
         if let Some(upstream) = self.upstreams.get_mut(&name) {
-            upstream.own.output(flight.tokens);
+            upstream.own.output(now, flight.tokens);
         }
         self.tell(&name, ProgressEvent::Output(id));
     }
 
     /// Records the end of a send.
     pub fn done(&mut self, now: Time, id: JobId, outcome: SendOutcome) {
-        self.output(id);
+        self.output(now, id);
         let Some(flight) = self.flights.remove(&id) else { return };
         let Flight { upstream: name, service, adapter, sent, .. } = flight;
         if outcome == SendOutcome::Served {
--- a/crates/fireflyhead-policy/src/dispatch/load.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load.rs
@@ -24,6 +24,10 @@
 /// Engines read about 20,000 a second while they generate nothing. At half of that, steps
 /// that read a prompt alternate with steps that don't, and pauses stay within objectives.
 const READ_TOKENS_PER_S: f64 = 11_000.0;
+/// Weight that older prompts keep in the measured read rate with each new one.
+const READING_DECAY: f64 = 0.95;
+/// Least measured read rate, in tokens a second; a stuck engine must not predict endless waits.
+const LEAST_READS_PER_S: f64 = 1_000.0;
 /// Share of the read rate that an engine loses whose streams all pause for too long.
 const LATE_PACE_CUT: f64 = 0.5;
 
@@ -40,6 +44,32 @@
     in_use: HashMap<Name, u32>,
     /// Share of the streams whose longest pause was over its objective, newest first.
     late_pauses: f64,
+    reading: Reading,
+}
+
+/// Prompt tokens that an engine read lately, and the time that it took.
+#[derive(Debug)]
+struct Reading {
+    tokens: f64,
+    seconds: f64,
+    /// Time since which the newest unread prompt counts.
+    since: Time,
+}
+
+impl Default for Reading {
+    fn default() -> Reading {
+        Reading { tokens: READ_TOKENS_PER_S, seconds: 1.0, since: Time::default() }
+    }
+}
+
+impl Reading {
+    /// Counts a prompt that was read while others may have waited.
+    fn read(&mut self, now: Time, tokens: u32) {
+        let elapsed = now.since(self.since).as_secs_f64();
+        self.since = now;
+        self.tokens = self.tokens * READING_DECAY + f64::from(tokens);
+        self.seconds = self.seconds * READING_DECAY + elapsed;
+    }
 }
 
 impl EngineLoad {
@@ -47,6 +77,9 @@
     pub(crate) fn started(&mut self, now: Time, adapter: Option<&Name>, tokens: u32) {
         self.level = self.level(now) + f64::from(tokens);
         self.level_at = now;
+        if self.pending_tokens == 0 {
+            self.reading.since = now;
+        }
         self.pending_tokens += tokens;
         self.adopted(adapter);
     }
@@ -60,10 +93,21 @@
     }
 
     /// Records the first output of a request with a prompt of `tokens`.
-    pub(crate) fn output(&mut self, tokens: u32) {
+    pub(crate) fn output(&mut self, now: Time, tokens: u32) {
+        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
+        self.reading.read(now, tokens);
+    }
+
+    /// Records the end of a request with a prompt of `tokens` that had no output.
+    pub(crate) fn unread(&mut self, tokens: u32) {
         self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
     }
 
+    /// Prompt tokens a second that the engine read lately while it had some to read.
+    pub(crate) fn reads_per_s(&self) -> f64 {
+        (self.reading.tokens / self.reading.seconds.max(0.001)).max(LEAST_READS_PER_S)
+    }
+
     /// Records the end of a request.
     pub(crate) fn ended(&mut self, adapter: Option<&Name>) {
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -103,11 +147,17 @@
         self.late_pauses
     }
 
-    /// Prompt tokens that the engine has still to read.
+    /// Prompt tokens that the engine has still to read at the pace that keeps streams on time.
     pub(crate) fn backlog(&self, now: Time) -> u32 {
         self.pending_tokens.max(self.level(now) as u32)
     }
 
+    /// Prompt tokens of requests without output. Engines read faster than the pace if they must,
+    /// at the price of pauses.
+    pub(crate) fn pending_tokens(&self) -> u32 {
+        self.pending_tokens
+    }
+
     fn level(&self, now: Time) -> f64 {
         drained(self.level, now.since(self.level_at), self.late_pauses)
     }
@@ -120,19 +170,15 @@
 
 /// Prompt tokens a second that an engine is sent, by the share of its streams that pause for too
 /// long.
-pub(crate) fn read_rate(late_pauses: f64) -> f64 {
+fn read_rate(late_pauses: f64) -> f64 {
     READ_TOKENS_PER_S * (1.0 - LATE_PACE_CUT * late_pauses)
 }
 
 /// Whether a prompt of `tokens` may be added to a backlog. A request that has waited for long
-/// takes more.
+/// takes a slow engine, too.
 pub(crate) fn takes_prompt(backlog: u32, late_pauses: f64, tokens: u32, late: bool) -> bool {
-    let window = match late {
-        true => PREFILL_WINDOW_TOKENS * 2,
-        false if is_too_slow(late_pauses, tokens) => return false,
-        false => PREFILL_WINDOW_TOKENS,
-    };
-    backlog < NO_BACKLOG_TOKENS || backlog + tokens <= window
+    let avoided = !late && is_too_slow(late_pauses, tokens);
+    !avoided && (backlog < NO_BACKLOG_TOKENS || backlog + tokens <= PREFILL_WINDOW_TOKENS)
 }
 
 /// Whether a large prompt should go elsewhere.
