--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -288,7 +288,10 @@
                 self.full_until = now + FULL_FOR;
                 self.end(&(node.clone(), *job), None);
             }
-            ProgressEvent::Paused { permille } => self.load.paused(now, *permille),
+            ProgressEvent::Paused { permille } => {
+                let waiting = self.queue.len() > 0;
+                self.load.paused(now, *permille, waiting);
+            }
             ProgressEvent::Running { job, adapter, left } => {
                 let origin = (node.clone(), *job);
                 if self.entries.contains_key(&origin) {
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -402,7 +402,7 @@
     /// Records the longest pause of a stream of `upstream`, in thousandths of its objective.
     pub fn paused(&mut self, now: Time, upstream: &Name, permille: u32) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.own.paused(now, permille);
+            upstream.own.paused(now, permille, false);
         }
         self.tell(upstream, ProgressEvent::Paused { permille });
     }
--- a/crates/fireflyhead-policy/src/dispatch/load.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load.rs
@@ -145,15 +145,16 @@
         }
     }
 
-    /// Records the longest pause of a stream, in thousandths of its objective.
-    pub(crate) fn paused(&mut self, now: Time, permille: u32) {
+    /// Records the longest pause of a stream, in thousandths of its objective. The pace rises only
+    /// while requests are `waiting` for it; a faster one would shorten nothing but pauses' slack.
+    pub(crate) fn paused(&mut self, now: Time, permille: u32, waiting: bool) {
         let late = permille > 1_000;
         let sample = if late { 1.0 } else { 0.0 };
         self.late_pauses += PAUSE_ALPHA * (sample - self.late_pauses);
         let (raised, lowered, cut) = PACE_STEPS;
         let factor = match permille {
             _ if late => cut,
-            p if p < PAUSE_BAND.0 => raised,
+            p if p < PAUSE_BAND.0 && waiting => raised,
             p if p > PAUSE_BAND.1 => lowered,
             _ => 1.0,
         };
