--- a/crates/fireflyhead-gateway/src/forward/call.rs
+++ b/crates/fireflyhead-gateway/src/forward/call.rs
@@ -115,7 +115,7 @@
         // Error answer of an upstream that is delivered if no other try does better.
         let mut fallback: Option<Response<Body>> = None;
         loop {
-            let (job, upstream, version) = match self.place(&mut tries).await {
+            let (job, upstream, version) = match self.place(&mut tries, self.arrived).await {
                 Placed::Send { job, upstream, version } => (job, upstream, version),
                 Placed::Reject { reason, retry_after } => {
                     return self.end(&tries, End::Reject { reason, retry_after }, fallback);
@@ -212,8 +212,9 @@
         }
     }
 
-    /// Waits until the dispatcher has chosen an upstream.
-    pub(super) async fn place(&self, tries: &mut Tries) -> Placed {
+    /// Waits until the dispatcher has chosen an upstream. The caller has had no output since
+    /// `since`, which is its arrival or the last event before a break.
+    pub(super) async fn place(&self, tries: &mut Tries, since: Time) -> Placed {
         let now = clock::now();
         let left = self.deadline.since(now);
         if left.is_zero() {
@@ -228,8 +229,15 @@
             service: self.service.clone(),
             model: self.engine.then(|| self.head.model.clone()).flatten(),
             priority: self.route.priority,
-            arrived: self.arrived,
-            objective: self.objective,
+            arrived: since,
+            objective: match (since > self.arrived, self.route.pause_objective) {
+                (true, Some(pause)) => since + pause,
+                (true, None) | (false, _) => self.objective,
+            },
+            leaves: match self.route.patience {
+                Some(patience) => self.deadline.min(since + patience),
+                None => self.deadline,
+            },
             deadline: self.deadline,
             prompt_tokens: self.head.tokens.prompt,
             output_tokens: self.head.tokens.output,
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -185,6 +185,7 @@
         let Some(scanner) = &mut self.scanner else { return false };
         scanner.drop_partial();
         let last = scanner.last_id();
+        let since = if self.started { self.last_data } else { self.call.arrived };
         self.flight.end(SendOutcome::Failed(failure));
         // The connection closes here, so the first upstream stops before the second one starts.
         self.lease = None;
@@ -193,7 +194,7 @@
             if !self.call.may_repeat(&mut self.tries, &upstream) {
                 return false;
             }
-            let (job, upstream, version) = match self.call.place(&mut self.tries).await {
+            let (job, upstream, version) = match self.call.place(&mut self.tries, since).await {
                 Placed::Send { job, upstream, version } => (job, upstream, version),
                 Placed::Reject { .. } | Placed::Deadline => return false,
             };
--- a/crates/fireflyhead-gateway/tests/gateway/pending.rs
+++ b/crates/fireflyhead-gateway/tests/gateway/pending.rs
@@ -39,6 +39,7 @@
         priority: 1,
         arrived: now,
         objective: now + Duration::from_secs(1),
+        leaves: now + Duration::from_secs(20),
         deadline: now + Duration::from_secs(20),
         prompt_tokens: 0,
         output_tokens: 0,
--- a/crates/fireflyhead-policy/benches/dispatch.rs
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -82,6 +82,7 @@
         priority: 1,
         arrived: now,
         objective: now + Duration::from_secs(1),
+        leaves: now + Duration::from_secs(15),
         deadline: now + Duration::from_secs(15),
         prompt_tokens: 500,
         output_tokens: 100,
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -14,7 +14,6 @@
 use crate::dispatch::Job;
 use crate::dispatch::JobId;
 use crate::dispatch::PREFILL_WAIT_SHARE;
-use crate::dispatch::WAIT_SHARE;
 use crate::dispatch::load::EngineLoad;
 use crate::dispatch::load::takes_prompt;
 use crate::dispatch::queue::Queue;
@@ -209,7 +208,7 @@
 
     fn enqueue(&mut self, now: Time, origin: Origin, job: Job) -> Reply {
         let wait = self.predicted_wait(&job);
-        let left = job.deadline.since(now);
+        let left = job.leaves.since(now);
         if wait > left || self.queue.len() >= MAX_WAITING {
             return Reply::Denied { retry_after: wait.saturating_sub(left) };
         }
@@ -343,12 +342,9 @@
         let mut decided = Vec::new();
         for key in self.queue.order(now, |_| Some(&self.shares)) {
             let Some(job) = self.queue.remove(&key) else { continue };
-            let total = job.deadline.since(job.arrived);
             let reply = match self.takes(now, &job) {
                 true => Reply::Granted,
-                false if now.since(job.arrived) >= total.mul_f64(WAIT_SHARE) => {
-                    Reply::Denied { retry_after: RETURN_AFTER }
-                }
+                false if job.is_given_up(now) => Reply::Denied { retry_after: RETURN_AFTER },
                 false => {
                     self.queue.insert(job);
                     continue;
--- a/crates/fireflyhead-policy/src/config.rs
+++ b/crates/fireflyhead-policy/src/config.rs
@@ -87,6 +87,8 @@
     pub objective: Duration,
     /// Longest pause between the events of a stream that is on time.
     pub pause_objective: Option<Duration>,
+    /// Time without output after which callers leave a stream, also before its first event.
+    pub patience: Option<Duration>,
     /// Rank, 0 is the most urgent.
     pub priority: u8,
     /// Services, with their share of the requests.
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -49,8 +49,8 @@
 
 /// Requests that wait in one node before further ones are rejected.
 const MAX_WAITING: usize = 2_000;
-/// Share of the time up to the deadline for which a request waits at most.
-pub(crate) const WAIT_SHARE: f64 = 0.4;
+/// Share of the time for which its caller stays that a request waits at most.
+const WAIT_SHARE: f64 = 0.8;
 /// Share of an engine's slots that are filled before requests wait.
 pub(crate) const ENGINE_WINDOW: f64 = 0.95;
 /// Share of the objective for which a request waits for a small backlog.
@@ -89,6 +89,8 @@
     pub arrived: Time,
     /// Moment up to which the response is on time.
     pub objective: Time,
+    /// Moment at which the caller leaves if there is no output.
+    pub leaves: Time,
     /// Moment after which nobody waits for the response.
     pub deadline: Time,
     /// Tokens of the prompt.
@@ -105,6 +107,12 @@
         self.model.as_ref()?.adapter.as_ref()
     }
 
+    /// Whether the request has waited for so long that it is given up.
+    pub(crate) fn is_given_up(&self, now: Time) -> bool {
+        let total = self.leaves.since(self.arrived);
+        now.since(self.arrived) >= total.mul_f64(WAIT_SHARE)
+    }
+
     fn adapter_key(&self) -> Option<AdapterKey> {
         let model = self.model.as_ref()?;
         Some((model.model.clone(), model.adapter.clone()?))
@@ -631,17 +639,17 @@
                 Some(Dispatcher::reject(RejectReason::NoUpstream, Duration::from_secs(1)))
             }
             choice::Blocked::NoUpstream => None,
-            choice::Blocked::Adapter if waited >= total * WAIT_SHARE => Some(Dispatcher::reject(
+            choice::Blocked::Adapter if job.is_given_up(now) => Some(Dispatcher::reject(
                 RejectReason::AdapterUnavailable,
                 Duration::from_millis(500),
             )),
             choice::Blocked::Adapter => None,
-            choice::Blocked::Full if waited >= total * WAIT_SHARE => {
+            choice::Blocked::Full if job.is_given_up(now) => {
                 Some(Dispatcher::reject(RejectReason::Overload, Duration::from_millis(500)))
             }
             choice::Blocked::Full => {
                 let wait = self.predicted_wait(job);
-                let left = job.deadline.since(now);
+                let left = job.leaves.since(now);
                 (wait > left).then(|| Dispatcher::reject(RejectReason::Overload, wait - left))
             }
         }
--- a/crates/fireflyhead-policy/src/dispatch/asked.rs
+++ b/crates/fireflyhead-policy/src/dispatch/asked.rs
@@ -17,7 +17,6 @@
 use super::JobId;
 use super::RejectReason;
 use super::Verdict;
-use super::WAIT_SHARE;
 use super::queue::Queue;
 
 /// Time for which an answer is waited for. A host may stand still for the rest of a tenth of a
@@ -138,9 +137,8 @@
         let mut again: Vec<JobId> = Vec::new();
         for (id, question) in &self.asked.questions {
             let job = &question.job;
-            let total = job.deadline.since(job.arrived);
             let age = now.since(question.sent);
-            if now.since(job.arrived) >= total.mul_f64(WAIT_SHARE) {
+            if job.is_given_up(now) {
                 rejected.push(*id);
             } else if !question.answered && age >= ANSWER_TIMEOUT {
                 silent.push(question.upstream.clone());
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -144,6 +144,8 @@
     pub waited: Duration,
     /// Time from the arrival up to which the response is on time.
     pub objective: Duration,
+    /// Time from the arrival at which the caller leaves if there is no output.
+    pub leaves: Duration,
     /// Time from the arrival after which nobody waits for the response.
     pub deadline: Duration,
     /// Tokens of the prompt.
@@ -164,6 +166,7 @@
             priority: job.priority,
             waited: now.since(job.arrived),
             objective: job.objective.since(job.arrived),
+            leaves: job.leaves.since(job.arrived),
             deadline: job.deadline.since(job.arrived),
             prompt_tokens: job.prompt_tokens,
         }
@@ -182,6 +185,7 @@
             priority: self.priority,
             arrived,
             objective: arrived + self.objective,
+            leaves: arrived + self.leaves,
             deadline: arrived + self.deadline,
             prompt_tokens: self.prompt_tokens,
             output_tokens: 0,
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -133,6 +133,7 @@
             priority: u32::from(ask.priority),
             waited_us: micros(ask.waited),
             objective_us: micros(ask.objective),
+            leaves_us: micros(ask.leaves),
             deadline_us: micros(ask.deadline),
             prompt_tokens: ask.prompt_tokens,
         }
@@ -158,6 +159,7 @@
             priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
             waited: Duration::from_micros(ask.waited_us),
             objective: Duration::from_micros(ask.objective_us),
+            leaves: Duration::from_micros(ask.leaves_us),
             deadline: Duration::from_micros(ask.deadline_us),
             prompt_tokens: ask.prompt_tokens,
         })
--- a/crates/fireflyhead-policy/src/table/routes.rs
+++ b/crates/fireflyhead-policy/src/table/routes.rs
@@ -62,6 +62,7 @@
         timeout: deadline,
         objective: target,
         pause_objective: row.call.is_none().then_some(PAUSE_OBJECTIVE),
+        patience: None,
         priority: match row.terms.rank {
             Rank::Urgent => 0,
             Rank::Standard => 1,
--- a/crates/fireflyhead-policy/tests/policy/config.rs
+++ b/crates/fireflyhead-policy/tests/policy/config.rs
@@ -21,6 +21,7 @@
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(300),
         pause_objective: None,
+        patience: None,
         priority: 0,
         shares: vec![Share { service: Name::from("desk"), weight: 1 }],
         max_attempts: 2,
--- a/crates/fireflyhead-policy/tests/policy/setup.rs
+++ b/crates/fireflyhead-policy/tests/policy/setup.rs
@@ -162,7 +162,8 @@
     }
 }
 
-/// Request for an adapter with an objective of 1 s and a deadline of 15 s.
+/// Request for an adapter with an objective of 1 s and a deadline of 15 s, whose caller leaves
+/// after 4 s without output.
 pub(crate) fn job(id: u64, now: Time, adapter: &str, prompt_tokens: u32) -> Job {
     Job {
         id: JobId(id),
@@ -174,6 +175,7 @@
         priority: 1,
         arrived: now,
         objective: now + Duration::from_secs(1),
+        leaves: now + Duration::from_secs(4),
         deadline: now + Duration::from_secs(15),
         prompt_tokens,
         output_tokens: 170,
@@ -193,6 +195,7 @@
         priority,
         arrived: now,
         objective: now + Duration::from_millis(300),
+        leaves: now + Duration::from_secs(4),
         deadline: now + Duration::from_secs(4),
         prompt_tokens: 0,
         output_tokens: 0,
