Let two nodes of a zone follow the store and hand changes on; send smaller beats

Change: two readers a zone hand on changes between two revisions; the others read the store only at a gap or when nothing comes. Beats state adapters at changes and each fourth time.

--- a/crates/fireflyhead-gateway/src/beats.rs
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -39,12 +39,16 @@
 const FAR_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval for each node of other zones, which bounds a node at 125 datagrams a second.
 const FAR_INTERVAL_PER_NODE: Duration = Duration::from_millis(8);
+/// Beats of which one states the placements again, in case one was lost when they changed.
+const FULL_EVERY: u64 = 4;
 /// Interval at which wants are looked at.
 const WANT_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Sends beats and wants until the process ends.
 pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>, keeper: ActorRef<Keeper>) {
     let mut seq = 0;
+    let mut changed = true;
+    let (mut near_count, mut far_count) = (0_u64, 0_u64);
     let (mut next_near, mut next_far) = (clock::now(), clock::now());
     loop {
         let now = clock::now();
@@ -56,22 +60,38 @@
         if now >= next_near.min(next_far) {
             let Targets { near, far } = targets(&shared);
             seq += 1;
-            let beat = Datagram::Beat(Box::new(beat(&shared, seq)));
+            let beat = beat(&shared, seq);
             if now >= next_near {
-                send_to(&socket, &beat, &near).await;
+                let full = changed || near_count % FULL_EVERY == 0;
+                near_count += 1;
+                send_to(&socket, &datagram(&beat, full), &near).await;
                 next_near = now + interval(INTERVAL, INTERVAL_PER_NODE, near.len());
             }
             if now >= next_far {
-                send_to(&socket, &beat, &far).await;
+                let full = changed || far_count % FULL_EVERY == 0;
+                far_count += 1;
+                send_to(&socket, &datagram(&beat, full), &far).await;
                 next_far = now + interval(FAR_INTERVAL, FAR_INTERVAL_PER_NODE, far.len());
             }
+            changed = false;
         }
         if timeout(WANT_INTERVAL, shared.beat_now.notified()).await.is_ok() {
+            changed = true;
             (next_near, next_far) = (clock::now(), clock::now());
         }
     }
 }
 
+/// The beat, with or without what seldom changes.
+fn datagram(beat: &Beat, full: bool) -> Datagram {
+    let mut beat = beat.clone();
+    if !full {
+        beat.placements = None;
+        beat.loads.iter_mut().for_each(|load| load.adapters.clear());
+    }
+    Datagram::Beat(Box::new(beat))
+}
+
 fn interval(least: Duration, per_node: Duration, nodes: usize) -> Duration {
     least.max(per_node.saturating_mul(u32::try_from(nodes).unwrap_or(u32::MAX)))
 }
@@ -91,6 +111,7 @@
         match decode(&buf[..len]) {
             Ok(Datagram::Beat(beat)) => take_beat(&shared, *beat),
             Ok(Datagram::Wants(wants)) => keeper_tell(&keeper, KeeperMsg::Wants(wants)).await,
+            Ok(Datagram::Feed(feed)) => shared.feeds.offer(feed),
             Ok(Datagram::ToHolder { node, messages }) => {
                 shared.admit(clock::now(), &node, messages);
             }
@@ -115,7 +136,7 @@
         let beat = shared.peers().all().find(|peer| peer.beat.node == node).map(|p| p.beat.clone());
         let mut dispatcher = shared.dispatcher();
         dispatcher.peer_load(now, &node, Vec::new());
-        for mut placement in beat.into_iter().flat_map(|beat| beat.placements) {
+        for mut placement in beat.into_iter().flat_map(|beat| beat.placements).flatten() {
             placement.open = false;
             dispatcher.placement(now, &node, &placement);
         }
@@ -142,7 +163,7 @@
         return;
     }
     let mut dispatcher = shared.dispatcher();
-    for placement in &beat.placements {
+    for placement in beat.placements.iter().flatten() {
         dispatcher.placement(now, &beat.node, placement);
     }
     dispatcher.peer_load(now, &beat.node, beat.loads);
@@ -170,7 +191,7 @@
         capacity: (settings.capacity * 1_000.0) as u32,
         loading: u32::try_from(shared.loading()).unwrap_or(u32::MAX),
         loads,
-        placements: shared.placements().clone(),
+        placements: Some(shared.placements().clone()),
     }
 }
 
@@ -208,7 +229,7 @@
         for want in wants {
             let mine = own.iter().any(|placement| placement.upstream == want.upstream);
             let holder = peers.all().find(|peer| {
-                peer.beat.placements.iter().any(|p| p.upstream == want.upstream && p.open)
+                peer.beat.placements.iter().flatten().any(|p| p.upstream == want.upstream && p.open)
             });
             if want.first {
                 let holder = holder.filter(|_| !mine).map(|peer| peer.beat.node.as_str());
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod clock;
 pub mod directory;
+pub mod feeds;
 pub mod forward;
 pub mod ingress;
 pub mod keeper;
--- a/crates/fireflyhead-gateway/src/outgoing.rs
+++ b/crates/fireflyhead-gateway/src/outgoing.rs
@@ -28,9 +28,16 @@
 
     /// Sends a datagram if the socket takes it now. A lost datagram costs its sender a timeout.
     pub fn send(&self, target: SocketAddr, datagram: &Datagram) {
+        self.send_all(&[target], datagram);
+    }
+
+    /// Sends a datagram to several nodes.
+    pub fn send_all(&self, targets: &[SocketAddr], datagram: &Datagram) {
         let (Some(socket), Some(buf)) = (self.socket.get(), encode(datagram)) else { return };
-        if let Err(error) = socket.try_send_to(&buf, target) {
-            tracing::debug!(event = "datagram_not_sent", %target, %error);
+        for target in targets {
+            if let Err(error) = socket.try_send_to(&buf, *target) {
+                tracing::debug!(event = "datagram_not_sent", %target, %error);
+            }
         }
     }
 }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -22,6 +22,7 @@
 use fireflyhead_policy::dispatch::Job;
 use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::dispatch::SendOutcome;
+use fireflyhead_policy::dispatch::SilentHolder;
 use fireflyhead_policy::dispatch::Verdict;
 use fireflyhead_policy::fleet::Fleet;
 use fireflyhead_policy::limits::RouteLimits;
@@ -31,10 +32,14 @@
 use fireflyhead_policy::message::Placement;
 use fireflyhead_policy::message::ToHolder;
 use fireflyhead_policy::peers::Peers;
+use fireflyhead_policy::readers;
+use fireflyhead_policy::readers::Candidate;
+use fireflyhead_policy::readers::Feed;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::feeds::Feeds;
 use crate::metrics::Metrics;
 use crate::outgoing::Outgoing;
 use crate::pool::Pool;
@@ -56,6 +61,8 @@
     pub metrics: Arc<Metrics>,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Changes of the store that other nodes handed on.
+    pub feeds: Feeds,
     /// Wakes the task that sends beats before their interval is over.
     pub beat_now: Notify,
     config: Mutex<Option<Arc<Config>>>,
@@ -95,6 +102,7 @@
             dialect,
             metrics,
             pool: Pool::default(),
+            feeds: Feeds::default(),
             beat_now: Notify::new(),
             config: Mutex::new(None),
             fleet: Mutex::new(Fleet::default()),
@@ -239,7 +247,13 @@
 
     /// Delivers the verdicts that became possible.
     pub fn pump(&self, now: Time) {
-        let decided = self.dispatcher().pump(now);
+        let mut dispatcher = self.dispatcher();
+        let decided = dispatcher.pump(now);
+        let silent = dispatcher.silent_holders();
+        drop(dispatcher);
+        for SilentHolder { upstream, holder } in silent {
+            tracing::warn!(event = "holder_silent", %upstream, %holder);
+        }
         self.deliver(now, decided);
         let answers = self.admission().pump(now);
         self.reply(now, answers);
@@ -309,6 +323,28 @@
         }
     }
 
+    /// Whether this node follows the store for the others of its zone.
+    pub fn is_reader(&self, now: Time) -> bool {
+        let own = Candidate {
+            node: self.settings.node.clone(),
+            capacity: (self.settings.capacity * 1_000.0) as u32,
+        };
+        let others = self.peers().candidates(now, &self.settings.zone);
+        readers::is_reader(&own, others.iter())
+    }
+
+    /// Hands changes of the store on to the other nodes of the zone.
+    pub fn hand_on(&self, now: Time, feed: Feed) {
+        let datagram = Datagram::Feed(feed);
+        let targets: Vec<SocketAddr> = self
+            .peers()
+            .live(now)
+            .filter(|peer| peer.beat.zone == self.settings.zone)
+            .map(|peer| peer.beat.peer)
+            .collect();
+        self.outgoing.send_all(&targets, &datagram);
+    }
+
     fn send(&self, node: &Name, datagram: &Datagram) {
         let address = self.peers().address(node.as_str());
         let address = address.or_else(|| self.members().get(node).copied());
--- a/crates/fireflyhead-gateway/src/sync.rs
+++ b/crates/fireflyhead-gateway/src/sync.rs
@@ -2,12 +2,14 @@
 //!
 //! One watch covers all keys. It is paced, because upstreams write often and each return of a
 //! watch is a call; changes still arrive well within the bounds for configuration and
-//! draining. A history that is gone is replaced by a full read.
+//! draining. A history that is gone is replaced by a full read. The readers of a zone hand
+//! changes on to its other nodes, which watch the store only while nothing is handed on.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::dialect::Item;
 use fireflyhead_policy::dialect::ModelRef;
@@ -15,6 +17,9 @@
 use fireflyhead_policy::dialect::StoreCall;
 use fireflyhead_policy::dialect::StoreReply;
 use fireflyhead_policy::fleet::FleetChange;
+use fireflyhead_policy::fleet::LAPSE_GRACE;
+use fireflyhead_policy::readers::Feed;
+use fireflyhead_policy::readers::FeedStep;
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
@@ -33,6 +38,12 @@
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Share of the bound for changes that passes between two watches.
 const PACE_SHARE: f64 = 0.4;
+/// Time past the pace for which changes from a reader are waited for.
+const FEED_MARGIN: Duration = Duration::from_millis(400);
+/// Delay of a feed from which the node itself is taken to have stood still: what waits is old.
+const STOOD_STILL: Duration = Duration::from_millis(1_000);
+/// Largest feed, in bytes of its items; a larger one is read from the store by each node.
+const MAX_FEED: usize = 24 * 1024;
 /// First and longest wait after a failed call.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(1_000));
 
@@ -101,17 +112,19 @@
     /// Follows changes until the history is gone.
     async fn watch(&mut self, mut after: u64) {
         loop {
+            after = self.fed(after).await;
             let sent = clock::now();
             let wait = WATCH_WAIT.min(self.shared.settings.lease_ttl / 3);
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call(&call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.up();
-                    self.apply(&items).await;
+                    let news = self.apply(&items).await;
+                    self.hand_on(after, revision, news);
                     after = revision.max(after);
-                    let pace = self.shared.settings.apply_bound.mul_f64(PACE_SHARE);
-                    let rest = pace.saturating_sub(clock::now().since(sent));
-                    sleep(rest).await;
+                    if self.shared.is_reader(clock::now()) {
+                        sleep(self.pace().saturating_sub(clock::now().since(sent))).await;
+                    }
                 }
                 Ok(StoreReply::Compacted) => {
                     tracing::info!(event = "store_history_gone", after);
@@ -123,6 +136,61 @@
         }
     }
 
+    fn pace(&self) -> Duration {
+        self.shared.settings.apply_bound.mul_f64(PACE_SHARE)
+    }
+
+    /// Applies what readers hand on, while they do and this node is none; returns the revision
+    /// up to which the store is known.
+    async fn fed(&mut self, mut after: u64) -> u64 {
+        let limit = self.pace() + FEED_MARGIN;
+        while !self.shared.is_reader(clock::now()) {
+            let asked = clock::now();
+            let Some(feed) = self.shared.feeds.next(limit).await else {
+                tracing::info!(event = "no_feed", after);
+                return after;
+            };
+            let now = clock::now();
+            if now.since(asked) >= limit + STOOD_STILL {
+                self.shared.feeds.clear();
+                return after;
+            }
+            let back = feed.back;
+            match feed.judge(after) {
+                FeedStep::Apply(items, to) => {
+                    self.up();
+                    if let Some(back) = back {
+                        self.shared.fleet().was_away(now - back);
+                    }
+                    self.apply(&items).await;
+                    after = to;
+                }
+                FeedStep::Gap => {
+                    tracing::info!(event = "feed_gap", after);
+                    return after;
+                }
+            }
+        }
+        after
+    }
+
+    /// Hands changes on if this node is a reader.
+    fn hand_on(&self, from: u64, to: u64, items: Vec<Item>) {
+        let now = clock::now();
+        if !self.shared.is_reader(now) {
+            return;
+        }
+        let bytes: usize = items.iter().map(|item| item.value.as_ref().map_or(0, Bytes::len)).sum();
+        let returned = self.shared.fleet().returned();
+        let back = returned.map(|at| now.since(at)).filter(|age| *age < LAPSE_GRACE);
+        let feed = match bytes <= MAX_FEED {
+            true => Feed { from, to, back, items },
+            // The others see a gap and read the store.
+            false => Feed { from: to, to, back, items: Vec::new() },
+        };
+        self.shared.hand_on(now, feed);
+    }
+
     fn up(&mut self) {
         self.backoff.reset();
         if !self.connected {
@@ -158,23 +226,33 @@
         self.own(items, true).await;
     }
 
-    /// Applies changes.
-    async fn apply(&self, items: &[Item]) {
+    /// Applies changes; returns those that other nodes must know.
+    async fn apply(&self, items: &[Item]) -> Vec<Item> {
         let now = clock::now();
         let mut changes = Vec::new();
+        let mut news = Vec::new();
         for item in items {
             match self.shared.dialect.record(item) {
                 Record::Upstream { id, entry } => {
                     if entry.is_none() && item.value.is_some() {
                         tracing::debug!(event = "entry_ignored", key = %item.key);
                     }
-                    changes.extend(self.shared.fleet().apply(now, &id, entry));
+                    let gone = entry.is_none();
+                    let change = self.shared.fleet().apply(now, &id, entry);
+                    if gone || change.iter().any(|c| !matches!(c, FleetChange::Updated(_))) {
+                        news.push(item.clone());
+                    }
+                    changes.extend(change);
+                }
+                record => {
+                    news.push(item.clone());
+                    self.take(item, record);
                 }
-                record => self.take(item, record),
             }
         }
         self.changed(changes).await;
         self.own(items, false).await;
+        news
     }
 
     /// Takes a record that concerns no upstream.
--- a/crates/fireflyhead-policy/benches/dispatch.rs
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -148,7 +148,7 @@
         capacity: 250,
         loading: 1,
         loads: (0..loads).map(load).collect(),
-        placements: (0..engines).map(placement).collect(),
+        placements: Some((0..engines).map(placement).collect()),
     }))
 }
 
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -41,6 +41,7 @@
 use crate::message::Want;
 
 use self::asked::Asked;
+pub use self::asked::SilentHolder;
 use self::choice::Choice;
 use self::queue::Queue;
 use self::queue::Shares;
@@ -518,6 +519,7 @@
         for load in loads {
             let Some(upstream) = self.upstreams.get_mut(&load.upstream) else { continue };
             match load.total {
+                true if load.adapters.is_empty() => upstream.figures(now, node, load),
                 true => upstream.stated_by(now, node, load),
                 false => {
                     upstream.add_peer(&load);
--- a/crates/fireflyhead-policy/src/dispatch/asked.rs
+++ b/crates/fireflyhead-policy/src/dispatch/asked.rs
@@ -38,11 +38,21 @@
     answered: bool,
 }
 
+/// Holder that gave no answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SilentHolder {
+    /// Engine.
+    pub upstream: Name,
+    /// Node that holds it.
+    pub holder: Name,
+}
+
 /// Requests for which places were asked for, and what is to be sent to holders.
 #[derive(Debug, Default)]
 pub(super) struct Asked {
     questions: HashMap<JobId, Question>,
     outbox: Vec<(Name, ToHolder)>,
+    silent: Vec<SilentHolder>,
 }
 
 impl Asked {
@@ -68,6 +78,11 @@
         std::mem::take(&mut self.asked.outbox)
     }
 
+    /// Holders that gave no answer since the last call.
+    pub fn silent_holders(&mut self) -> Vec<SilentHolder> {
+        std::mem::take(&mut self.asked.silent)
+    }
+
     /// Takes the answer of `holder`; returns the verdict if it decides the request.
     pub fn answered(
         &mut self,
@@ -152,6 +167,9 @@
         }
         for name in silent {
             if let Some(upstream) = self.upstreams.get_mut(&name) {
+                if let Some(holder) = upstream.asked_holder(now).cloned() {
+                    self.asked.silent.push(SilentHolder { upstream: name.clone(), holder });
+                }
                 upstream.holder_silent(now, SILENT_FOR);
             }
             self.asked.requeue(&name, &mut self.waiting);
--- a/crates/fireflyhead-policy/src/fleet.rs
+++ b/crates/fireflyhead-policy/src/fleet.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Records that the store was away until `at`, as another node saw it.
+    pub fn was_away(&mut self, at: Time) {
+        self.returned = self.returned.max(Some(at));
+    }
+
+    /// Time at which the store returned from an outage.
+    pub fn returned(&self) -> Option<Time> {
+        self.returned
+    }
+
     /// Applies an entry; `None` removes the upstream.
     pub fn apply(
         &mut self,
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`custody`]: which node gives orders to an upstream
 //! - [`residency`]: which adapters an upstream holds
 //! - [`peers`]: which nodes are alive and what they reported
+//! - [`readers`]: which nodes follow the store for the others of their zone
 
 pub mod admission;
 pub mod budget;
@@ -27,6 +28,7 @@
 pub mod limits;
 pub mod message;
 pub mod peers;
+pub mod readers;
 pub mod rendezvous;
 pub mod residency;
 pub mod table;
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -1,8 +1,7 @@
 //! Datagrams between nodes.
 //!
 //! A [`Beat`] states a node's requests at plain upstreams, and of the engines that it gives
-//! orders to the adapters and the load. Each beat is complete by itself, so a lost one costs
-//! only freshness. An [`Ask`] requests a place at an engine from its holder.
+//! orders to the adapters and the load. A lost one costs only freshness. An [`Ask`] requests a place at an engine from its holder.
 
 pub mod wire;
 
@@ -14,6 +13,7 @@
 use crate::dialect::ModelRef;
 use crate::dispatch::Job;
 use crate::dispatch::JobId;
+use crate::readers::Feed;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -98,8 +98,9 @@
     pub loading: u32,
     /// Load of the plain upstreams that the node uses and of the engines in its custody.
     pub loads: Vec<UpstreamLoad>,
-    /// Adapters of the engines in this node's custody.
-    pub placements: Vec<Placement>,
+    /// Adapters of the engines in this node's custody; `None` if they are those of the beat
+    /// before, in which case the loads name no adapters either.
+    pub placements: Option<Vec<Placement>>,
 }
 
 /// Request to the node that gives orders to an engine.
@@ -278,6 +279,8 @@
         /// Messages.
         messages: Vec<ToHolder>,
     },
+    /// Changes of the store.
+    Feed(Feed),
     /// Answers of the holder of engines.
     Answers {
         /// Node that sends them.
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -6,6 +6,7 @@
 use fireflyhead_schema::messages as wire;
 
 use crate::Name;
+use crate::dialect::Item;
 use crate::dispatch::JobId;
 use crate::message::Answer;
 use crate::message::Ask;
@@ -20,6 +21,7 @@
 use crate::message::ToHolder;
 use crate::message::UpstreamLoad;
 use crate::message::Want;
+use crate::readers::Feed;
 
 /// Reason for which a message is not understood.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,6 +54,7 @@
                 let messages = messages.iter().map(wire::HolderMessage::from).collect();
                 wire::datagram::Body::ToHolder(wire::HolderMessages { node, messages })
             }
+            Datagram::Feed(feed) => wire::datagram::Body::Feed(feed.into()),
             Datagram::Answers { holder, answers } => {
                 let holder = holder.to_string();
                 let answers = answers.iter().map(wire::Answer::from).collect();
@@ -87,6 +90,7 @@
                     answers: answers.collect::<Result<_, _>>()?,
                 })
             }
+            Some(wire::datagram::Body::Feed(feed)) => Ok(Datagram::Feed(feed.into())),
             None => Err(WireError::Empty),
         }
     }
@@ -240,6 +244,40 @@
     }
 }
 
+impl From<&Feed> for wire::Feed {
+    fn from(feed: &Feed) -> wire::Feed {
+        let item = |item: &Item| wire::FeedItem {
+            key: item.key.to_string(),
+            value: item.value.clone(),
+            revision: item.revision,
+            lease: item.lease,
+        };
+        wire::Feed {
+            from: feed.from,
+            to: feed.to,
+            back_us: feed.back.map(micros),
+            items: feed.items.iter().map(item).collect(),
+        }
+    }
+}
+
+impl From<wire::Feed> for Feed {
+    fn from(feed: wire::Feed) -> Feed {
+        let item = |item: wire::FeedItem| Item {
+            key: Name::from(item.key),
+            value: item.value,
+            revision: item.revision,
+            lease: item.lease,
+        };
+        Feed {
+            from: feed.from,
+            to: feed.to,
+            back: feed.back_us.map(Duration::from_micros),
+            items: feed.items.into_iter().map(item).collect(),
+        }
+    }
+}
+
 impl From<&Beat> for wire::Beat {
     fn from(beat: &Beat) -> wire::Beat {
         wire::Beat {
@@ -253,7 +291,8 @@
             capacity: beat.capacity,
             loading: beat.loading,
             loads: beat.loads.iter().map(wire::UpstreamLoad::from).collect(),
-            placements: beat.placements.iter().map(wire::Placement::from).collect(),
+            unchanged: beat.placements.is_none(),
+            placements: beat.placements.iter().flatten().map(wire::Placement::from).collect(),
         }
     }
 }
@@ -275,7 +314,8 @@
             capacity: beat.capacity,
             loading: beat.loading,
             loads: beat.loads.into_iter().map(UpstreamLoad::from).collect(),
-            placements: beat.placements.into_iter().map(Placement::from).collect(),
+            placements: (!beat.unchanged)
+                .then(|| beat.placements.into_iter().map(Placement::from).collect()),
         })
     }
 }
--- a/crates/fireflyhead-policy/src/peers.rs
+++ b/crates/fireflyhead-policy/src/peers.rs
@@ -11,8 +11,9 @@
 use crate::Time;
 use crate::message::Beat;
 use crate::message::NodeState;
+use crate::readers::Candidate;
 
-/// Silence after which a node is treated as unreachable.
+/// Silence after which a node is treated as unreachable; three beats to other zones at 90 nodes.
 pub const SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Silence after which a node is forgotten.
@@ -43,6 +44,11 @@
                 false
             }
             Some(_) | None => {
+                let placements = beat.placements.clone().or_else(|| {
+                    let old = self.peers.get(&beat.node)?;
+                    old.beat.placements.clone().filter(|_| old.beat.incarnation == beat.incarnation)
+                });
+                let beat = Beat { placements, ..beat };
                 self.peers.insert(beat.node.clone(), Peer { beat, heard: now });
                 true
             }
@@ -69,6 +75,14 @@
         self.peers.values().filter(move |peer| now.since(peer.heard) < SILENCE)
     }
 
+    /// Peers of `zone` that were heard lately and don't leave, as candidates for readers.
+    pub fn candidates(&self, now: Time, zone: &Name) -> Vec<Candidate> {
+        self.live(now)
+            .filter(|peer| peer.beat.zone == *zone && peer.beat.state != NodeState::Leaving)
+            .map(|peer| Candidate { node: peer.beat.node.clone(), capacity: peer.beat.capacity })
+            .collect()
+    }
+
     /// Peers that take callers.
     pub fn ready(&self, now: Time) -> impl Iterator<Item = &Peer> {
         self.live(now).filter(|peer| peer.beat.state == NodeState::Ready)
--- a/crates/fireflyhead-policy/tests/policy/admission.rs
+++ b/crates/fireflyhead-policy/tests/policy/admission.rs
@@ -172,6 +172,8 @@
     assert!(dispatcher.pump(ms(100)).is_empty());
     let decided = dispatcher.pump(ms(130));
     assert!(matches!(decided[..], [(JobId(1), Verdict::Send { .. })]), "{decided:?}");
+    let silent = dispatcher.silent_holders();
+    assert_eq!(silent.iter().map(|s| s.holder.as_str()).collect::<Vec<_>>(), [HOLDER]);
     let next = dispatcher.submit(ms(200), job(2, ms(200), "hot", 500));
     assert!(matches!(next, Some(Verdict::Send { .. })), "{next:?}");
     assert_eq!(dispatcher.submit(ms(1_200), job(3, ms(1_200), "hot", 500)), None);
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod loads;
 mod peers;
+mod readers;
 mod replay;
 mod residency;
 mod setup;
--- a/crates/fireflyhead-policy/tests/policy/peers.rs
+++ b/crates/fireflyhead-policy/tests/policy/peers.rs
@@ -20,7 +20,7 @@
         capacity: 250,
         loading: 0,
         loads: Vec::new(),
-        placements: Vec::new(),
+        placements: Some(Vec::new()),
     }
 }
 
