Treat engines whose adapter slots are all in use as no homes

Change: a holder states how many slots of its engine another adapter can take; an engine without one costs 1,000 ms as a home, and the lead of a warm one is 350 ms. Loads under way: 0.5 an engine. First report after 200 ms.

--- a/crates/fireflyhead-gateway/src/keeper.rs
+++ b/crates/fireflyhead-gateway/src/keeper.rs
@@ -57,7 +57,7 @@
 /// carry 0.44 to 0.9 for each engine.
 const LOADS_AT_ONCE: u32 = 8;
 /// See [`LOADS_AT_ONCE`].
-const LOADS_PER_ENGINE: f64 = 0.7;
+const LOADS_PER_ENGINE: f64 = 0.5;
 /// Calls in a row without an answer from which other engines are asked to load adapters. A
 /// crashed engine stays listed for some seconds.
 const FAILURES_CLOSED: u32 = 2;
@@ -250,6 +250,8 @@
                 let used = self.shared.admission().usage(entry.id.as_str());
                 if let Some(engine) = self.engines.get_mut(&entry.id) {
                     engine.residency.usage(now, &used);
+                    let idle = engine.residency.idle_places();
+                    self.shared.admission().set_idle_places(&entry.id, idle);
                 }
             }
             self.work(now, entry, listed.len(), me);
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -81,6 +81,7 @@
     next_local: u64,
     full_until: Time,
     run_time_s: f64,
+    idle_places: u32,
 }
 
 /// Admission to the engines in custody.
@@ -100,6 +101,13 @@
         }
     }
 
+    /// Records how many adapter slots of an engine another adapter can take.
+    pub fn set_idle_places(&mut self, upstream: &Name, places: u32) {
+        if let Some(ledger) = self.ledgers.get_mut(upstream) {
+            ledger.idle_places = places;
+        }
+    }
+
     /// Closes the engines that `keep` denies.
     pub fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
         self.ledgers.retain(|upstream, _| keep(upstream));
@@ -181,6 +189,7 @@
             next_local: 0,
             full_until: Time::default(),
             run_time_s: RUN_TIME_FIRST_S,
+            idle_places: slots,
         }
     }
 
@@ -389,6 +398,7 @@
             pending_tokens: self.load.backlog(now),
             queued_tokens: self.queued_tokens,
             late_permille: (self.load.late_pauses() * 1_000.0) as u32,
+            idle_places: self.idle_places,
             adapters: Vec::new(),
         }
     }
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -51,9 +51,11 @@
 const HOMES: usize = 3;
 /// Cost difference for which an adapter leaves its first home, in ms.
 const HOME_SPREAD_MS: f64 = 300.0;
+/// Cost of an engine whose adapter slots are all in use, in ms; a stream holds one for seconds.
+const PACKED_COST_MS: f64 = 1_000.0;
 /// Gain of an engine that held the adapter lately, in ms; it saves a load from the store, which
 /// takes 250 ms and more.
-const WARM_GAIN_MS: f64 = 600.0;
+const WARM_GAIN_MS: f64 = 350.0;
 /// Share of the version bound after which an old version is no longer used.
 const OLD_VERSION_SHARE: f64 = 0.55;
 /// Share of the version bound after which engines are told the version that must answer.
@@ -203,7 +205,8 @@
                 let upstream = &self.upstreams[*id];
                 let lead = HOME_SPREAD_MS * place as f64;
                 let warm = if upstream.is_warm(now, key) { WARM_GAIN_MS } else { 0.0 };
-                (upstream.engine_cost(now, job) + lead - warm, *id)
+                let packed = if upstream.is_packed(now) { PACKED_COST_MS } else { 0.0 };
+                (upstream.engine_cost(now, job) + lead + packed - warm, *id)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, id)| id.clone())
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -128,6 +128,11 @@
         stated.max(self.own.uses(adapter))
     }
 
+    /// Whether all adapter slots of the engine are known to be in use.
+    pub(super) fn is_packed(&self, now: Time) -> bool {
+        self.stated(now).is_some_and(|(_, load)| load.idle_places == 0)
+    }
+
     fn stated(&self, now: Time) -> Option<(Time, &UpstreamLoad)> {
         let (at, load) = self.stated.as_ref()?;
         (now.since(*at) < STATED_FOR).then_some((*at, load))
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -43,6 +43,8 @@
     /// Streams that paused for longer than their objective, in thousandths of an engine's
     /// recent streams.
     pub late_permille: u32,
+    /// Adapter slots of an engine that another adapter can take now.
+    pub idle_places: u32,
     /// Adapters in use, with the number of their requests.
     pub adapters: Vec<(Name, u32)>,
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -360,6 +360,7 @@
             queued_tokens: load.queued_tokens,
             late_permille: load.late_permille,
             total: load.total,
+            idle_places: load.idle_places,
             adapters: load.adapters.iter().map(usage).collect(),
         }
     }
@@ -375,6 +376,7 @@
             queued_tokens: load.queued_tokens,
             late_permille: load.late_permille,
             total: load.total,
+            idle_places: load.idle_places,
             adapters: load.adapters.into_iter().map(usage).collect(),
         }
     }
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -21,7 +21,7 @@
 const REPORT_LAG: Duration = Duration::from_millis(250);
 /// Time after which the first report on a load from the store is asked for; no deployment loads one
 /// in less than 250 ms.
-const FIRST_REPORT: Duration = Duration::from_millis(260);
+const FIRST_REPORT: Duration = Duration::from_millis(200);
 /// Time after which the first report on a load of a recently held adapter is asked for.
 const FIRST_REPORT_WARM: Duration = Duration::from_millis(30);
 /// Time between reports while a load or an unload is under way.
@@ -362,6 +362,16 @@
         self.adapters.len()
     }
 
+    /// Number of slots that another adapter can take now.
+    pub fn idle_places(&self) -> u32 {
+        let taken = self
+            .adapters
+            .values()
+            .filter(|slot| slot.used > 0 || !matches!(slot.state, State::Present { .. }))
+            .count();
+        u32::try_from(self.slots.saturating_sub(taken)).unwrap_or(u32::MAX)
+    }
+
     /// Number of loads from the store under way.
     pub fn loading(&self) -> u32 {
         let loading = self
--- a/crates/fireflyhead-policy/tests/policy/loads.rs
+++ b/crates/fireflyhead-policy/tests/policy/loads.rs
@@ -325,3 +325,19 @@
     place(&mut node, "engine-0", &["a1"]);
     assert!(node.pump(ms(1)).is_empty());
 }
+
+/// Replays many rare adapters at once: an engine whose slots are all in use can't load another
+/// one for seconds, so the adapter goes to its next home.
+#[test]
+fn engines_without_a_free_slot_are_no_homes() {
+    let mut node = node(6, 0);
+    node.submit(ms(0), job(1, ms(0), "rare", 500));
+    let home = node.wants(ms(0), &Name::from("node"))[0].upstream.clone();
+    node.cancel(JobId(1));
+    node.admission.set_idle_places(&home, 0);
+    let loads = node.admission.loads(ms(4_000));
+    node.peer_load(ms(4_000), &Name::from(NODE), loads);
+    node.submit(ms(4_000), job(2, ms(4_000), "rare", 500));
+    let wants = node.wants(ms(4_000), &Name::from("node"));
+    assert_ne!(wants[0].upstream, home);
+}
