Move waiting requests to new replicas of their adapter

Change: a queued request is looked at again each 250 ms and goes to a cheaper engine; one that is denied waits up to 1 s for a further replica if many use its adapter.

--- a/crates/fireflyhead-policy/src/dispatch/asked.rs
+++ b/crates/fireflyhead-policy/src/dispatch/asked.rs
@@ -17,13 +17,18 @@
 use super::JobId;
 use super::RejectReason;
 use super::Verdict;
+use super::choice::Choice;
 use super::queue::Queue;
 
 /// Time for which an answer is waited for. A host may stand still for the rest of a tenth of a
 /// second once its processor quota is used up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
-/// Time after which a queued request is asked about again, in case the grant was lost.
-const ASK_AGAIN: Duration = Duration::from_millis(400);
+/// Time after which a queued request is looked at again: another engine may have got its adapter
+/// meanwhile, or the grant was lost.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// Time from the arrival of a request for which a further replica of its adapter is waited for;
+/// a load takes 250 ms and more.
+const REPLICA_WAIT: Duration = Duration::from_millis(1_000);
 /// Time for which a holder that gave no answer is not asked.
 const SILENT_FOR: Duration = Duration::from_secs(1);
 
@@ -107,7 +112,12 @@
         if reply == Reply::Queued {
             return None;
         }
-        let question = self.asked.questions.remove(&id)?;
+        let mut question = self.asked.questions.remove(&id)?;
+        if matches!(reply, Reply::Denied { .. }) && self.awaits_replica(now, &question.job) {
+            question.sent = now;
+            self.asked.questions.insert(id, question);
+            return None;
+        }
         match reply {
             Reply::Denied { retry_after } => {
                 Some((id, Dispatcher::reject(RejectReason::Overload, retry_after)))
@@ -132,6 +142,17 @@
         }
     }
 
+    /// Whether another engine is likely to hold the adapter of `job` soon, because many use it.
+    fn awaits_replica(&mut self, now: Time, job: &Job) -> bool {
+        let Some(key) = job.adapter_key() else { return false };
+        let hot = now.since(job.arrived) < REPLICA_WAIT && self.is_hot(now, &key);
+        if hot {
+            let spared = self.spared(now, &job.service);
+            self.want(now, job, &key, spared);
+        }
+        hot
+    }
+
     /// Asks for a place for `job` at `upstream`.
     pub(super) fn ask(&mut self, now: Time, job: Job, upstream: &Name) {
         let Some(holder) = self.upstreams.get(upstream).and_then(|u| u.asked_holder(now)) else {
@@ -144,8 +165,8 @@
         self.asked.questions.insert(question.job.id, question);
     }
 
-    /// Gives up what waited for too long, asks again, and decides without holders that are
-    /// silent.
+    /// Gives up what waited for too long, asks again or elsewhere, and decides without holders
+    /// that are silent.
     pub(super) fn check_asked(&mut self, now: Time) -> Vec<(JobId, Verdict)> {
         let mut rejected = Vec::new();
         let mut silent: Vec<Name> = Vec::new();
@@ -161,9 +182,20 @@
                 again.push(*id);
             }
         }
+        let mut decided = Vec::new();
         for id in again {
-            let Some(question) = self.asked.remove(id) else { continue };
-            self.ask(now, question.job, &question.upstream);
+            let Some(Question { job, upstream, .. }) = self.asked.remove(id) else { continue };
+            match self.choose(now, &job) {
+                Choice::Ask(other) if other != upstream => {
+                    self.tell(&upstream, ProgressEvent::Ended(id));
+                    self.ask(now, job, &other);
+                }
+                Choice::Send { upstream: other, version } => {
+                    self.tell(&upstream, ProgressEvent::Ended(id));
+                    decided.push((id, self.send_unasked(now, &job, &other, version)));
+                }
+                Choice::Ask(_) | Choice::Wait(_) => self.ask(now, job, &upstream),
+            }
         }
         for name in silent {
             if let Some(upstream) = self.upstreams.get_mut(&name) {
@@ -174,15 +206,14 @@
             }
             self.asked.requeue(&name, &mut self.waiting);
         }
-        rejected
-            .into_iter()
-            .map(|id| {
-                if let Some(question) = self.asked.remove(id) {
-                    self.tell(&question.upstream, ProgressEvent::Ended(id));
-                }
-                (id, Dispatcher::reject(RejectReason::Overload, Duration::from_millis(500)))
-            })
-            .collect()
+        for id in rejected {
+            if let Some(question) = self.asked.remove(id) {
+                self.tell(&question.upstream, ProgressEvent::Ended(id));
+            }
+            let wait = Duration::from_millis(500);
+            decided.push((id, Dispatcher::reject(RejectReason::Overload, wait)));
+        }
+        decided
     }
 
     /// Tells the holder of `upstream`, if it has one.
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -173,7 +173,7 @@
     }
 
     /// States that `key` is needed; `false` if no engine can take it.
-    fn want(&mut self, now: Time, job: &Job, key: &AdapterKey, spared: bool) -> bool {
+    pub(super) fn want(&mut self, now: Time, job: &Job, key: &AdapterKey, spared: bool) -> bool {
         let target = match self.wants.target(now, key) {
             Some(target) if self.can_load(now, &target, key, spared) => Some(target),
             Some(_) | None => self.home(now, job, key, spared),
@@ -213,7 +213,7 @@
     }
 
     /// Whether the replicas of `key` have enough requests for a further one.
-    fn is_hot(&self, now: Time, key: &AdapterKey) -> bool {
+    pub(super) fn is_hot(&self, now: Time, key: &AdapterKey) -> bool {
         let Some(replicas) = self.replicas.get(key) else { return false };
         let uses: u32 = replicas
             .iter()
@@ -233,7 +233,7 @@
     }
 
     /// Whether so many upstreams of `service` are ejected that ejection is ignored.
-    fn spared(&mut self, now: Time, service: &Name) -> bool {
+    pub(super) fn spared(&mut self, now: Time, service: &Name) -> bool {
         let Some(service) = self.services.get_mut(service) else { return false };
         let upstreams = &self.upstreams;
         service.ejected.retain(|id| upstreams.get(id).is_some_and(|u| u.health.ejected(now)));
