--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -8,6 +8,7 @@
 mod health;
 mod limits;
 mod loads;
+mod messages;
 mod peers;
 mod readers;
 mod replay;
--- a/crates/fireflyhead-policy/tests/policy/residency.rs
+++ b/crates/fireflyhead-policy/tests/policy/residency.rs
@@ -141,6 +141,70 @@
     }
 }
 
+/// Event between two steps of the holder.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    None,
+    /// The next order is carried out after this time, in milliseconds, and not answered.
+    Late(u64),
+    /// Another node takes custody and knows nothing of the orders before.
+    Takeover,
+    /// The engine starts anew under its id; orders that it had not carried out end with it.
+    Restart,
+    /// A newer version of all adapters is named.
+    Version,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        8 => Just(Event::None),
+        3 => (0_u64..12_000).prop_map(Event::Late),
+        1 => Just(Event::Takeover),
+        1 => Just(Event::Restart),
+        1 => Just(Event::Version),
+    ]
+}
+
+proptest! {
+    /// Guards against engines that are overfilled, or keep an old version, when holders change
+    /// while orders are late and engines restart. Custody keeps the holders apart in time; what
+    /// the former one ordered may still take effect seconds later.
+    #[test]
+    fn holders_in_turn_never_overfill_the_engine(
+        steps in proptest::collection::vec((0_u8..12, event()), 1..400),
+    ) {
+        let mut residency = Residency::new(Name::from(MODEL), SLOTS, 1);
+        let mut engine = Engine::default();
+        let (mut now, mut version) = (1_000, 1);
+        for (adapter, event) in steps {
+            now += 50;
+            let mut lose = None;
+            match event {
+                Event::None => {}
+                Event::Late(delay) => lose = Some(delay),
+                Event::Takeover => residency = Residency::new(Name::from(MODEL), SLOTS, 1),
+                Event::Restart => {
+                    engine = Engine::default();
+                    residency = Residency::new(Name::from(MODEL), SLOTS, 1);
+                }
+                Event::Version => version += 1,
+            }
+            residency.want(ms(now), &Name::from(format!("a{adapter}")), 1, 1);
+            drive(&mut residency, &mut engine, now, lose, &|adapter| adapter.map(|_| version));
+            prop_assert!(!engine.overfull);
+        }
+        // All late orders have come, and the last holder has brought the engine up to date.
+        for _ in 0..400 {
+            now += 50;
+            drive(&mut residency, &mut engine, now, None, &|adapter| adapter.map(|_| version));
+            prop_assert!(!engine.overfull);
+        }
+        for (adapter, (held, _)) in &engine.held {
+            prop_assert_eq!(*held, version, "{} is at an old version", adapter);
+        }
+    }
+}
+
 fn settled(wants: &[&str], used: &[&str]) -> (Residency, Engine, u64) {
     let mut residency = Residency::new(Name::from(MODEL), SLOTS, 1);
     let used = used.iter().map(|name| (Name::from(*name), 1)).collect();
