Release the prompts of lost reports after a second; count waiting requests as uses of their adapter

Change: a prompt without a reported output counts as read after 1 s; waiting requests count as uses for eviction and replicas.

--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -35,6 +35,9 @@
 const RUN_TIME_ALPHA: f64 = 0.05;
 /// Time that a request takes before the first sample, in seconds.
 const RUN_TIME_FIRST_S: f64 = 1.0;
+/// Time after which a prompt counts as read although no output was reported: the report may be
+/// lost. Slow engines read a full window in half of that.
+const UNREAD_FOR: Duration = Duration::from_millis(1_000);
 /// Time past the deadline after which a request counts as ended. Its node reports the end
 /// earlier, but reports can be lost.
 const EXPIRE_AFTER: Duration = Duration::from_secs(1);
@@ -75,6 +78,8 @@
     load: EngineLoad,
     queue: Queue,
     queued_tokens: u32,
+    /// Waiting requests by adapter.
+    queued_use: HashMap<Name, u32>,
     shares: Shares,
     entries: HashMap<Origin, Entry>,
     origins: HashMap<JobId, Origin>,
@@ -152,20 +157,16 @@
         self.ledgers
             .values()
             .map(|ledger| UpstreamLoad {
-                adapters: ledger
-                    .load
-                    .in_use()
-                    .iter()
-                    .map(|(name, count)| (name.clone(), *count))
-                    .collect(),
+                adapters: ledger.usage().into_iter().collect(),
                 ..ledger.figures(now)
             })
             .collect()
     }
 
-    /// Requests of all nodes for each adapter of an engine.
+    /// Requests of all nodes for each adapter of an engine, waiting ones included: an adapter that
+    /// they wait for must stay.
     pub fn usage(&self, upstream: &str) -> HashMap<Name, u32> {
-        self.ledgers.get(upstream).map(|ledger| ledger.load.in_use().clone()).unwrap_or_default()
+        self.ledgers.get(upstream).map(Ledger::usage).unwrap_or_default()
     }
 
     /// Requests that wait here.
@@ -183,6 +184,7 @@
             load: EngineLoad::default(),
             queue: Queue::default(),
             queued_tokens: 0,
+            queued_use: HashMap::new(),
             shares: Shares::default(),
             entries: HashMap::new(),
             origins: HashMap::new(),
@@ -221,7 +223,6 @@
         if wait > left || self.queue.len() >= MAX_WAITING {
             return Reply::Denied { retry_after: wait.saturating_sub(left) };
         }
-        self.queued_tokens += job.prompt_tokens;
         self.origins.insert(job.id, origin.clone());
         let entry = Entry {
             local: job.id,
@@ -231,6 +232,7 @@
         };
         self.entries.insert(origin, entry);
         self.queue.insert(job);
+        self.count_queue();
         Reply::Queued
     }
 
@@ -341,6 +343,18 @@
 
     fn count_queue(&mut self) {
         self.queued_tokens = self.queue.iter().map(|job| job.prompt_tokens).sum();
+        self.queued_use.clear();
+        for adapter in self.queue.iter().filter_map(Job::adapter) {
+            *self.queued_use.entry(adapter.clone()).or_insert(0) += 1;
+        }
+    }
+
+    fn usage(&self) -> HashMap<Name, u32> {
+        let mut usage = self.load.in_use().clone();
+        for (adapter, count) in &self.queued_use {
+            *usage.entry(adapter.clone()).or_insert(0) += count;
+        }
+        usage
     }
 
     fn pump(&mut self, now: Time) -> Vec<Addressed> {
@@ -387,6 +401,17 @@
             .map(|(origin, _)| origin.clone())
             .collect();
         expired.iter().for_each(|origin| self.end(origin, None));
+        for entry in self.entries.values_mut() {
+            match &mut entry.place {
+                Place::Running { tokens, output, since }
+                    if !*output && now.since(*since) >= UNREAD_FOR =>
+                {
+                    *output = true;
+                    self.load.unread(*tokens);
+                }
+                Place::Running { .. } | Place::Waiting => {}
+            }
+        }
     }
 
     /// Load without the adapters.
--- a/crates/fireflyhead-policy/tests/policy/admission.rs
+++ b/crates/fireflyhead-policy/tests/policy/admission.rs
@@ -148,6 +148,34 @@
     assert_eq!(in_flight(&admission, ms(16_100)), 0);
 }
 
+/// Guards against an engine that is closed by lost datagrams: on the users' grown deployment one
+/// adapter's requests were rejected for 16 s after two reports of outputs were lost.
+#[test]
+fn lost_reports_close_an_engine_for_a_second_only() {
+    let mut admission = holder();
+    for n in 0..3 {
+        admission.ask(ms(0), &node(n), &ask(1, ms(0), 1_200));
+    }
+    assert!(admission.pump(ms(900)).is_empty());
+    let granted = admission.pump(ms(1_010));
+    assert_eq!(granted.len(), 1, "{granted:?}");
+    assert_eq!(granted[0].node, node(2));
+}
+
+/// Guards against an adapter that is evicted, or gets no replica, while requests wait for it.
+#[test]
+fn waiting_requests_use_their_adapter() {
+    let mut admission = holder();
+    for n in 0..9 {
+        admission.ask(ms(0), &node(n), &ask(1, ms(0), 1_200));
+    }
+    assert_eq!(admission.usage(ENGINE).get("hot"), Some(&9));
+    for n in 2..9 {
+        admission.progress(ms(1), &node(n), &progress(ProgressEvent::Ended(JobId(1))));
+    }
+    assert_eq!(admission.usage(ENGINE).get("hot"), Some(&2));
+}
+
 /// Guards against a request that is held although its wait passes its deadline.
 #[test]
 fn a_wait_beyond_the_deadline_is_denied_at_once() {
