Make one copy of what stood twice; derive the queue's figures; drop a setting that nothing read

Found on reading the change again: - The ledger of an engine kept the queued tokens and uses beside its queue and counted them anew in four places; they are derived now. The number in the queue belongs to waiting requests only, and entries are built in one place. - The time after a full answer, the places of an engine, the test for requests that are not paced any more, and whether an engine serves an adapter stood twice each.

--- a/crates/fireflyhead-gateway/src/beats.rs
+++ b/crates/fireflyhead-gateway/src/beats.rs
@@ -7,7 +7,6 @@
 //! the age of a beat.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,7 +26,6 @@
 use crate::keeper::Keeper;
 use crate::keeper::KeeperMsg;
 use crate::outgoing::MAX_DATAGRAM;
-use crate::outgoing::encode;
 use crate::state::Shared;
 
 /// Shortest interval of beats within the zone; load figures of plain upstreams and the choice
@@ -45,7 +43,8 @@
 const WANT_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Sends beats and wants until the process ends.
-pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>, keeper: ActorRef<Keeper>) {
+pub async fn send(shared: Arc<Shared>, keeper: ActorRef<Keeper>) {
+    let outgoing = shared.outgoing();
     let mut seq = 0;
     let mut changed = true;
     let (mut near_count, mut far_count) = (0_u64, 0_u64);
@@ -55,7 +54,7 @@
         shared.pump(now);
         let wants = shared.dispatcher().wants(now, &shared.settings.node);
         if !wants.is_empty() {
-            send_wants(&shared, &socket, &keeper, wants).await;
+            send_wants(&shared, &keeper, wants).await;
         }
         if now >= next_near.min(next_far) {
             let Targets { near, far } = targets(&shared);
@@ -64,13 +63,13 @@
             if now >= next_near {
                 let full = changed || near_count % FULL_EVERY == 0;
                 near_count += 1;
-                send_to(&socket, &datagram(&beat, full), &near).await;
+                outgoing.send_all_waiting(&near, &datagram(&beat, full)).await;
                 next_near = now + interval(INTERVAL, INTERVAL_PER_NODE, near.len());
             }
             if now >= next_far {
                 let full = changed || far_count % FULL_EVERY == 0;
                 far_count += 1;
-                send_to(&socket, &datagram(&beat, full), &far).await;
+                outgoing.send_all_waiting(&far, &datagram(&beat, full)).await;
                 let interval = interval(FAR_INTERVAL, FAR_INTERVAL_PER_NODE, far.len());
                 shared.peers().expect_beats(interval);
                 next_far = now + interval;
@@ -218,12 +217,7 @@
     Targets { near: addresses(near), far: addresses(far) }
 }
 
-async fn send_wants(
-    shared: &Shared,
-    socket: &UdpSocket,
-    keeper: &ActorRef<Keeper>,
-    wants: Vec<Want>,
-) {
+async fn send_wants(shared: &Shared, keeper: &ActorRef<Keeper>, wants: Vec<Want>) {
     let mut by_node: HashMap<Option<SocketAddr>, Vec<Want>> = HashMap::new();
     {
         let own = shared.placements();
@@ -248,7 +242,10 @@
     for (node, wants) in by_node {
         match node {
             None => keeper_tell(keeper, KeeperMsg::Wants(wants)).await,
-            Some(address) => send_to(socket, &Datagram::Wants(wants), [&address]).await,
+            Some(address) => {
+                let wants = Datagram::Wants(wants);
+                shared.outgoing().send_all_waiting(&[address], &wants).await;
+            }
         }
     }
 }
@@ -262,19 +259,3 @@
         holder = if mine { Some(want.node.as_str()) } else { holder }
     );
 }
-
-async fn send_to(
-    socket: &UdpSocket,
-    datagram: &Datagram,
-    targets: impl IntoIterator<Item = &SocketAddr>,
-) {
-    let Some(buf) = encode(datagram) else { return };
-    for target in targets {
-        match socket.send_to(&buf, target).await {
-            Ok(_) => {}
-            // A port without listener is reported by the host; the node is found silent anyway.
-            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
-            Err(error) => tracing::debug!(event = "datagram_not_sent", %target, %error),
-        }
-    }
-}
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -90,7 +90,6 @@
         let socket = Arc::new(UdpSocket::bind(settings.peer).await?);
         settings.peer = socket.local_addr()?;
         let dispatcher = Dispatcher::new(DispatchSettings {
-            node: settings.node.clone(),
             zone: settings.zone.clone(),
             version_bound: settings.version_bound,
             seed: clock::unix_millis(),
@@ -109,7 +108,7 @@
         tasks.spawn(keeper::ticks(keeper.clone()));
         tasks.spawn(membership::keep(Arc::clone(&shared), Arc::clone(&store), keeper.clone()));
         tasks.spawn(sync::follow(Arc::clone(&shared), store, keeper.clone()));
-        tasks.spawn(beats::send(Arc::clone(&shared), Arc::clone(&socket), keeper.clone()));
+        tasks.spawn(beats::send(Arc::clone(&shared), keeper.clone()));
         tasks.spawn(beats::receive(Arc::clone(&shared), socket, keeper.clone()));
         tasks.spawn(sweep(Arc::clone(&shared)));
         for listener in readiness.into_iter().chain(directory) {
--- a/crates/fireflyhead-gateway/src/outgoing.rs
+++ b/crates/fireflyhead-gateway/src/outgoing.rs
@@ -1,5 +1,6 @@
-//! Datagrams that are sent from decisions, which can't wait.
+//! Datagrams to other nodes. Those that are sent from decisions can't wait for the socket.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -31,19 +32,34 @@
         self.send_all(&[target], datagram);
     }
 
-    /// Sends a datagram to several nodes.
+    /// Sends a datagram to several nodes as [`Outgoing::send`] does.
     pub fn send_all(&self, targets: &[SocketAddr], datagram: &Datagram) {
         let (Some(socket), Some(buf)) = (self.socket.get(), encode(datagram)) else { return };
         for target in targets {
-            if let Err(error) = socket.try_send_to(&buf, *target) {
-                tracing::debug!(event = "datagram_not_sent", %target, %error);
-            }
+            report(*target, socket.try_send_to(&buf, *target));
         }
     }
+
+    /// Sends a datagram to several nodes and waits for the socket.
+    pub async fn send_all_waiting(&self, targets: &[SocketAddr], datagram: &Datagram) {
+        let (Some(socket), Some(buf)) = (self.socket.get(), encode(datagram)) else { return };
+        for target in targets {
+            report(*target, socket.send_to(&buf, *target).await);
+        }
+    }
+}
+
+fn report(target: SocketAddr, result: io::Result<usize>) {
+    match result {
+        Ok(_) => {}
+        // A port without listener is reported by the host; the node is found silent anyway.
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+        Err(error) => tracing::debug!(event = "datagram_not_sent", %target, %error),
+    }
 }
 
 /// Encodes a datagram; `None` if it is too large, which is logged.
-pub(crate) fn encode(datagram: &Datagram) -> Option<Vec<u8>> {
+fn encode(datagram: &Datagram) -> Option<Vec<u8>> {
     match codec::encode(&wire::Datagram::from(datagram)) {
         Ok(buf) if buf.len() <= MAX_DATAGRAM => Some(buf),
         Ok(buf) => {
--- a/crates/fireflyhead-gateway/src/sync.rs
+++ b/crates/fireflyhead-gateway/src/sync.rs
@@ -120,11 +120,11 @@
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.up();
                     let news = self.apply(&items).await;
-                    self.hand_on(after, revision, news);
-                    after = revision.max(after);
                     if self.shared.is_reader(clock::now()) {
+                        self.hand_on(after, revision, news);
                         sleep(self.pace().saturating_sub(clock::now().since(sent))).await;
                     }
+                    after = revision.max(after);
                 }
                 Ok(StoreReply::Compacted) => {
                     tracing::info!(event = "store_history_gone", after);
@@ -174,12 +174,9 @@
         after
     }
 
-    /// Hands changes on if this node is a reader.
+    /// Hands changes on to the other nodes of the zone.
     fn hand_on(&self, from: u64, to: u64, items: Vec<Item>) {
         let now = clock::now();
-        if !self.shared.is_reader(now) {
-            return;
-        }
         let bytes: usize = items.iter().map(|item| item.value.as_ref().map_or(0, Bytes::len)).sum();
         let returned = self.shared.fleet().returned();
         let back = returned.map(|at| now.since(at)).filter(|age| *age < LAPSE_GRACE);
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -10,11 +10,12 @@
 
 use crate::Name;
 use crate::Time;
-use crate::dispatch::ENGINE_WINDOW;
+use crate::dispatch::FULL_FOR;
 use crate::dispatch::Job;
 use crate::dispatch::JobId;
-use crate::dispatch::PREFILL_WAIT_SHARE;
+use crate::dispatch::RETURN_AFTER;
 use crate::dispatch::load::EngineLoad;
+use crate::dispatch::load::places;
 use crate::dispatch::load::takes_prompt;
 use crate::dispatch::queue::Queue;
 use crate::dispatch::queue::Shares;
@@ -25,12 +26,8 @@
 use crate::message::Reply;
 use crate::message::UpstreamLoad;
 
-/// Time for which an engine that said it was full gets no request.
-const FULL_FOR: Duration = Duration::from_millis(60);
 /// Requests that wait for one engine before further ones are rejected.
 const MAX_WAITING: usize = 500;
-/// Time after which a caller is asked to return when its request waited for too long.
-const RETURN_AFTER: Duration = Duration::from_millis(500);
 /// Weight of the newest sample in the mean time that a request takes.
 const RUN_TIME_ALPHA: f64 = 0.05;
 /// Time that a request takes before the first sample, in seconds.
@@ -56,14 +53,17 @@
 
 #[derive(Debug)]
 enum Place {
-    Waiting,
-    Running { tokens: u32, output: bool, since: Time },
+    /// In the queue under a number of the ledger; numbers of nodes may coincide.
+    Waiting(JobId),
+    Running {
+        tokens: u32,
+        output: bool,
+        since: Time,
+    },
 }
 
 #[derive(Debug)]
 struct Entry {
-    /// Number in the queue; numbers of nodes may coincide.
-    local: JobId,
     place: Place,
     adapter: Option<Name>,
     expires: Time,
@@ -77,9 +77,6 @@
     slots: u32,
     load: EngineLoad,
     queue: Queue,
-    queued_tokens: u32,
-    /// Waiting requests by adapter.
-    queued_use: HashMap<Name, u32>,
     shares: Shares,
     entries: HashMap<Origin, Entry>,
     origins: HashMap<JobId, Origin>,
@@ -183,8 +180,6 @@
             slots,
             load: EngineLoad::default(),
             queue: Queue::default(),
-            queued_tokens: 0,
-            queued_use: HashMap::new(),
             shares: Shares::default(),
             entries: HashMap::new(),
             origins: HashMap::new(),
@@ -200,7 +195,7 @@
         let reply = match self.entries.get(&origin).map(|entry| &entry.place) {
             // The node asks again because an answer was lost or is slow to come.
             Some(Place::Running { .. }) => Reply::Granted,
-            Some(Place::Waiting) => Reply::Queued,
+            Some(Place::Waiting(_)) => Reply::Queued,
             None => {
                 self.next_local += 1;
                 let local = JobId(self.next_local);
@@ -224,30 +219,26 @@
             return Reply::Denied { retry_after: wait.saturating_sub(left) };
         }
         self.origins.insert(job.id, origin.clone());
-        let entry = Entry {
-            local: job.id,
-            place: Place::Waiting,
-            adapter: job.adapter().cloned(),
-            expires: job.deadline + EXPIRE_AFTER,
-        };
-        self.entries.insert(origin, entry);
+        self.enter(origin, Place::Waiting(job.id), job.adapter(), job.deadline);
         self.queue.insert(job);
-        self.count_queue();
         Reply::Queued
     }
 
+    fn enter(&mut self, origin: Origin, place: Place, adapter: Option<&Name>, deadline: Time) {
+        let expires = deadline + EXPIRE_AFTER;
+        self.entries.insert(origin, Entry { place, adapter: adapter.cloned(), expires });
+    }
+
     /// Whether the engine has a place for `job` and time to read its prompt.
     fn takes(&self, now: Time, job: &Job) -> bool {
-        let places = (f64::from(self.slots) * ENGINE_WINDOW).max(1.0);
-        let objective = job.objective.since(job.arrived);
-        let late = now.since(job.arrived) >= objective.mul_f64(PREFILL_WAIT_SHARE);
+        let late = job.is_hurried(now);
         // What waited for long is not paced any more: a late answer is worth less than a pause.
         let backlog = match late {
             true => self.load.pending_tokens(),
             false => self.load.backlog(now),
         };
         now >= self.full_until
-            && f64::from(self.load.in_flight()) < places
+            && f64::from(self.load.in_flight()) < places(self.slots)
             && takes_prompt(backlog, self.load.late_pauses(), job.prompt_tokens, late)
     }
 
@@ -255,13 +246,7 @@
         self.load.started(now, job.adapter(), job.prompt_tokens);
         self.shares.count(&job.route);
         let place = Place::Running { tokens: job.prompt_tokens, output: false, since: now };
-        let entry = Entry {
-            local: job.id,
-            place,
-            adapter: job.adapter().cloned(),
-            expires: job.deadline + EXPIRE_AFTER,
-        };
-        self.entries.insert(origin, entry);
+        self.enter(origin, place, job.adapter(), job.deadline);
     }
 
     /// Time until `job` gets a place, from what waits before it and the engine's pace.
@@ -272,7 +257,7 @@
             .fold((0, 0), |(count, sum), other| (count + 1, sum + other.prompt_tokens));
         let backlog = self.load.pending_tokens();
         let reading = f64::from(tokens + backlog) / self.load.reads_per_s();
-        let places = (f64::from(self.slots) * ENGINE_WINDOW).max(1.0);
+        let places = places(self.slots);
         let busy = f64::from(self.load.in_flight()) >= places;
         let running = match busy {
             true => f64::from(ahead + 1) * self.run_time_s / places,
@@ -308,13 +293,8 @@
                     return;
                 }
                 self.load.adopted(adapter.as_ref());
-                let entry = Entry {
-                    local: JobId(0),
-                    place: Place::Running { tokens: 0, output: true, since: now },
-                    adapter: adapter.clone(),
-                    expires: now + *left + EXPIRE_AFTER,
-                };
-                self.entries.insert(origin, entry);
+                let place = Place::Running { tokens: 0, output: true, since: now };
+                self.enter(origin, place, adapter.as_ref(), now + *left);
             }
         }
     }
@@ -323,10 +303,9 @@
     fn end(&mut self, origin: &Origin, now: Option<Time>) {
         let Some(entry) = self.entries.remove(origin) else { return };
         match entry.place {
-            Place::Waiting => {
-                self.origins.remove(&entry.local);
-                self.queue.cancel(entry.local);
-                self.count_queue();
+            Place::Waiting(local) => {
+                self.origins.remove(&local);
+                self.queue.cancel(local);
             }
             Place::Running { tokens, output, since } => {
                 if !output {
@@ -341,18 +320,10 @@
         }
     }
 
-    fn count_queue(&mut self) {
-        self.queued_tokens = self.queue.iter().map(|job| job.prompt_tokens).sum();
-        self.queued_use.clear();
-        for adapter in self.queue.iter().filter_map(Job::adapter) {
-            *self.queued_use.entry(adapter.clone()).or_insert(0) += 1;
-        }
-    }
-
     fn usage(&self) -> HashMap<Name, u32> {
         let mut usage = self.load.in_use().clone();
-        for (adapter, count) in &self.queued_use {
-            *usage.entry(adapter.clone()).or_insert(0) += count;
+        for adapter in self.queue.iter().filter_map(Job::adapter) {
+            *usage.entry(adapter.clone()).or_insert(0) += 1;
         }
         usage
     }
@@ -382,7 +353,6 @@
             }
             decided.push((origin, reply));
         }
-        self.count_queue();
         let load = self.figures(now);
         decided
             .into_iter()
@@ -409,7 +379,7 @@
                     *output = true;
                     self.load.unread(*tokens);
                 }
-                Place::Running { .. } | Place::Waiting => {}
+                Place::Running { .. } | Place::Waiting(_) => {}
             }
         }
     }
@@ -421,7 +391,7 @@
             total: true,
             in_flight: self.load.in_flight(),
             pending_tokens: self.load.backlog(now),
-            queued_tokens: self.queued_tokens,
+            queued_tokens: self.queue.iter().map(|job| job.prompt_tokens).sum(),
             late_permille: (self.load.late_pauses() * 1_000.0) as u32,
             idle_places: self.idle_places,
             adapters: Vec::new(),
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -52,10 +52,14 @@
 const MAX_WAITING: usize = 2_000;
 /// Share of the time for which its caller stays that a request waits at most.
 const WAIT_SHARE: f64 = 0.8;
-/// Share of an engine's slots that are filled before requests wait.
-pub(crate) const ENGINE_WINDOW: f64 = 0.95;
 /// Share of the objective for which a request waits for a small backlog.
-pub(crate) const PREFILL_WAIT_SHARE: f64 = 0.45;
+const PREFILL_WAIT_SHARE: f64 = 0.45;
+/// Time for which an upstream that said it was full gets no request.
+pub(crate) const FULL_FOR: Duration = Duration::from_millis(60);
+/// Time after which a caller is asked to return when its request waited for too long.
+pub(crate) const RETURN_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a caller is asked to return when nothing can take its request now.
+const RETURN_LATER: Duration = Duration::from_secs(1);
 /// Share of the time up to the deadline for which a request waits for a service without upstreams.
 const ABSENT_WAIT_SHARE: f64 = 0.1;
 /// Weight of the newest sample in the mean service time.
@@ -114,6 +118,12 @@
         now.since(self.arrived) >= total.mul_f64(WAIT_SHARE)
     }
 
+    /// Whether the request has waited for so long that its prompt is not paced any more.
+    pub(crate) fn is_hurried(&self, now: Time) -> bool {
+        let objective = self.objective.since(self.arrived);
+        now.since(self.arrived) >= objective.mul_f64(PREFILL_WAIT_SHARE)
+    }
+
     fn adapter_key(&self) -> Option<AdapterKey> {
         let model = self.model.as_ref()?;
         Some((model.model.clone(), model.adapter.clone()?))
@@ -184,8 +194,6 @@
 /// Settings of a dispatcher.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatchSettings {
-    /// Node.
-    pub node: Name,
     /// Zone of the node.
     pub zone: Name,
     /// Time after which requests must not begin on an older adapter version.
@@ -196,12 +204,7 @@
 
 impl Default for DispatchSettings {
     fn default() -> DispatchSettings {
-        DispatchSettings {
-            node: Name::from(""),
-            zone: Name::from(""),
-            version_bound: Duration::from_secs(5),
-            seed: 0,
-        }
+        DispatchSettings { zone: Name::from(""), version_bound: Duration::from_secs(5), seed: 0 }
     }
 }
 
@@ -246,6 +249,14 @@
     output: bool,
 }
 
+impl Flight {
+    /// What a holder learns that did not admit the request.
+    fn running(&self, now: Time, job: JobId) -> ProgressEvent {
+        let left = self.deadline.since(now);
+        ProgressEvent::Running { job, adapter: self.adapter.clone(), left }
+    }
+}
+
 /// Decisions of one node on its requests.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -290,7 +301,7 @@
                 Some(self.send_unasked(now, &job, &upstream, version))
             }
             Choice::Ask(_) | Choice::Wait(_) if self.waiting() >= MAX_WAITING => {
-                Some(Dispatcher::reject(RejectReason::QueueFull, Duration::from_secs(1)))
+                Some(Dispatcher::reject(RejectReason::QueueFull, RETURN_LATER))
             }
             Choice::Ask(upstream) => {
                 self.ask(now, job, &upstream);
@@ -592,11 +603,7 @@
         version: Option<u64>,
     ) -> Verdict {
         let verdict = self.send(now, job, upstream, version);
-        let running = ProgressEvent::Running {
-            job: job.id,
-            adapter: job.adapter().cloned(),
-            left: job.deadline.since(now),
-        };
+        let running = self.flights[&job.id].running(now, job.id);
         self.tell(&upstream.id, running);
         verdict
     }
@@ -638,16 +645,15 @@
         let waited = now.since(job.arrived).as_secs_f64();
         match blocked {
             choice::Blocked::NoUpstream if waited >= total * ABSENT_WAIT_SHARE => {
-                Some(Dispatcher::reject(RejectReason::NoUpstream, Duration::from_secs(1)))
+                Some(Dispatcher::reject(RejectReason::NoUpstream, RETURN_LATER))
             }
             choice::Blocked::NoUpstream => None,
-            choice::Blocked::Adapter if job.is_given_up(now) => Some(Dispatcher::reject(
-                RejectReason::AdapterUnavailable,
-                Duration::from_millis(500),
-            )),
+            choice::Blocked::Adapter if job.is_given_up(now) => {
+                Some(Dispatcher::reject(RejectReason::AdapterUnavailable, RETURN_AFTER))
+            }
             choice::Blocked::Adapter => None,
             choice::Blocked::Full if job.is_given_up(now) => {
-                Some(Dispatcher::reject(RejectReason::Overload, Duration::from_millis(500)))
+                Some(Dispatcher::reject(RejectReason::Overload, RETURN_AFTER))
             }
             choice::Blocked::Full => {
                 let wait = self.predicted_wait(job);
--- a/crates/fireflyhead-policy/src/dispatch/asked.rs
+++ b/crates/fireflyhead-policy/src/dispatch/asked.rs
@@ -15,6 +15,7 @@
 use super::Dispatcher;
 use super::Job;
 use super::JobId;
+use super::RETURN_AFTER;
 use super::RejectReason;
 use super::Verdict;
 use super::choice::Choice;
@@ -210,8 +211,7 @@
             if let Some(question) = self.asked.remove(id) {
                 self.tell(&question.upstream, ProgressEvent::Ended(id));
             }
-            let wait = Duration::from_millis(500);
-            decided.push((id, Dispatcher::reject(RejectReason::Overload, wait)));
+            decided.push((id, Dispatcher::reject(RejectReason::Overload, RETURN_AFTER)));
         }
         decided
     }
@@ -232,11 +232,7 @@
             .flights
             .iter()
             .filter(|(_, flight)| flight.upstream == *upstream)
-            .map(|(id, flight)| ProgressEvent::Running {
-                job: *id,
-                adapter: flight.adapter.clone(),
-                left: flight.deadline.since(now),
-            })
+            .map(|(id, flight)| flight.running(now, *id))
             .collect();
         for event in running {
             self.tell(upstream, event);
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -12,10 +12,9 @@
 
 use super::AdapterKey;
 use super::Dispatcher;
-use super::ENGINE_WINDOW;
 use super::Job;
-use super::PREFILL_WAIT_SHARE;
 use super::load::is_too_slow;
+use super::load::places;
 use super::load::takes_prompt;
 use super::upstreams::Upstream;
 
@@ -127,10 +126,7 @@
             .into_iter()
             .flatten()
             .filter(|id| {
-                self.upstreams.get(*id).is_some_and(|upstream| {
-                    upstream.adapters.get(key).is_some_and(|r| r.ready && r.version >= least)
-                        && !upstream.denies(now, &key.1)
-                })
+                self.upstreams.get(*id).is_some_and(|upstream| upstream.serves(now, key, least))
             })
             .cloned()
             .collect();
@@ -242,8 +238,7 @@
 
     fn candidates(&mut self, now: Time, job: &Job, ids: &[Name], spared: bool) -> Vec<Candidate> {
         let engine = job.model.is_some();
-        let objective = job.objective.since(job.arrived);
-        let late = now.since(job.arrived) >= objective.mul_f64(PREFILL_WAIT_SHARE);
+        let late = job.is_hurried(now);
         let mut candidates = Vec::with_capacity(ids.len());
         for id in ids {
             let noise = self.rng.random::<f64>() * NOISE_MS;
@@ -257,8 +252,11 @@
                 true => upstream.engine_cost(now, job),
                 false => upstream.service_cost(now),
             };
-            let window = if engine { ENGINE_WINDOW } else { SERVICE_WINDOW };
-            let places = (f64::from(upstream.entry.slots) * window).max(1.0);
+            let slots = upstream.entry.slots;
+            let places = match engine {
+                true => places(slots),
+                false => (f64::from(slots) * SERVICE_WINDOW).max(1.0),
+            };
             let admitted = upstream.asked_holder(now).is_some();
             let room = admitted
                 || f64::from(upstream.in_flight(now)) < places
@@ -286,10 +284,7 @@
         let spared = self.spared(now, &job.service);
         let least = job.adapter_key().map_or(0, |key| self.version_rule(now, &key).0);
         self.upstreams.get(id).is_some_and(|upstream| {
-            let held = job.adapter_key().is_none_or(|key| {
-                upstream.adapters.get(&key).is_some_and(|r| r.ready && r.version >= least)
-                    && !upstream.denies(now, &key.1)
-            });
+            let held = job.adapter_key().is_none_or(|key| upstream.serves(now, &key, least));
             held && upstream.usable(now) && (spared || !upstream.health.ejected(now))
         })
     }
--- a/crates/fireflyhead-policy/src/dispatch/load.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load.rs
@@ -6,6 +6,8 @@
 use crate::Name;
 use crate::Time;
 
+/// Share of an engine's slots that are filled before requests wait.
+const ENGINE_WINDOW: f64 = 0.95;
 /// Backlog below which a prompt of any size is added.
 const NO_BACKLOG_TOKENS: u32 = 300;
 /// Prompt tokens that an engine may have unread when another prompt is added.
@@ -209,6 +211,11 @@
     (tokens - elapsed.as_secs_f64() * pace).max(0.0)
 }
 
+/// Requests that an engine with `slots` gets at once.
+pub(crate) fn places(slots: u32) -> f64 {
+    (f64::from(slots) * ENGINE_WINDOW).max(1.0)
+}
+
 /// Whether a prompt of `tokens` may be added to a backlog. A request that has waited for long
 /// takes a slow engine, too.
 pub(crate) fn takes_prompt(backlog: u32, late_pauses: f64, tokens: u32, late: bool) -> bool {
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -13,11 +13,10 @@
 use crate::message::UpstreamLoad;
 
 use super::AdapterKey;
+use super::FULL_FOR;
 use super::load::EngineLoad;
 use super::load::drained;
 
-/// Time for which an upstream that said it was full gets no request.
-const FULL_FOR: Duration = Duration::from_millis(60);
 /// Time for which an adapter that an engine denied is not looked for there.
 const ABSENT_FOR: Duration = Duration::from_millis(150);
 /// Age up to which the load that a holder stated counts.
@@ -151,6 +150,12 @@
         self.stated_by(now, node, UpstreamLoad { adapters, ..load });
     }
 
+    /// Whether the engine holds `key` at version `least` or newer and answers for it.
+    pub(super) fn serves(&self, now: Time, key: &AdapterKey, least: u64) -> bool {
+        self.adapters.get(key).is_some_and(|replica| replica.ready && replica.version >= least)
+            && !self.denies(now, &key.1)
+    }
+
     /// Records that the engine holds `key` no longer.
     pub(super) fn dropped(&mut self, now: Time, key: &AdapterKey) {
         self.dropped.retain(|_, at| now.since(*at) < WARM_FOR);
@@ -164,7 +169,7 @@
         self.dropped.get(key).is_some_and(|at| now.since(*at) < WARM_FOR)
     }
 
-    pub(super) fn denies(&self, now: Time, adapter: &Name) -> bool {
+    fn denies(&self, now: Time, adapter: &Name) -> bool {
         self.denied.get(adapter).is_some_and(|until| now < *until)
     }
 
--- a/crates/fireflyhead-policy/tests/policy/admission.rs
+++ b/crates/fireflyhead-policy/tests/policy/admission.rs
@@ -55,8 +55,7 @@
 
 /// Dispatcher of `node-1` whose only engine is in the custody of `node-9`.
 fn asker() -> Dispatcher {
-    let settings = DispatchSettings { node: node(1), ..DispatchSettings::default() };
-    let mut dispatcher = Dispatcher::new(settings);
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default());
     dispatcher.listed(&Arc::new(entry(ENGINE, ENGINES, 64)));
     dispatcher.placement(ms(0), &Name::from(HOLDER), &placement(ENGINE, &["hot"], 1));
     dispatcher
--- a/crates/fireflyhead-policy/tests/policy/setup.rs
+++ b/crates/fireflyhead-policy/tests/policy/setup.rs
@@ -125,11 +125,7 @@
 
 /// Node in `zone-1` with `engines` engines in its custody and `desks` plain upstreams.
 pub(crate) fn node(engines: usize, desks: usize) -> Node {
-    let settings = DispatchSettings {
-        node: Name::from(NODE),
-        zone: Name::from("zone-1"),
-        ..DispatchSettings::default()
-    };
+    let settings = DispatchSettings { zone: Name::from("zone-1"), ..DispatchSettings::default() };
     let mut node = Node { dispatcher: Dispatcher::new(settings), admission: Admission::default() };
     for n in 0..engines {
         let entry = entry(&format!("engine-{n}"), ENGINES, 64);
