Log where a request was when it was dropped

A request that was dropped with its node logged the outcome caller_left with zeros for its attempts, whether it waited for an upstream, had been sent, or was a stream in progress. The log could not tell the hypotheses on the requests that are lost at a planned stop apart.

The log line now says interrupted if the node has stopped, the upstream if the request had been sent, and where it was; the line of the stop says how many connections of callers were open.

--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -12,7 +12,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -154,7 +154,7 @@
         arrived,
         objective: objective(arrived, route),
         deadline,
-        logged: AtomicBool::new(false),
+        stage: Mutex::default(),
     };
     request.forward(guard).await
 }
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -26,6 +26,7 @@
 use crate::state::Shared;
 
 use super::inbound_request::InboundRequest;
+use super::inbound_request::Stage;
 
 /// Largest body of a response that is not a stream, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -129,6 +130,7 @@
         resume_after: Option<u64>,
     ) -> AttemptResult {
         let mut in_flight = InFlightAttempt::new(&self.shared, job);
+        self.set_stage(Stage::Sent(upstream.id.clone()));
         let max_idle = match self.route.kind.is_retryable() {
             true => Duration::MAX,
             false => MAX_IDLE_NOT_RETRYABLE,
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -1,8 +1,8 @@
 //! Forwarding of one request, with its retries.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -64,21 +64,32 @@
     pub(super) objective: Time,
     /// Time after which the caller no longer waits for the response.
     pub(super) deadline: Time,
-    /// Whether the final log line of the request has been written.
-    pub(super) logged: AtomicBool,
+    /// Stage of the request, for the log line of a request that is dropped.
+    pub(super) stage: Mutex<Stage>,
+}
+
+/// Stage of a request that is being served.
+#[derive(Clone, Debug, Default)]
+pub(super) enum Stage {
+    /// Waits for an upstream to be selected.
+    #[default]
+    Waiting,
+    /// Was sent to this upstream, whose response has not begun.
+    Sent(Name),
+    /// Its final log line has been written.
+    Logged,
 }
 
 impl Drop for InboundRequest {
     fn drop(&mut self) {
-        if !self.logged.load(Ordering::Relaxed) {
-            self.log_completion(
-                &Attempts::default(),
-                "caller_left",
-                None,
-                0,
-                "before the response began",
-            );
-        }
+        let stage = self.stage.get_mut().unwrap_or_else(PoisonError::into_inner).clone();
+        let (upstream, reason) = match &stage {
+            Stage::Waiting => (None, "while waiting for an upstream"),
+            Stage::Sent(upstream) => (Some(upstream), "before the response began"),
+            Stage::Logged => return,
+        };
+        let outcome = self.shared.abandoned_outcome();
+        self.log_completion(&Attempts::default(), outcome, upstream, 0, reason);
     }
 }
 
@@ -260,6 +271,7 @@
         if left.is_zero() {
             return Selection::DeadlineExceeded;
         }
+        self.set_stage(Stage::Waiting);
         let id = self.shared.new_job_id();
         let job = Job {
             id,
@@ -364,6 +376,10 @@
         empty_response(StatusCode::BAD_GATEWAY)
     }
 
+    pub(super) fn set_stage(&self, stage: Stage) {
+        *self.stage.lock().unwrap_or_else(PoisonError::into_inner) = stage;
+    }
+
     fn log_failed_attempt(&self, upstream: &Name, result: &'static str, reason: &str) {
         tracing::info!(
             event = "try_failed",
@@ -384,7 +400,7 @@
         code: u16,
         reason: &str,
     ) {
-        self.logged.store(true, Ordering::Relaxed);
+        self.set_stage(Stage::Logged);
         let total = clock::now().since(self.arrived);
         self.shared.metrics.record_request(self.route.name.as_str(), outcome, total);
         self.shared.metrics.record_queue_time(attempts.queued);
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -270,13 +270,8 @@
     fn drop(&mut self) {
         if !self.ended {
             self.connection = None;
-            self.request.log_completion(
-                &self.attempts,
-                "caller_left",
-                Some(&self.upstream),
-                200,
-                "",
-            );
+            let outcome = self.request.shared.abandoned_outcome();
+            self.request.log_completion(&self.attempts, outcome, Some(&self.upstream), 200, "");
         }
     }
 }
--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -164,6 +164,7 @@
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
+        shared.open_connections().store(connections.len(), Ordering::Relaxed);
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = closing.wait_for(|phase| *phase == Phase::Closing) => break,
@@ -179,7 +180,9 @@
         }
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    while connections.join_next().await.is_some() {
+        shared.open_connections().store(connections.len(), Ordering::Relaxed);
+    }
 }
 
 /// Serves the requests of one connection.
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -69,6 +69,8 @@
 pub struct StopReport {
     /// Number of requests that were still open at the end of the grace period and were interrupted.
     pub interrupted_requests: usize,
+    /// Number of connections of callers that were still open when the stop ended.
+    pub open_connections: usize,
 }
 
 impl Node {
@@ -168,7 +170,11 @@
         }
         // Gives the last bytes of finished responses time to be sent.
         sleep(Duration::from_millis(30)).await;
-        StopReport { interrupted_requests: open_requests() }
+        self.shared.end_shutdown();
+        StopReport {
+            interrupted_requests: open_requests(),
+            open_connections: self.shared.open_connections().load(Ordering::Relaxed),
+        }
     }
 }
 
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -80,7 +80,9 @@
     adapter_loads_in_progress: AtomicUsize,
     next_job_id: AtomicU64,
     shutting_down: AtomicBool,
+    shutdown_ended: AtomicBool,
     open_requests: AtomicUsize,
+    open_connections: AtomicUsize,
 }
 
 /// Locks `mutex` and ignores poisoning: the values stay usable after a panic of another task.
@@ -121,7 +123,9 @@
             // restart.
             next_job_id: AtomicU64::new(clock::unix_millis() << JOB_ID_SEQUENCE_BITS),
             shutting_down: AtomicBool::new(false),
+            shutdown_ended: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
         }
     }
 
@@ -212,6 +216,20 @@
         self.shutting_down.load(Ordering::Relaxed)
     }
 
+    /// Marks the end of a graceful stop, at which the requests in progress are dropped.
+    pub fn end_shutdown(&self) {
+        self.shutdown_ended.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the outcome of a request that is dropped before its response is complete: its
+    /// caller has disconnected, or the node has stopped.
+    pub(crate) fn abandoned_outcome(&self) -> &'static str {
+        match self.shutdown_ended.load(Ordering::Relaxed) {
+            true => "interrupted",
+            false => "caller_left",
+        }
+    }
+
     /// Returns the state of the node as reported to callers and to other nodes.
     pub fn node_state(&self) -> NodeState {
         match (self.is_shutting_down(), lock(&self.config).is_some()) {
@@ -226,6 +244,11 @@
         &self.open_requests
     }
 
+    /// Returns the counter of open connections of callers.
+    pub fn open_connections(&self) -> &AtomicUsize {
+        &self.open_connections
+    }
+
     /// Returns the number of live nodes that share the upstreams, including this one.
     pub fn node_count(&self, now: Time) -> usize {
         self.peers().live(now).count() + 1
--- a/src/bin/fireflyhead-node/main.rs
+++ b/src/bin/fireflyhead-node/main.rs
@@ -65,6 +65,7 @@
             tracing::info!(
                 event = "stopped",
                 interrupted = report.interrupted_requests,
+                open_connections = report.open_connections,
                 dropped_lines
             );
             if report.interrupted_requests == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
