Reject requests that wait when a node stops

Cause: nothing bounded the wait by the stop. Of the same class is a request that arrives on an open connection after the node has stopped listening.

Half of the grace period after the signal the dispatcher now rejects what waits in the node and at holders, and each later request; a grant that comes late is returned. The status promises that the request has not run, and the rest of the grace period remains for the streams that were sent. A request that arrives once the node has stopped listening is rejected at once. The phases of a stop are in one place, lifecycle.rs.

--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::body::Body;
 use crate::body::ReadError;
 use crate::clock;
+use crate::lifecycle::Phase;
 use crate::state::Shared;
 
 use self::inbound_request::InboundRequest;
@@ -85,7 +86,7 @@
 ) -> Result<Response<Body>, Infallible> {
     let guard = RequestGuard::new(&shared);
     let mut response = respond(&shared, req, guard).await;
-    if shared.is_shutting_down() {
+    if shared.lifecycle.phase() >= Phase::Draining {
         response
             .headers_mut()
             .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
@@ -100,6 +101,10 @@
     mut guard: RequestGuard,
 ) -> Response<Body> {
     let arrived = clock::now();
+    if shared.lifecycle.phase() >= Phase::Closing {
+        shared.metrics.record_rejection("stopping");
+        return service_unavailable(Duration::ZERO);
+    }
     let (parts, body) = req.into_parts();
     let Some(config) = shared.config() else {
         shared.metrics.record_rejection("no_config");
--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -22,12 +22,12 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::clock;
 use crate::forward;
+use crate::lifecycle::Phase;
 use crate::state::Shared;
 
 /// Interval at which the timeouts of a connection are checked.
@@ -41,15 +41,6 @@
 /// Largest number of headers in a request.
 const MAX_HEADERS: usize = 128;
 
-/// Phase of the listener and its connections.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Phase {
-    /// Accept connections and requests.
-    Open,
-    /// Accept no more connections; finish the requests in progress and close.
-    Closing,
-}
-
 /// Activity of a connection, from which its timeouts are determined.
 #[derive(Debug, Default)]
 struct Activity {
@@ -158,8 +149,7 @@
 }
 
 /// Accepts connections until the phase is [`Phase::Closing`], then waits for the open ones to end.
-pub async fn accept(shared: Arc<Shared>, listener: TcpListener, phase: watch::Receiver<Phase>) {
-    let mut closing = phase.clone();
+pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     // Dropped with this task, which closes the connections.
     let mut connections = JoinSet::new();
     loop {
@@ -167,11 +157,11 @@
         shared.open_connections().store(connections.len(), Ordering::Relaxed);
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|phase| *phase == Phase::Closing) => break,
+            () = shared.lifecycle.reached(Phase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                connections.spawn(serve_connection(Arc::clone(&shared), stream, phase.clone()));
+                connections.spawn(serve_connection(Arc::clone(&shared), stream));
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
@@ -186,11 +176,7 @@
 }
 
 /// Serves the requests of one connection.
-async fn serve_connection(
-    shared: Arc<Shared>,
-    stream: TcpStream,
-    mut phase: watch::Receiver<Phase>,
-) {
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
     let configured = stream
         .set_nodelay(true)
         .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT)));
@@ -215,8 +201,9 @@
         .max_buf_size(limits().header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(io, service);
-    tokio::pin!(connection);
-    let mut closing = false;
+    let closing = shared.lifecycle.reached(Phase::Closing);
+    tokio::pin!(connection, closing);
+    let mut is_closing = false;
     loop {
         tokio::select! {
             ended = connection.as_mut() => {
@@ -225,8 +212,8 @@
                 }
                 return;
             }
-            _ = phase.wait_for(|phase| *phase == Phase::Closing), if !closing => {
-                closing = true;
+            () = closing.as_mut(), if !is_closing => {
+                is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep(TIMEOUT_CHECK_INTERVAL) => {
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod forward;
 pub mod heartbeats;
 pub mod ingress;
+pub mod lifecycle;
 pub mod logs;
 pub mod metrics;
 pub mod node;
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -20,7 +20,6 @@
 use socket2::Type;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -32,7 +31,7 @@
 use crate::engine_controller::membership;
 use crate::heartbeats;
 use crate::ingress;
-use crate::ingress::Phase;
+use crate::lifecycle::Phase;
 use crate::metrics::Metrics;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
@@ -53,7 +52,6 @@
 /// Running node. Dropping it stops it at once, like a kill of the process.
 pub struct Node {
     shared: Arc<Shared>,
-    phase: watch::Sender<Phase>,
     controller: ActorRef<EngineController>,
     _tasks: JoinSet<()>,
 }
@@ -130,9 +128,8 @@
         if let Some(listener) = metrics_listener {
             tasks.spawn(directory::serve(Arc::clone(&shared), listener, Page::Metrics));
         }
-        let (phase, phase_rx) = watch::channel(Phase::Open);
-        tasks.spawn(ingress::accept(Arc::clone(&shared), caller_listener, phase_rx));
-        Ok(Node { shared, phase, controller, _tasks: tasks })
+        tasks.spawn(ingress::accept(Arc::clone(&shared), caller_listener));
+        Ok(Node { shared, controller, _tasks: tasks })
     }
 
     /// Returns the settings, with the addresses that were bound.
@@ -153,28 +150,29 @@
         self.shared.config().map(|config| config.version)
     }
 
-    /// Stops the node gracefully: directs callers to other nodes and waits for open requests until
-    /// the grace period ends.
+    /// Stops the node gracefully: directs callers to other nodes, rejects requests that still wait
+    /// when half of the grace period is over, and waits for the others until it ends.
     pub async fn stop(self) -> StopReport {
         let started = clock::now();
+        let open_requests = || self.shared.open_requests().load(Ordering::Relaxed);
         let grace = self.shared.settings.grace;
-        self.shared.begin_shutdown();
+        let linger = DRAIN_LINGER.min(grace / 2);
+        let lifecycle = &self.shared.lifecycle;
+        lifecycle.enter(Phase::Draining);
         self.shared.heartbeat_now.notify_one();
-        let open_requests = || self.shared.open_requests().load(Ordering::Relaxed);
-        sleep(DRAIN_LINGER.min(grace / 2)).await;
-        if self.phase.send(Phase::Closing).is_err() {
-            tracing::debug!(event = "nobody_listens");
-        }
+        sleep(linger).await;
+        lifecycle.enter(Phase::Closing);
+        sleep(grace / 2 - linger).await;
+        self.shared.stop_dispatching(clock::now());
         while open_requests() > 0 && clock::now().since(started) < grace {
             sleep(Duration::from_millis(20)).await;
         }
+        let interrupted_requests = open_requests();
+        lifecycle.enter(Phase::Ended);
         // Gives the last bytes of finished responses time to be sent.
         sleep(Duration::from_millis(30)).await;
-        self.shared.end_shutdown();
-        StopReport {
-            interrupted_requests: open_requests(),
-            open_connections: self.shared.open_connections().load(Ordering::Relaxed),
-        }
+        let open_connections = self.shared.open_connections().load(Ordering::Relaxed);
+        StopReport { interrupted_requests, open_connections }
     }
 }
 
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -6,7 +6,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -41,6 +40,8 @@
 use crate::clock;
 use crate::datagram_sender::DatagramSender;
 use crate::feed_queue::FeedQueue;
+use crate::lifecycle::Lifecycle;
+use crate::lifecycle::Phase;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
@@ -66,6 +67,8 @@
     pub feed_queue: FeedQueue,
     /// Makes the heartbeat task send before the interval has passed.
     pub heartbeat_now: Notify,
+    /// Phase of the node.
+    pub lifecycle: Lifecycle,
     config: Mutex<Option<Arc<Config>>>,
     fleet: Mutex<Fleet>,
     dispatcher: Mutex<Dispatcher>,
@@ -79,8 +82,6 @@
     pending_decisions: Mutex<HashMap<JobId, oneshot::Sender<DispatchDecision>>>,
     adapter_loads_in_progress: AtomicUsize,
     next_job_id: AtomicU64,
-    shutting_down: AtomicBool,
-    shutdown_ended: AtomicBool,
     open_requests: AtomicUsize,
     open_connections: AtomicUsize,
 }
@@ -107,6 +108,7 @@
             pool: Pool::default(),
             feed_queue: FeedQueue::default(),
             heartbeat_now: Notify::new(),
+            lifecycle: Lifecycle::default(),
             config: Mutex::new(None),
             fleet: Mutex::new(Fleet::default()),
             dispatcher: Mutex::new(dispatcher),
@@ -122,8 +124,6 @@
             // Holders identify a request by node and job id, so an id must not recur after a
             // restart.
             next_job_id: AtomicU64::new(clock::unix_millis() << JOB_ID_SEQUENCE_BITS),
-            shutting_down: AtomicBool::new(false),
-            shutdown_ended: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
         }
@@ -205,37 +205,21 @@
         JobId(self.next_job_id.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// Marks the node as shutting down, which other nodes and callers learn from
-    /// [`Shared::node_state`].
-    pub fn begin_shutdown(&self) {
-        self.shutting_down.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether the node is shutting down.
-    pub fn is_shutting_down(&self) -> bool {
-        self.shutting_down.load(Ordering::Relaxed)
-    }
-
-    /// Marks the end of a graceful stop, at which the requests in progress are dropped.
-    pub fn end_shutdown(&self) {
-        self.shutdown_ended.store(true, Ordering::Relaxed);
-    }
-
     /// Returns the outcome of a request that is dropped before its response is complete: its
     /// caller has disconnected, or the node has stopped.
     pub(crate) fn abandoned_outcome(&self) -> &'static str {
-        match self.shutdown_ended.load(Ordering::Relaxed) {
-            true => "interrupted",
-            false => "caller_left",
+        match self.lifecycle.phase() {
+            Phase::Ended => "interrupted",
+            Phase::Serving | Phase::Draining | Phase::Closing => "caller_left",
         }
     }
 
     /// Returns the state of the node as reported to callers and to other nodes.
     pub fn node_state(&self) -> NodeState {
-        match (self.is_shutting_down(), lock(&self.config).is_some()) {
-            (true, _) => NodeState::Leaving,
-            (false, true) => NodeState::Ready,
-            (false, false) => NodeState::Starting,
+        match (self.lifecycle.phase(), lock(&self.config).is_some()) {
+            (Phase::Draining | Phase::Closing | Phase::Ended, _) => NodeState::Leaving,
+            (Phase::Serving, true) => NodeState::Ready,
+            (Phase::Serving, false) => NodeState::Starting,
         }
     }
 
@@ -288,6 +272,13 @@
         self.send_holder_messages(now);
     }
 
+    /// Rejects the requests that wait in this node, and from now on each new one.
+    pub fn stop_dispatching(&self, now: Time) {
+        let rejected = self.dispatcher().stop();
+        self.deliver_decisions(now, rejected);
+        self.send_holder_messages(now);
+    }
+
     /// Handles messages that `node` sent to this node as the holder of engines.
     pub fn handle_holder_messages(&self, now: Time, node: &Name, messages: Vec<HolderMessage>) {
         let mut responses = Vec::new();
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -20,6 +20,7 @@
 pub(crate) mod load;
 mod pending_admissions;
 pub(crate) mod queue;
+mod stop;
 mod upstreams;
 
 use std::collections::HashMap;
@@ -150,6 +151,8 @@
     AdapterUnavailable,
     /// Too many requests wait in the node.
     QueueFull,
+    /// The node is about to stop.
+    Stopping,
 }
 
 impl RejectReason {
@@ -160,6 +163,7 @@
             RejectReason::NoUpstream => "no_upstream",
             RejectReason::AdapterUnavailable => "adapter_unavailable",
             RejectReason::QueueFull => "queue_full",
+            RejectReason::Stopping => "stopping",
         }
     }
 }
@@ -297,6 +301,8 @@
     peer_loads: HashMap<Name, Vec<UpstreamLoad>>,
     /// Number of nodes that share the upstreams, this one included.
     node_count: usize,
+    /// Whether the node is about to stop, so that no request may be sent or wait.
+    stopped: bool,
 }
 
 impl Dispatcher {
@@ -316,6 +322,7 @@
             adapter_requests: AdapterRequests::default(),
             peer_loads: HashMap::new(),
             node_count: 1,
+            stopped: false,
         }
     }
 
@@ -323,6 +330,9 @@
     /// [`Dispatcher::dispatch_waiting`] or [`Dispatcher::handle_admission_response`] returns it
     /// later.
     pub fn submit(&mut self, now: Time, job: Job) -> Option<DispatchDecision> {
+        if self.stopped {
+            return Some(Dispatcher::stopped_rejection());
+        }
         match self.choose_upstream(now, &job) {
             Choice::Send { upstream, version } => {
                 Some(self.send_without_admission(now, &job, &upstream, version))
--- a/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
@@ -76,6 +76,11 @@
         self.requests.remove(&id)
     }
 
+    /// Removes all requests and returns each with the engine whose holder was asked.
+    pub(super) fn drain(&mut self) -> Vec<(JobId, Name)> {
+        self.requests.drain().map(|(id, pending)| (id, pending.upstream)).collect()
+    }
+
     /// Moves the requests for admission to `upstream` back to the queue of the node.
     pub(super) fn requeue(&mut self, upstream: &Name, queue: &mut Queue) {
         for (_, pending) in self.requests.extract_if(|_, pending| pending.upstream == *upstream) {
--- a/crates/fireflyhead-policy/src/dispatch/queue.rs
+++ b/crates/fireflyhead-policy/src/dispatch/queue.rs
@@ -51,6 +51,11 @@
         self.waiting.retain(|key, _| key.2 != id);
     }
 
+    /// Removes and returns all requests.
+    pub(crate) fn drain(&mut self) -> impl Iterator<Item = Job> {
+        std::mem::take(&mut self.waiting).into_values()
+    }
+
     /// Returns the number of waiting requests.
     pub(crate) fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/fireflyhead-policy/tests/policy/admission.rs
+++ b/crates/fireflyhead-policy/tests/policy/admission.rs
@@ -499,3 +499,35 @@
         prop_assert_eq!(admission.waiting(), 0);
     }
 }
+
+/// Guards against requests that wait in a node until its process ends: a node that is about to stop
+/// must reject those in its queue and those at holders, send no request on a late grant, and return
+/// that slot to the holder.
+#[test]
+fn a_stopping_node_rejects_waiting_requests_and_returns_late_grants() {
+    let mut dispatcher = dispatcher_with_remote_holder();
+    assert_eq!(dispatcher.submit(ms(0), adapter_job(1, ms(0), "hot", 100)), None);
+    assert_eq!(dispatcher.submit(ms(0), adapter_job(2, ms(0), "absent", 100)), None);
+    assert_eq!(take_requested_jobs(&mut dispatcher), [JobId(1)]);
+    let mut rejected = dispatcher.stop();
+    rejected.sort_by_key(|(id, _)| *id);
+    assert_eq!(rejected.iter().map(|(id, _)| id.0).collect::<Vec<u64>>(), [1, 2]);
+    let is_stopping = |decision: &DispatchDecision| {
+        matches!(decision, DispatchDecision::Reject { reason: RejectReason::Stopping, .. })
+    };
+    assert!(rejected.iter().all(|(_, decision)| is_stopping(decision)), "{rejected:?}");
+    assert_eq!(dispatcher.waiting(), 0);
+    let ended = |dispatcher: &mut Dispatcher| {
+        dispatcher.take_holder_messages().into_iter().any(|(_, message)| {
+            let HolderMessage::ProgressReport(report) = message else { return false };
+            report.event == ProgressEvent::Ended(JobId(1))
+        })
+    };
+    assert!(ended(&mut dispatcher), "the holder still counts the request");
+    let granted = admission_response(1, AdmissionDecision::Granted);
+    assert_eq!(dispatcher.handle_admission_response(ms(5), &Name::from(HOLDER), granted), None);
+    assert!(ended(&mut dispatcher), "the slot of the late grant is not returned");
+    let late = dispatcher.submit(ms(10), adapter_job(3, ms(10), "hot", 100));
+    assert!(late.as_ref().is_some_and(is_stopping), "{late:?}");
+    assert_eq!(dispatcher.in_flight(), 0);
+}
