Answer requests that upstreams hold when a node stops

Its caller could not tell a slow upstream from a lost node.

Cause: the process exited and dropped the request. The same holds for a request whose body was still arriving.

At the end of the grace period the node ends the requests in progress itself: 502 for one that an upstream may have executed, 503 for one that was not sent, and an error of the body for a stream in progress, which closes its connection without an end of the response. No attempt follows.

--- a/crates/fireflyhead-gateway/src/body.rs
+++ b/crates/fireflyhead-gateway/src/body.rs
@@ -20,6 +20,8 @@
     Upstream(String),
     /// the deadline of the request has passed
     Deadline,
+    /// the node stopped
+    NodeStopped,
 }
 
 impl std::error::Error for BodyError {}
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -136,7 +136,14 @@
     };
     let deadline = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let left = deadline.since(clock::now());
-    let body = match timeout(left, body::read(body, config.limits.body_bytes)).await {
+    let body = tokio::select! {
+        body = timeout(left, body::read(body, config.limits.body_bytes)) => body,
+        () = shared.lifecycle.reached(Phase::Ended) => {
+            tracing::info!(event = "body_broken", %id, error = "the node stopped");
+            return service_unavailable(Duration::ZERO);
+        }
+    };
+    let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(ReadError::TooLarge)) => return empty_response(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(ReadError::Broken(error))) => {
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::lifecycle::Phase;
 use crate::pool::MAX_IDLE_NOT_RETRYABLE;
 use crate::pool::PooledConnection;
 use crate::pool::SendError;
@@ -117,7 +118,28 @@
     DeadlineExceeded,
 }
 
+/// Reason why waiting for an upstream ended.
+pub(super) enum WaitError {
+    /// The limit has passed.
+    Timeout,
+    /// The grace period of the node's stop is over.
+    NodeStopped,
+}
+
 impl InboundRequest {
+    /// Waits for `upstream`, at most for `limit` and until the node stops.
+    pub(super) async fn wait_for<F: Future>(
+        &self,
+        limit: Duration,
+        upstream: F,
+    ) -> Result<F::Output, WaitError> {
+        tokio::select! {
+            biased;
+            result = timeout(limit, upstream) => result.map_err(|_| WaitError::Timeout),
+            () = self.shared.lifecycle.reached(Phase::Ended) => Err(WaitError::NodeStopped),
+        }
+    }
+
     /// Sends the request to `upstream` and waits for the head of the response until
     /// `head_deadline`. `resume_after` is the id of the last event that the caller has, if the
     /// attempt resumes a stream.
@@ -158,7 +180,7 @@
             return AttemptResult::NotSent("the request target is not valid".to_owned());
         };
         let wait = head_deadline.min(self.deadline).since(clock::now());
-        let response = match timeout(wait, connection.send(req)).await {
+        let response = match self.wait_for(wait, connection.send(req)).await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent(error))) => {
                 in_flight.finish(SendOutcome::Abandoned);
@@ -168,11 +190,14 @@
                 in_flight.finish(SendOutcome::Failed(Failure::Broken));
                 return AttemptResult::Unknown(error);
             }
-            Err(_) if clock::now() >= self.deadline => {
+            Err(WaitError::NodeStopped) => {
+                return AttemptResult::Unknown("the node stopped".to_owned());
+            }
+            Err(WaitError::Timeout) if clock::now() >= self.deadline => {
                 in_flight.finish(SendOutcome::Failed(Failure::Timeout));
                 return AttemptResult::DeadlineExceeded;
             }
-            Err(_) => {
+            Err(WaitError::Timeout) => {
                 in_flight.finish(SendOutcome::Failed(Failure::Timeout));
                 return AttemptResult::Unknown("no response head in time".to_owned());
             }
@@ -257,7 +282,7 @@
             true => SendOutcome::Failed(Failure::ErrorResponse),
             false => SendOutcome::Served,
         };
-        match timeout(left, crate::body::read(body, MAX_BUFFERED_BYTES)).await {
+        match self.wait_for(left, crate::body::read(body, MAX_BUFFERED_BYTES)).await {
             Ok(Ok(body)) => {
                 in_flight.finish(outcome);
                 self.shared.pool.release(connection);
@@ -267,10 +292,11 @@
                 in_flight.finish(SendOutcome::Failed(Failure::Broken));
                 AttemptResult::Unknown(format!("{error:?}"))
             }
-            Err(_) => {
+            Err(WaitError::Timeout) => {
                 in_flight.finish(SendOutcome::Failed(Failure::Timeout));
                 AttemptResult::DeadlineExceeded
             }
+            Err(WaitError::NodeStopped) => AttemptResult::Unknown("the node stopped".to_owned()),
         }
     }
 
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -22,6 +22,7 @@
 use crate::body;
 use crate::body::Body;
 use crate::clock;
+use crate::lifecycle::Phase;
 use crate::state::Shared;
 
 use super::RequestGuard;
@@ -313,8 +314,9 @@
     /// Returns whether a request that `upstream` may have executed is sent once more. If so, counts
     /// the retry against the budget and excludes `upstream` from the retry.
     pub(super) fn reserve_retry(&self, attempts: &mut Attempts, upstream: &Name) -> bool {
-        let allowed =
-            self.route.kind.is_retryable() && attempts.possibly_executed < self.route.max_attempts;
+        let allowed = self.route.kind.is_retryable()
+            && attempts.possibly_executed < self.route.max_attempts
+            && self.shared.lifecycle.phase() < Phase::Ended;
         if !allowed || !self.spend_retry_budget() {
             return false;
         }
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -19,7 +19,6 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::body::Body;
 use crate::body::BodyError;
@@ -31,6 +30,7 @@
 use super::attempt::AttemptResult;
 use super::attempt::InFlightAttempt;
 use super::attempt::UpstreamResponse;
+use super::attempt::WaitError;
 use super::inbound_request::Attempts;
 use super::inbound_request::InboundRequest;
 use super::inbound_request::Selection;
@@ -73,6 +73,8 @@
     Broken(String, Failure),
     /// The deadline of the request has passed.
     DeadlineExceeded,
+    /// The grace period of the node's stop is over.
+    NodeStopped,
 }
 
 /// Returns a response that streams `body` to the caller.
@@ -127,6 +129,10 @@
                     self.abort("deadline", SendOutcome::Failed(Failure::Timeout), "");
                     return Some(Err(BodyError::Deadline));
                 }
+                StreamStep::NodeStopped => {
+                    self.abort("interrupted", SendOutcome::Abandoned, "");
+                    return Some(Err(BodyError::NodeStopped));
+                }
                 StreamStep::Broken(reason, failure) => {
                     if !self.resume(&reason, failure).await {
                         self.abort("broken", SendOutcome::Failed(failure), &reason);
@@ -147,7 +153,7 @@
             (Some(_), false) | (None, _) => end,
         };
         let wait = receive_deadline.min(end).since(now);
-        match timeout(wait, self.body.frame()).await {
+        match self.request.wait_for(wait, self.body.frame()).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => self.split_events(data),
                 Err(_) => StreamStep::Skip,
@@ -160,8 +166,11 @@
                 ),
                 Some(_) | None => StreamStep::End,
             },
-            Err(_) if is_past(end) => StreamStep::DeadlineExceeded,
-            Err(_) => StreamStep::Broken("no data in time".to_owned(), Failure::Timeout),
+            Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
+            Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
+            Err(WaitError::Timeout) => {
+                StreamStep::Broken("no data in time".to_owned(), Failure::Timeout)
+            }
         }
     }
 
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -151,7 +151,9 @@
     }
 
     /// Stops the node gracefully: directs callers to other nodes, rejects requests that still wait
-    /// when half of the grace period is over, and waits for the others until it ends.
+    /// when half of the grace period is over, and waits for the others until it ends. A request
+    /// without a response at the end of the grace period gets an error response, and a stream is
+    /// cut off.
     pub async fn stop(self) -> StopReport {
         let started = clock::now();
         let open_requests = || self.shared.open_requests().load(Ordering::Relaxed);
