Send the last responses before a stopping node exits

Cause: the stop waited for open requests and then 30 ms. A request is no longer open when its response is known, though its bytes may still be in the node, because the caller's window is small.

The stop now waits until the connections have ended, at the latest until 150 ms after the grace period; hyper closes a connection once the response is written.

--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -22,6 +22,7 @@
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::directory;
@@ -48,11 +49,15 @@
 /// Time after the stop signal during which new requests are still accepted, while callers learn
 /// that the node is shutting down.
 const DRAIN_LINGER: Duration = Duration::from_millis(2_600);
+/// Time after the grace period in which the last responses are sent.
+const FLUSH_TIME: Duration = Duration::from_millis(150);
 
 /// Running node. Dropping it stops it at once, like a kill of the process.
 pub struct Node {
     shared: Arc<Shared>,
     controller: ActorRef<EngineController>,
+    /// Task that serves the connections of callers.
+    ingress: JoinSet<()>,
     _tasks: JoinSet<()>,
 }
 
@@ -128,8 +133,9 @@
         if let Some(listener) = metrics_listener {
             tasks.spawn(directory::serve(Arc::clone(&shared), listener, Page::Metrics));
         }
-        tasks.spawn(ingress::accept(Arc::clone(&shared), caller_listener));
-        Ok(Node { shared, controller, _tasks: tasks })
+        let mut ingress = JoinSet::new();
+        ingress.spawn(ingress::accept(Arc::clone(&shared), caller_listener));
+        Ok(Node { shared, controller, ingress, _tasks: tasks })
     }
 
     /// Returns the settings, with the addresses that were bound.
@@ -151,12 +157,10 @@
     }
 
     /// Stops the node gracefully: directs callers to other nodes, rejects requests that still wait
-    /// when half of the grace period is over, and waits for the others until it ends. A request
+    /// when half of the grace period is over, and waits until all connections have ended. A request
     /// without a response at the end of the grace period gets an error response, and a stream is
     /// cut off.
-    pub async fn stop(self) -> StopReport {
-        let started = clock::now();
-        let open_requests = || self.shared.open_requests().load(Ordering::Relaxed);
+    pub async fn stop(mut self) -> StopReport {
         let grace = self.shared.settings.grace;
         let linger = DRAIN_LINGER.min(grace / 2);
         let lifecycle = &self.shared.lifecycle;
@@ -164,15 +168,16 @@
         self.shared.heartbeat_now.notify_one();
         sleep(linger).await;
         lifecycle.enter(Phase::Closing);
-        sleep(grace / 2 - linger).await;
-        self.shared.stop_dispatching(clock::now());
-        while open_requests() > 0 && clock::now().since(started) < grace {
-            sleep(Duration::from_millis(20)).await;
+        let mut ended = timeout(grace / 2 - linger, self.ingress.join_next()).await.is_ok();
+        if !ended {
+            self.shared.stop_dispatching(clock::now());
+            ended = timeout(grace / 2, self.ingress.join_next()).await.is_ok();
         }
-        let interrupted_requests = open_requests();
+        let interrupted_requests = self.shared.open_requests().load(Ordering::Relaxed);
         lifecycle.enter(Phase::Ended);
-        // Gives the last bytes of finished responses time to be sent.
-        sleep(Duration::from_millis(30)).await;
+        if !ended && timeout(FLUSH_TIME, self.ingress.join_next()).await.is_err() {
+            tracing::warn!(event = "connections_not_flushed");
+        }
         let open_connections = self.shared.open_connections().load(Ordering::Relaxed);
         StopReport { interrupted_requests, open_connections }
     }
