Answer the first request of a connection that a node accepts late

Cause: a graceful shutdown of a connection without a complete request head closes it at once, also if the head is about to arrive. Connections in the listener's queue were reset with the listener.

The node accepts what is in the queue before it closes the listener, and waits up to 300 ms for the request of a connection that has sent none yet or only part of one.

stops::the_first_request_of_a_late_connection_to_a_stopping_node_gets_a_response failed before: the connection closed without a response.

--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::forward;
@@ -36,6 +37,15 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// Wait after a failed accept, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Number of connections in the listener's queue that are accepted when the node stops listening.
+const MAX_LATE_CONNECTIONS: usize = 1_024;
+/// Wait for the next connection in the listener's queue when the node stops listening.
+const LATE_CONNECTION_WAIT: Duration = Duration::from_millis(5);
+/// Time for which a closing node waits for the request of a connection that has begun to send one
+/// or has sent none yet. hyper closes such a connection at once in a graceful shutdown.
+const LATE_REQUEST_WAIT: Duration = Duration::from_millis(300);
+/// Interval at which such a connection is checked for a request.
+const LATE_REQUEST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Smallest size of hyper's read buffer, in bytes; hyper panics below it.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Largest number of headers in a request.
@@ -51,6 +61,8 @@
     head_incomplete: AtomicBool,
     /// Number of requests whose response is not known yet.
     active_requests: AtomicUsize,
+    /// Whether a request has arrived on the connection.
+    had_request: AtomicBool,
 }
 
 impl Activity {
@@ -58,6 +70,12 @@
         self.last_activity.store(clock::now().as_micros(), Ordering::Relaxed);
     }
 
+    /// Returns whether a request is arriving on the connection, or the caller is about to send the
+    /// first one.
+    fn expects_request(&self) -> bool {
+        self.head_incomplete.load(Ordering::Relaxed) || !self.had_request.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the connection has been idle, or its request head incomplete, for longer
     /// than allowed.
     fn is_timed_out(&self, now: Time, limits: &RequestLimits) -> bool {
@@ -137,6 +155,7 @@
     fn new(activity: &Arc<Activity>) -> ActiveRequest {
         activity.active_requests.fetch_add(1, Ordering::Relaxed);
         activity.head_incomplete.store(false, Ordering::Relaxed);
+        activity.had_request.store(true, Ordering::Relaxed);
         ActiveRequest(Arc::clone(activity))
     }
 }
@@ -169,6 +188,13 @@
             }
         }
     }
+    // Connections in the queue would be reset with the listener.
+    for _ in 0..MAX_LATE_CONNECTIONS {
+        let Ok(Ok((stream, _))) = timeout(LATE_CONNECTION_WAIT, listener.accept()).await else {
+            break;
+        };
+        connections.spawn(serve_connection(Arc::clone(&shared), stream));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {
         shared.open_connections().store(connections.len(), Ordering::Relaxed);
@@ -201,7 +227,7 @@
         .max_buf_size(limits().header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(io, service);
-    let closing = shared.lifecycle.reached(Phase::Closing);
+    let closing = begin_closing(&shared, &activity);
     tokio::pin!(connection, closing);
     let mut is_closing = false;
     loop {
@@ -224,3 +250,12 @@
         }
     }
 }
+
+/// Waits until the node is closing and no request is expected on the connection.
+async fn begin_closing(shared: &Shared, activity: &Activity) {
+    shared.lifecycle.reached(Phase::Closing).await;
+    let closing_since = clock::now();
+    while activity.expects_request() && clock::now().since(closing_since) < LATE_REQUEST_WAIT {
+        sleep(LATE_REQUEST_CHECK_INTERVAL).await;
+    }
+}
