Keep connections open while a stream lasts longer than the idle timeout

Cause: a request was no longer active on its connection once the head of its response was known, and sending a body was no activity.

A request is now active until its response body has ended or was dropped, and each write to the caller counts as activity, so that a caller that reads slowly keeps its connection as well.

--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -1,5 +1,6 @@
 //! Accepts connections from callers and serves their requests.
 
+use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,8 +12,11 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::RequestLimits;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -26,6 +30,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::body::Body;
+use crate::body::BodyError;
 use crate::clock;
 use crate::forward;
 use crate::lifecycle::Phase;
@@ -55,11 +61,11 @@
 #[derive(Debug, Default)]
 struct Activity {
     /// Time of the last activity, in microseconds of [`clock::now`]: the opening of the connection,
-    /// the first byte of a request head, or the moment at which the response to a request is known.
+    /// the first byte of a request head, the end of a response, or a write.
     last_activity: AtomicU64,
     /// Whether bytes have been received that don't form a complete request head yet.
     head_incomplete: AtomicBool,
-    /// Number of requests whose response is not known yet.
+    /// Number of requests whose response has not ended.
     active_requests: AtomicUsize,
     /// Whether a request has arrived on the connection.
     had_request: AtomicBool,
@@ -70,6 +76,12 @@
         self.last_activity.store(clock::now().as_micros(), Ordering::Relaxed);
     }
 
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(_))) {
+            self.record_activity();
+        }
+    }
+
     /// Returns whether a request is arriving on the connection, or the caller is about to send the
     /// first one.
     fn expects_request(&self) -> bool {
@@ -90,7 +102,8 @@
     }
 }
 
-/// TCP stream that records when the first byte of a request head is received.
+/// TCP stream that records when the first byte of a request head is received and when bytes of a
+/// response are sent.
 struct ActivityStream {
     stream: TcpStream,
     activity: Arc<Activity>,
@@ -123,7 +136,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.record_write(&poll);
+        poll
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -139,7 +154,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.record_write(&poll);
+        poll
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -147,8 +164,7 @@
     }
 }
 
-/// Counts a request as active on its connection until it is dropped, once the response is known. A
-/// response that is still being streamed doesn't count.
+/// Counts a request as active on its connection until it is dropped.
 struct ActiveRequest(Arc<Activity>);
 
 impl ActiveRequest {
@@ -167,6 +183,33 @@
     }
 }
 
+/// Response body whose request is active until the body has ended or was dropped. A stream may last
+/// for longer than a connection may be idle.
+struct ActiveBody {
+    body: Body,
+    _active: ActiveRequest,
+}
+
+impl hyper::body::Body for ActiveBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Accepts connections until the phase is [`Phase::Closing`], then waits for the open ones to end.
 pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     // Dropped with this task, which closes the connections.
@@ -217,9 +260,8 @@
         let active = ActiveRequest::new(&activity);
         let response = forward::handle(Arc::clone(&shared), req);
         async move {
-            let response = response.await;
-            drop(active);
-            response
+            let response = response.await?;
+            Ok::<_, Infallible>(response.map(|body| ActiveBody { body, _active: active }))
         }
     });
     let io = TokioIo::new(ActivityStream { stream, activity: Arc::clone(&activity) });
