Bound the bytes that are read before the head of a response

An upstream that sent `100 Continue` without end held its caller up to the deadline, at the full speed of its connection: hyper skips interim responses, however many there are. The test failed with 187,212,800 bytes read in 1 s (debug build) and status 504 at the deadline. A read of an upstream connection now fails after 512 KiB without the head of the response; the caller gets 502 at once (or the request is retried, if it may be), after 1 MB or less in the run. The read buffer of hyper, and with it a single head, is limited to 64 KiB instead of some 400 KB.

--- a/crates/fireflyhead-gateway/src/pool.rs
+++ b/crates/fireflyhead-gateway/src/pool.rs
@@ -6,9 +6,16 @@
 //! the upstream stop its work on the request.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +30,9 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -44,12 +54,77 @@
 pub const MAX_IDLE_NOT_RETRYABLE: Duration = Duration::from_millis(400);
 /// Largest number of idle connections kept per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
+/// Largest size of a response head and of hyper's read buffer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Largest number of bytes that are read until the head of the response is known. Larger than
+/// [`MAX_HEAD_BYTES`], because hyper may read on before [`PooledConnection::send`] returns.
+const MAX_BYTES_BEFORE_RESPONSE: usize = 8 * MAX_HEAD_BYTES;
+
+/// TCP stream whose reads fail after [`MAX_BYTES_BEFORE_RESPONSE`] bytes without the head of a
+/// response. hyper skips interim responses, however many there are.
+struct UpstreamStream {
+    stream: TcpStream,
+    /// Number of bytes that may still be read; `usize::MAX` if there is no limit.
+    read_limit: Arc<AtomicUsize>,
+}
+
+impl AsyncRead for UpstreamStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let limit = self.read_limit.load(Ordering::Relaxed);
+        if limit == 0 {
+            return Poll::Ready(Err(io::Error::other("no response head within the size limit")));
+        }
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if limit != usize::MAX {
+            let read = buf.filled().len() - before;
+            self.read_limit.store(limit.saturating_sub(read), Ordering::Relaxed);
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for UpstreamStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
 
 /// Open connection; its socket closes when it is dropped.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     /// Handle of the task that does the I/O of the connection.
     driver: AbortHandle,
+    /// Read limit of its [`UpstreamStream`].
+    read_limit: Arc<AtomicUsize>,
     /// Idle time after which it is closed.
     idle_limit: Duration,
 }
@@ -114,15 +189,20 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(USER_TIMEOUT))
             .map_err(|e| not_sent(&e))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(&e))?;
+        let read_limit = Arc::new(AtomicUsize::new(usize::MAX));
+        let io = TokioIo::new(UpstreamStream { stream, read_limit: Arc::clone(&read_limit) });
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io)
+            .await
+            .map_err(|e| not_sent(&e))?;
         let driver = tokio::spawn(async move {
             if let Err(e) = connection.await {
                 tracing::debug!(error = %e, "connection to upstream {address} failed");
             }
         })
         .abort_handle();
-        let connection = Connection { sender, driver, idle_limit: MAX_IDLE_TIME };
+        let connection = Connection { sender, driver, read_limit, idle_limit: MAX_IDLE_TIME };
         Ok(PooledConnection { upstream: upstream.clone(), connection })
     }
 
@@ -185,8 +265,10 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.connection.read_limit.store(MAX_BYTES_BEFORE_RESPONSE, Ordering::Relaxed);
         match self.connection.sender.try_send_request(req).await {
             Ok(response) => {
+                self.connection.read_limit.store(usize::MAX, Ordering::Relaxed);
                 if let Some(limit) = idle_limit(&response) {
                     self.connection.idle_limit = limit;
                 }
