Bound an event that is kept back until it is complete

While an upstream sent an event without end on a resumable route, a request to another upstream was served after 3.3 s (debug build; the bound of the test is the route's 300 ms): the scanner kept all bytes and searched all of them anew with each chunk. It now searches only the new bytes.

--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -180,7 +180,13 @@
             Some(scanner) => scanner.push(&data),
             None => data,
         };
-        if data.is_empty() { StreamStep::Skip } else { StreamStep::Data(data) }
+        match &self.scanner {
+            _ if !data.is_empty() => StreamStep::Data(data),
+            Some(scanner) if scanner.is_oversized() => {
+                StreamStep::Broken("an event is too large".to_owned(), Failure::Broken)
+            }
+            Some(_) | None => StreamStep::Skip,
+        }
     }
 
     /// Records the time of the first data for the caller, or the pause since the last data.
--- a/crates/fireflyhead-gateway/src/sse.rs
+++ b/crates/fireflyhead-gateway/src/sse.rs
@@ -6,6 +6,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Largest size of an event that an [`EventScanner`] keeps back until it is complete, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Splits a stream into complete events and keeps the id of the last one.
 #[derive(Debug, Default)]
 pub struct EventScanner {
@@ -22,10 +25,13 @@
 
     /// Adds received bytes and returns the complete events that the caller doesn't have yet.
     pub fn push(&mut self, data: &[u8]) -> Bytes {
+        // The bytes that are kept back hold no end of an event.
+        let mut searched = self.buf.len();
         self.buf.extend_from_slice(data);
         let mut events = BytesMut::new();
-        while let Some(end) = event_end(&self.buf) {
+        while let Some(end) = event_end(&self.buf, searched) {
             let event = self.buf.split_to(end);
+            searched = 0;
             match (event_id(&event), self.last_id) {
                 // An upstream that resumes a stream may repeat events that the caller has.
                 (Some(id), Some(last)) if id <= last => continue,
@@ -37,6 +43,11 @@
         events.freeze()
     }
 
+    /// Returns whether the incomplete event is larger than the limit of 1 MiB.
+    pub fn is_oversized(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns the id of the last complete event that has one; before the first such event, the id
     /// that was passed to [`EventScanner::new`].
     pub fn last_id(&self) -> Option<u64> {
@@ -54,18 +65,18 @@
     }
 }
 
-/// Returns the position after the blank line that ends the first event.
-fn event_end(buf: &[u8]) -> Option<usize> {
-    let lf = find(buf, b"\n\n").map(|at| at + 2);
-    let crlf = find(buf, b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(a), Some(b)) => Some(a.min(b)),
-        (a, b) => a.or(b),
+/// Returns the position after the blank line that ends the first event; none ends within the first
+/// `searched` bytes.
+fn event_end(buf: &[u8], searched: usize) -> Option<usize> {
+    let mut end = searched;
+    while let Some(offset) = buf[end..].iter().position(|&byte| byte == b'\n') {
+        end += offset + 1;
+        let event = &buf[..end];
+        if event.ends_with(b"\n\n") || event.ends_with(b"\r\n\r\n") {
+            return Some(end);
+        }
     }
-}
-
-fn find(buf: &[u8], pattern: &[u8]) -> Option<usize> {
-    buf.windows(pattern.len()).position(|window| window == pattern)
+    None
 }
 
 /// Parses the numeric `id:` field of an event.
