End a stream at its deadline also while data is ready

A stream whose upstream sent without end outlived its deadline of 1 s: the caller was cut after 3.0 s, and with a caller that read slowly the connection to the upstream was still open after 1.5 s, when the tests give up. `timeout` polls the body first and its own end only if no data is ready. The deadline is now checked before each receive; the caller is cut after 1.15 s.

--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -148,6 +148,10 @@
     async fn receive(&mut self) -> StreamStep {
         let now = clock::now();
         let end = self.request.deadline + DEADLINE_SLACK;
+        // `timeout` prefers data that is ready to its own end.
+        if now >= end {
+            return StreamStep::DeadlineExceeded;
+        }
         let receive_deadline = match (&self.scanner, self.started) {
             (Some(_), true) => now + SILENCE_TIMEOUT,
             (Some(_), false) | (None, _) => end,
