--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -14,7 +14,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -301,10 +300,12 @@
     }
 
     /// Reads the rest of a short response and returns the connection to the pool. The connection
-    /// is closed if the rest takes too long.
+    /// is closed if the rest takes too long or is too large.
     async fn reuse_connection(&self, body: Incoming, connection: PooledConnection) {
         const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
-        if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, body.collect()).await {
+        const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+        if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, crate::body::read(body, MAX_REFUSAL_BYTES)).await
+        {
             self.shared.pool.release(connection);
         }
     }
