Don't show a stream as complete that ends inside an event

On a route without `resumable`, a stream whose upstream closed in the middle of an event reached the caller with a regular end; the test failed with `complete: true` for a body that ends with "id: 1\ndata: b\n". Only resumable streams were checked for the end of an event. The relay now keeps the last three bytes of a stream that it passes on unchanged, and fails the body if they hold no blank line, so that the caller's connection is closed without the last chunk.

--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -15,15 +15,18 @@
 use fireflyhead_policy::health::Failure;
 use futures::stream;
 use http::Response;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use tokio::task::yield_now;
 
 use crate::body::Body;
 use crate::body::BodyError;
 use crate::clock;
 use crate::pool::PooledConnection;
+use crate::sse::EventEnd;
 use crate::sse::EventScanner;
 
 use super::RequestGuard;
@@ -52,6 +55,8 @@
     in_flight: InFlightAttempt,
     /// Splits the data into events; `None` if the stream is not resumable and passed on unchanged.
     scanner: Option<EventScanner>,
+    /// End of the data of a stream that is not resumable.
+    event_end: EventEnd,
     /// Whether the caller has received data.
     started: bool,
     ended: bool,
@@ -82,13 +87,15 @@
 pub(super) fn stream_response(
     request: Arc<InboundRequest>,
     attempts: Attempts,
-    head: http::response::Parts,
+    mut head: http::response::Parts,
     body: Incoming,
     connection: PooledConnection,
     in_flight: InFlightAttempt,
     upstream: &UpstreamEntry,
     guard: RequestGuard,
 ) -> Response<Body> {
+    // With a length, the caller would take a stream for complete that ends inside an event.
+    head.headers.remove(header::CONTENT_LENGTH);
     let resumable = request.route.kind == RouteKind::Streaming { resumable: true };
     let scanner = resumable.then(|| EventScanner::new(request.head.last_event_id));
     let relay = StreamRelay {
@@ -99,6 +106,7 @@
         connection: Some(connection),
         in_flight,
         scanner,
+        event_end: EventEnd::default(),
         started: false,
         ended: false,
         last_data: clock::now(),
@@ -136,6 +144,8 @@
                 StreamStep::Broken(reason, failure) => {
                     if !self.resume(&reason, failure).await {
                         self.abort("broken", SendOutcome::Failed(failure), &reason);
+                        // hyper discards data that it has not written yet when a body fails.
+                        yield_now().await;
                         return Some(Err(BodyError::Upstream(reason)));
                     }
                 }
@@ -163,13 +173,19 @@
                 Err(_) => StreamStep::Skip,
             },
             Ok(Some(Err(e))) => StreamStep::Broken(e.to_string(), Failure::Broken),
-            Ok(None) => match &self.scanner {
-                Some(scanner) if scanner.has_partial_event() => StreamStep::Broken(
-                    "the stream ended within an event".to_owned(),
-                    Failure::Broken,
-                ),
-                Some(_) | None => StreamStep::End,
-            },
+            Ok(None) => {
+                let complete = match &self.scanner {
+                    Some(scanner) => !scanner.has_partial_event(),
+                    None => self.event_end.is_complete(),
+                };
+                match complete {
+                    true => StreamStep::End,
+                    false => StreamStep::Broken(
+                        "the stream ended within an event".to_owned(),
+                        Failure::Broken,
+                    ),
+                }
+            }
             Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
             Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
             Err(WaitError::Timeout) => {
@@ -182,7 +198,10 @@
     fn split_events(&mut self, data: Bytes) -> StreamStep {
         let data = match &mut self.scanner {
             Some(scanner) => scanner.push(&data),
-            None => data,
+            None => {
+                self.event_end.push(&data);
+                data
+            }
         };
         match &self.scanner {
             _ if !data.is_empty() => StreamStep::Data(data),
--- a/crates/fireflyhead-gateway/src/sse.rs
+++ b/crates/fireflyhead-gateway/src/sse.rs
@@ -84,3 +84,36 @@
     let text = std::str::from_utf8(event).ok()?;
     text.lines().find_map(|line| line.strip_prefix("id:"))?.trim().parse().ok()
 }
+
+/// Tracks whether a stream that is passed on unchanged ends between two events.
+#[derive(Debug)]
+pub struct EventEnd {
+    /// Last bytes of the stream. A line ends with CR, LF or both, so that three bytes show whether
+    /// the last line is blank.
+    tail: [u8; 3],
+}
+
+impl Default for EventEnd {
+    fn default() -> EventEnd {
+        // A stream without data doesn't end inside an event.
+        EventEnd { tail: *b"\n\n\n" }
+    }
+}
+
+impl EventEnd {
+    /// Adds received bytes.
+    pub fn push(&mut self, data: &[u8]) {
+        for &byte in &data[data.len().saturating_sub(self.tail.len())..] {
+            self.tail = [self.tail[1], self.tail[2], byte];
+        }
+    }
+
+    /// Returns whether the received bytes end with a blank line.
+    pub fn is_complete(&self) -> bool {
+        match self.tail {
+            [b'\n' | b'\r', b'\r', b'\n'] => true,
+            [_, b'\n' | b'\r', b'\n' | b'\r'] => self.tail[1..] != *b"\r\n",
+            _ => false,
+        }
+    }
+}
