Read the rest of a request's body before an early response

A caller that sent its body 50 ms after the head of a request without a route failed to send it with "Broken pipe (os error 32)": the node answered from the head alone, hyper closed the connection because the body had not been read, and the kernel answered the body with a reset. The node now discards the rest of the body before it answers: at most the body limit of the configuration, for 500 ms at most and not beyond the deadline, and not for a request with `Expect`. Responses to requests without a body, or whose body has been read, are as early as before.

--- a/crates/fireflyhead-gateway/src/body.rs
+++ b/crates/fireflyhead-gateway/src/body.rs
@@ -44,7 +44,7 @@
 ///
 /// # Errors
 /// The body is larger than `limit`, or the connection fails before its end.
-pub async fn read(mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+pub async fn read(body: &mut Incoming, limit: usize) -> Result<Bytes, ReadError> {
     if body.size_hint().lower() > limit as u64 {
         return Err(ReadError::TooLarge);
     }
@@ -59,3 +59,19 @@
     }
     Ok(buf.freeze())
 }
+
+/// Reads and drops the rest of a body, or at least `limit` bytes of it.
+///
+/// # Errors
+/// More than `limit` bytes have been read, or the connection fails before the end of the body.
+pub async fn discard(body: &mut Incoming, limit: usize) -> Result<(), ReadError> {
+    let mut len = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| ReadError::Broken(e.to_string()))?;
+        len += frame.data_ref().map_or(0, Bytes::len);
+        if len > limit && !body.is_end_stream() {
+            return Err(ReadError::TooLarge);
+        }
+    }
+    Ok(())
+}
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -39,6 +40,8 @@
 
 /// `Retry-After` while the node has no configuration, or no service for the request.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time for which the rest of a request's body is awaited before a response that doesn't need it.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Counts a request as open, and against the limits of its route, until it is dropped: once the
 /// response is known or, for a stream, at the end of the stream.
@@ -94,23 +97,63 @@
     Ok(response)
 }
 
-/// Validates and routes a request, reads its body and forwards it.
+/// Returns the response to a request, and discards what is left of the request's body before.
+///
+/// If bytes of the body arrive after the connection has been closed, the kernel resets the
+/// connection, and the caller may lose the response.
 async fn respond(
     shared: &Arc<Shared>,
     req: Request<Incoming>,
+    guard: RequestGuard,
+) -> Response<Body> {
+    let (parts, mut body) = req.into_parts();
+    // A caller that expects status 100 sends no body before it has a response.
+    let sends_body = !parts.headers.contains_key(header::EXPECT);
+    let mut deadline = None;
+    let response = route_request(shared, parts, &mut body, &mut deadline, guard).await;
+    if sends_body && !body.is_end_stream() {
+        // A node that is shutting down waits for the response.
+        let _open = RequestGuard::new(shared);
+        let now = clock::now();
+        let left = deadline.map_or(DISCARD_TIMEOUT, |deadline: Time| deadline.since(now));
+        let limit = shared.config().map(|config| config.limits).unwrap_or_default().body_bytes;
+        let discard = timeout(left.min(DISCARD_TIMEOUT), body::discard(&mut body, limit));
+        let error = tokio::select! {
+            result = discard => match result {
+                Ok(Ok(())) => None,
+                Ok(Err(error)) => Some(format!("{error:?}")),
+                Err(_) => Some("timeout".to_owned()),
+            },
+            () = shared.lifecycle.reached(Phase::Ended) => Some("the node stopped".to_owned()),
+        };
+        if let Some(error) = error {
+            tracing::debug!(event = "body_not_discarded", error);
+        }
+    }
+    response
+}
+
+/// Validates and routes a request, reads its body and forwards it. Sets `deadline` once it is
+/// known. The response may be known before the body has been read to its end.
+async fn route_request(
+    shared: &Arc<Shared>,
+    parts: http::request::Parts,
+    body: &mut Incoming,
+    deadline: &mut Option<Time>,
     mut guard: RequestGuard,
 ) -> Response<Body> {
     let arrived = clock::now();
+    let parsed = shared.protocol.parse_request(&parts);
+    *deadline = parsed.as_ref().ok().and_then(|head| head.deadline).map(|left| arrived + left);
     if shared.lifecycle.phase() >= Phase::Closing {
         shared.metrics.record_rejection("stopping");
         return service_unavailable(Duration::ZERO);
     }
-    let (parts, body) = req.into_parts();
     let Some(config) = shared.config() else {
         shared.metrics.record_rejection("no_config");
         return service_unavailable(NO_CONFIG_RETRY_AFTER);
     };
-    let head = match shared.protocol.parse_request(&parts) {
+    let head = match parsed {
         Ok(head) => head,
         Err(error) => {
             tracing::info!(event = "bad_request", %error);
@@ -134,8 +177,9 @@
     let Some(service) = route.service_for(id.as_str()).cloned() else {
         return service_unavailable(NO_CONFIG_RETRY_AFTER);
     };
-    let deadline = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let left = deadline.since(clock::now());
+    let end = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    *deadline = Some(end);
+    let left = end.since(clock::now());
     let body = tokio::select! {
         body = timeout(left, body::read(body, config.limits.body_bytes)) => body,
         () = shared.lifecycle.reached(Phase::Ended) => {
@@ -165,7 +209,7 @@
         body,
         arrived,
         objective: objective(arrived, route),
-        deadline,
+        deadline: end,
         stage: Mutex::default(),
     };
     request.forward(guard).await
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -272,7 +272,7 @@
     async fn read_buffered(
         &self,
         head: http::response::Parts,
-        body: Incoming,
+        mut body: Incoming,
         connection: PooledConnection,
         mut in_flight: InFlightAttempt,
     ) -> AttemptResult {
@@ -281,7 +281,7 @@
             true => SendOutcome::Failed(Failure::ErrorResponse),
             false => SendOutcome::Served,
         };
-        match self.wait_for(left, crate::body::read(body, MAX_BUFFERED_BYTES)).await {
+        match self.wait_for(left, crate::body::read(&mut body, MAX_BUFFERED_BYTES)).await {
             Ok(Ok(body)) => {
                 in_flight.finish(outcome);
                 self.shared.pool.release(connection);
@@ -301,10 +301,11 @@
 
     /// Reads the rest of a short response and returns the connection to the pool. The connection
     /// is closed if the rest takes too long or is too large.
-    async fn reuse_connection(&self, body: Incoming, connection: PooledConnection) {
+    async fn reuse_connection(&self, mut body: Incoming, connection: PooledConnection) {
         const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
         const MAX_REFUSAL_BYTES: usize = 16 * 1024;
-        if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, crate::body::read(body, MAX_REFUSAL_BYTES)).await
+        if let Ok(Ok(_)) =
+            timeout(DRAIN_TIMEOUT, crate::body::read(&mut body, MAX_REFUSAL_BYTES)).await
         {
             self.shared.pool.release(connection);
         }
