End a stream at its deadline when its caller doesn't read

hyper polls a stream only while the connection of the caller takes data. With a request counted as active until the end of its body, the stream of a caller that had stopped reading, with a deadline of 2 s, kept its upstream connection open until TCP_USER_TIMEOUT, 6.59 s after the request. A deadline that is less than a second away when the response begins may be checked up to a second late.

--- a/crates/fireflyhead-gateway/src/body.rs
+++ b/crates/fireflyhead-gateway/src/body.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use fireflyhead_policy::Time;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -26,6 +27,10 @@
 
 impl std::error::Error for BodyError {}
 
+/// Extension of a response: time at which its connection is closed if the body has not been sent.
+#[derive(Clone, Copy, Debug)]
+pub struct SendDeadline(pub Time);
+
 /// Reason why a body can't be read.
 #[derive(Debug)]
 pub enum ReadError {
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -24,6 +24,7 @@
 
 use crate::body::Body;
 use crate::body::BodyError;
+use crate::body::SendDeadline;
 use crate::clock;
 use crate::pool::PooledConnection;
 use crate::sse::EventEnd;
@@ -44,6 +45,9 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time after the deadline for which an upstream may still end its stream by itself.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// Time after the deadline for which the rest of a stream may still be sent to the caller. Longer than
+/// [`DEADLINE_SLACK`], because hyper polls the stream only while the caller reads.
+const SEND_SLACK: Duration = Duration::from_millis(300);
 
 /// Passes the stream of one response from its upstreams to the caller.
 struct StreamRelay {
@@ -116,7 +120,10 @@
         let item = relay.next_chunk().await?;
         Some((item.map(Frame::data), relay))
     });
-    request.build_response(head, BodyExt::boxed_unsync(StreamBody::new(frames)))
+    let body = BodyExt::boxed_unsync(StreamBody::new(frames));
+    let mut response = request.build_response(head, body);
+    response.extensions_mut().insert(SendDeadline(request.deadline + SEND_SLACK));
+    response
 }
 
 impl StreamRelay {
--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -32,6 +32,7 @@
 
 use crate::body::Body;
 use crate::body::BodyError;
+use crate::body::SendDeadline;
 use crate::clock;
 use crate::forward;
 use crate::lifecycle::Phase;
@@ -69,6 +70,9 @@
     active_requests: AtomicUsize,
     /// Whether a request has arrived on the connection.
     had_request: AtomicBool,
+    /// [`SendDeadline`] of the response in progress, in microseconds of [`clock::now`]; 0 if there
+    /// is none.
+    send_deadline: AtomicU64,
 }
 
 impl Activity {
@@ -88,11 +92,25 @@
         self.head_incomplete.load(Ordering::Relaxed) || !self.had_request.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the connection has been idle, or its request head incomplete, for longer
-    /// than allowed.
+    fn send_deadline(&self) -> Option<Time> {
+        match self.send_deadline.load(Ordering::Relaxed) {
+            0 => None,
+            micros => Some(Time::from_micros(micros)),
+        }
+    }
+
+    /// Returns the time until the next check of the timeouts.
+    fn check_delay(&self, now: Time) -> Duration {
+        self.send_deadline().map_or(TIMEOUT_CHECK_INTERVAL, |deadline| {
+            deadline.since(now).min(TIMEOUT_CHECK_INTERVAL)
+        })
+    }
+
+    /// Returns whether the connection has been idle, its request head incomplete, or its response
+    /// in progress for longer than allowed.
     fn is_timed_out(&self, now: Time, limits: &RequestLimits) -> bool {
         if self.active_requests.load(Ordering::Relaxed) > 0 {
-            return false;
+            return self.send_deadline().is_some_and(|deadline| now >= deadline);
         }
         let age = now.since(Time::from_micros(self.last_activity.load(Ordering::Relaxed)));
         match self.head_incomplete.load(Ordering::Relaxed) {
@@ -179,6 +197,7 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         self.0.active_requests.fetch_sub(1, Ordering::Relaxed);
+        self.0.send_deadline.store(0, Ordering::Relaxed);
         self.0.record_activity();
     }
 }
@@ -261,6 +280,9 @@
         let response = forward::handle(Arc::clone(&shared), req);
         async move {
             let response = response.await?;
+            if let Some(SendDeadline(deadline)) = response.extensions().get() {
+                active.0.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
+            }
             Ok::<_, Infallible>(response.map(|body| ActiveBody { body, _active: active }))
         }
     });
@@ -284,7 +306,7 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = sleep(TIMEOUT_CHECK_INTERVAL) => {
+            () = sleep(activity.check_delay(clock::now())) => {
                 if activity.is_timed_out(clock::now(), &limits()) {
                     return;
                 }
