Retry requests that were sent while a node stops

Callers of a stopping node got 502 for an idempotent request whose first upstream failed late in the grace period, and a resumable stream that broke then was cut off, although another upstream could serve either.

A further attempt of a request that was sent is also a new job. Its rejection promises nothing to the caller, since an upstream may have executed the request, and gains nothing.

A job now says whether an upstream may have executed an earlier attempt. The stopped dispatcher rejects only the others. The wait of such a job, and the opening of its connection, end with the grace period; after that none is sent.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -156,13 +156,18 @@
             true => Duration::MAX,
             false => MAX_IDLE_NOT_RETRYABLE,
         };
-        let connected = self.shared.pool.acquire(&upstream.id, upstream.address, max_idle).await;
-        let mut connection = match connected {
-            Ok(connection) => connection,
-            Err(SendError::NotSent(error) | SendError::Unknown(error)) => {
+        let left = self.deadline.since(clock::now());
+        let connect = self.shared.pool.acquire(&upstream.id, upstream.address, max_idle);
+        let mut connection = match self.wait_for(left, connect).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(SendError::NotSent(error) | SendError::Unknown(error))) => {
                 in_flight.finish(SendOutcome::Failed(Failure::Connect));
                 return AttemptResult::NotSent(error);
             }
+            Err(WaitError::NodeStopped) => {
+                return AttemptResult::NotSent("the node stopped".to_owned());
+            }
+            Err(WaitError::Timeout) => return AttemptResult::DeadlineExceeded,
         };
         let left = self.deadline.since(clock::now());
         if left.is_zero() {
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -29,6 +29,7 @@
 use super::attempt::AttemptResult;
 use super::attempt::NotExecutedReason;
 use super::attempt::UpstreamResponse;
+use super::attempt::WaitError;
 use super::local_responses::empty_response;
 use super::local_responses::service_unavailable;
 use super::streaming;
@@ -272,6 +273,9 @@
         if left.is_zero() {
             return Selection::DeadlineExceeded;
         }
+        if self.shared.lifecycle.phase() >= Phase::Ended {
+            return Selection::Reject { reason: "stopped", retry_after: REFUSED_RETRY_AFTER };
+        }
         self.set_stage(Stage::Waiting);
         let id = self.shared.new_job_id();
         let job = Job {
@@ -295,9 +299,10 @@
             prompt_tokens: self.head.tokens.prompt,
             output_tokens: self.head.tokens.output,
             tried: attempts.tried.clone(),
+            possibly_executed: attempts.possibly_executed > 0,
         };
         let mut pending = self.shared.submit(now, job);
-        let decision = tokio::time::timeout(left, pending.decision()).await;
+        let decision = self.wait_for(left, pending.decision()).await;
         attempts.queued += clock::now().since(now);
         match decision {
             Ok(Some(DispatchDecision::Send { upstream, version })) => {
@@ -306,8 +311,10 @@
             Ok(Some(DispatchDecision::Reject { reason, retry_after })) => {
                 Selection::Reject { reason: reason.code(), retry_after }
             }
-            Ok(None) => Selection::Reject { reason: "stopped", retry_after: REFUSED_RETRY_AFTER },
-            Err(_) => Selection::DeadlineExceeded,
+            Ok(None) | Err(WaitError::NodeStopped) => {
+                Selection::Reject { reason: "stopped", retry_after: REFUSED_RETRY_AFTER }
+            }
+            Err(WaitError::Timeout) => Selection::DeadlineExceeded,
         }
     }
 
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -272,7 +272,8 @@
         self.send_holder_messages(now);
     }
 
-    /// Rejects the requests that wait in this node, and from now on each new one.
+    /// Rejects the requests that wait in this node and were not sent before, and from now on each
+    /// new one.
     pub fn stop_dispatching(&self, now: Time) {
         let rejected = self.dispatcher().stop();
         self.deliver_decisions(now, rejected);
--- a/crates/fireflyhead-gateway/tests/gateway/pending.rs
+++ b/crates/fireflyhead-gateway/tests/gateway/pending.rs
@@ -44,6 +44,7 @@
         prompt_tokens: 0,
         output_tokens: 0,
         tried: Vec::new(),
+        possibly_executed: false,
     }
 }
 
--- a/crates/fireflyhead-policy/benches/dispatch.rs
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -92,6 +92,7 @@
         prompt_tokens: 500,
         output_tokens: 100,
         tried: Vec::new(),
+        possibly_executed: false,
     }
 }
 
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -112,6 +112,8 @@
     pub output_tokens: u32,
     /// Upstreams that failed this request; they are not selected again.
     pub tried: Vec<Name>,
+    /// Whether an upstream may have executed an earlier attempt.
+    pub possibly_executed: bool,
 }
 
 impl Job {
@@ -301,7 +303,8 @@
     peer_loads: HashMap<Name, Vec<UpstreamLoad>>,
     /// Number of nodes that share the upstreams, this one included.
     node_count: usize,
-    /// Whether the node is about to stop, so that no request may be sent or wait.
+    /// Whether the node is about to stop, so that no request may be sent or wait that has not been
+    /// sent before.
     stopped: bool,
 }
 
@@ -330,7 +333,7 @@
     /// [`Dispatcher::dispatch_waiting`] or [`Dispatcher::handle_admission_response`] returns it
     /// later.
     pub fn submit(&mut self, now: Time, job: Job) -> Option<DispatchDecision> {
-        if self.stopped {
+        if self.stopped && !job.possibly_executed {
             return Some(Dispatcher::stopped_rejection());
         }
         match self.choose_upstream(now, &job) {
--- a/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
@@ -76,9 +76,13 @@
         self.requests.remove(&id)
     }
 
-    /// Removes all requests and returns each with the engine whose holder was asked.
-    pub(super) fn drain(&mut self) -> Vec<(JobId, Name)> {
-        self.requests.drain().map(|(id, pending)| (id, pending.upstream)).collect()
+    /// Removes the requests that no upstream can have executed and returns each with the engine
+    /// whose holder was asked.
+    pub(super) fn extract_not_executed(&mut self) -> Vec<(JobId, Name)> {
+        self.requests
+            .extract_if(|_, pending| !pending.job.possibly_executed)
+            .map(|(id, pending)| (id, pending.upstream))
+            .collect()
     }
 
     /// Moves the requests for admission to `upstream` back to the queue of the node.
--- a/crates/fireflyhead-policy/src/dispatch/queue.rs
+++ b/crates/fireflyhead-policy/src/dispatch/queue.rs
@@ -51,9 +51,9 @@
         self.waiting.retain(|key, _| key.2 != id);
     }
 
-    /// Removes and returns all requests.
-    pub(crate) fn drain(&mut self) -> impl Iterator<Item = Job> {
-        std::mem::take(&mut self.waiting).into_values()
+    /// Removes and returns the requests that no upstream can have executed.
+    pub(crate) fn extract_not_executed(&mut self) -> impl Iterator<Item = Job> {
+        self.waiting.extract_if(.., |_, job| !job.possibly_executed).map(|(_, job)| job)
     }
 
     /// Returns the number of waiting requests.
--- a/crates/fireflyhead-policy/src/dispatch/stop.rs
+++ b/crates/fireflyhead-policy/src/dispatch/stop.rs
@@ -10,12 +10,14 @@
 use super::RejectReason;
 
 impl Dispatcher {
-    /// Rejects all waiting requests, and from now on each new one. The requests that were sent stay
-    /// in progress.
+    /// Rejects all waiting requests, and from now on each new one, unless an upstream may have
+    /// executed them: these can't be rejected, and a further attempt may still serve them. The
+    /// requests that were sent stay in progress.
     pub fn stop(&mut self) -> Vec<(JobId, DispatchDecision)> {
         self.stopped = true;
-        let mut rejected: Vec<JobId> = self.waiting.drain().map(|job| job.id).collect();
-        for (id, upstream) in self.pending_admissions.drain() {
+        let mut rejected: Vec<JobId> =
+            self.waiting.extract_not_executed().map(|job| job.id).collect();
+        for (id, upstream) in self.pending_admissions.extract_not_executed() {
             self.report_progress(&upstream, ProgressEvent::Ended(id));
             rejected.push(id);
         }
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -202,6 +202,7 @@
             prompt_tokens: self.prompt_tokens,
             output_tokens: 0,
             tried: Vec::new(),
+            possibly_executed: false,
         }
     }
 }
--- a/crates/fireflyhead-policy/tests/policy/admission.rs
+++ b/crates/fireflyhead-policy/tests/policy/admission.rs
@@ -11,6 +11,7 @@
 use fireflyhead_policy::dispatch::DispatchDecision;
 use fireflyhead_policy::dispatch::DispatchSettings;
 use fireflyhead_policy::dispatch::Dispatcher;
+use fireflyhead_policy::dispatch::Job;
 use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::dispatch::RejectReason;
 use fireflyhead_policy::dispatch::SendOutcome;
@@ -531,3 +532,23 @@
     assert!(late.as_ref().is_some_and(is_stopping), "{late:?}");
     assert_eq!(dispatcher.in_flight(), 0);
 }
+
+/// Guards against a request that gets an error from a stopping node because its upstream failed: an
+/// upstream may have executed it, so that it can't be rejected, and another one may still serve it.
+#[test]
+fn a_stopping_node_still_retries_requests_that_were_sent() {
+    let retry = |id: u64, adapter: &str| Job {
+        possibly_executed: true,
+        ..adapter_job(id, ms(0), adapter, 100)
+    };
+    let mut dispatcher = dispatcher_with_remote_holder();
+    assert_eq!(dispatcher.submit(ms(0), retry(1, "hot")), None);
+    assert_eq!(dispatcher.submit(ms(0), retry(2, "absent")), None);
+    assert_eq!(dispatcher.stop(), []);
+    assert_eq!(dispatcher.waiting(), 2);
+    let granted = admission_response(1, AdmissionDecision::Granted);
+    let sent = dispatcher.handle_admission_response(ms(5), &Name::from(HOLDER), granted);
+    assert!(matches!(sent, Some((JobId(1), DispatchDecision::Send { .. }))), "{sent:?}");
+    assert_eq!(dispatcher.submit(ms(10), retry(3, "hot")), None);
+    assert_eq!(dispatcher.waiting(), 2);
+}
--- a/crates/fireflyhead-policy/tests/policy/setup.rs
+++ b/crates/fireflyhead-policy/tests/policy/setup.rs
@@ -205,6 +205,7 @@
         prompt_tokens,
         output_tokens: 170,
         tried: Vec::new(),
+        possibly_executed: false,
     }
 }
 
@@ -225,5 +226,6 @@
         prompt_tokens: 0,
         output_tokens: 0,
         tried: Vec::new(),
+        possibly_executed: false,
     }
 }
