Wait for a pausing stream that can't be resumed

Callers of a resumable stream had it cut off 2 s after the last event if the engine paused, also if no attempt was left to resume it. An engine may pause for longer and still finish. Around planned work such a stream counts as lost: the silence of an upstream is no reason to end a response early.

Cause: the limit on silence applied to each stream that had begun, although it only serves to resume the stream elsewhere.

The limit applies only while a further attempt is allowed. The deadline of the request still bounds the stream.

Evidence: streams::a_pausing_stream_without_a_further_attempt_is_complete failed before (unexpected EOF).

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -321,16 +321,21 @@
     /// Returns whether a request that `upstream` may have executed is sent once more. If so, counts
     /// the retry against the budget and excludes `upstream` from the retry.
     pub(super) fn reserve_retry(&self, attempts: &mut Attempts, upstream: &Name) -> bool {
-        let allowed = self.route.kind.is_retryable()
-            && attempts.possibly_executed < self.route.max_attempts
-            && self.shared.lifecycle.phase() < Phase::Ended;
-        if !allowed || !self.spend_retry_budget() {
+        if !self.may_retry(attempts.possibly_executed) || !self.spend_retry_budget() {
             return false;
         }
         attempts.tried.push(upstream.clone());
         true
     }
 
+    /// Returns whether a further attempt is allowed after `possibly_executed` attempts that an
+    /// upstream may have executed, if the retry budget admits it.
+    pub(super) fn may_retry(&self, possibly_executed: u32) -> bool {
+        self.route.kind.is_retryable()
+            && possibly_executed < self.route.max_attempts
+            && self.shared.lifecycle.phase() < Phase::Ended
+    }
+
     fn spend_retry_budget(&self) -> bool {
         let now = clock::now();
         let nodes = self.shared.node_count(now);
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -39,7 +39,8 @@
 use super::inbound_request::InboundRequest;
 use super::inbound_request::Selection;
 
-/// Time without data after which a resumable stream that has begun is resumed at another upstream.
+/// Time without data after which a resumable stream that has begun is resumed at another upstream,
+/// if an attempt is left.
 /// Several times the longest pause that any deployment allows, because a request that the engine
 /// has preempted may pause longer than allowed and still finish.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -170,8 +171,10 @@
             return StreamStep::DeadlineExceeded;
         }
         let receive_deadline = match (&self.scanner, self.started) {
-            (Some(_), true) => now + SILENCE_TIMEOUT,
-            (Some(_), false) | (None, _) => end,
+            (Some(_), true) if self.request.may_retry(self.attempts.possibly_executed) => {
+                now + SILENCE_TIMEOUT
+            }
+            (Some(_), _) | (None, _) => end,
         };
         let wait = receive_deadline.min(end).since(now);
         match self.request.wait_for(wait, self.body.frame()).await {
