Answer requests that follow others on a connection at a stop

A caller that had sent a second request without waiting for the response to the first got no response to the second from a stopping node, although the node had read it.

Cause: the node called hyper's graceful shutdown on each connection when it stopped listening, also during a response. hyper then closes the connection after this response, and discards what it has read beyond it.

The shutdown now waits until no request is in progress on the connection. hyper reads the next request before that, and the node rejects it with 503 and "Connection: close".

Evidence: stops::a_pipelined_request_gets_a_response_from_a_stopping_node failed before: the first response was complete, and the connection closed.

--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -26,6 +26,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -73,6 +74,8 @@
     /// [`SendDeadline`] of the response in progress, in microseconds of [`clock::now`]; 0 if there
     /// is none.
     send_deadline: AtomicU64,
+    /// Notified when the response to a request has ended.
+    request_ended: Notify,
 }
 
 impl Activity {
@@ -199,6 +202,7 @@
         self.0.active_requests.fetch_sub(1, Ordering::Relaxed);
         self.0.send_deadline.store(0, Ordering::Relaxed);
         self.0.record_activity();
+        self.0.request_ended.notify_one();
     }
 }
 
@@ -315,11 +319,20 @@
     }
 }
 
-/// Waits until the node is closing and no request is expected on the connection.
+/// Waits until the node is closing and no request is in progress or expected on the connection.
+/// hyper would not read a request that the caller has sent after one in progress.
 async fn begin_closing(shared: &Shared, activity: &Activity) {
     shared.lifecycle.reached(Phase::Closing).await;
     let closing_since = clock::now();
-    while activity.expects_request() && clock::now().since(closing_since) < LATE_REQUEST_WAIT {
-        sleep(LATE_REQUEST_CHECK_INTERVAL).await;
+    loop {
+        if activity.active_requests.load(Ordering::Relaxed) > 0 {
+            activity.request_ended.notified().await;
+        } else if activity.expects_request()
+            && clock::now().since(closing_since) < LATE_REQUEST_WAIT
+        {
+            sleep(LATE_REQUEST_CHECK_INTERVAL).await;
+        } else {
+            return;
+        }
     }
 }
