Keep a silent stream until another engine can take it over

Callers of a resumable stream had it cut off 2 s after its last event if the engine paused and no other could take the stream over, although the engine would have gone on. Around planned work such a stream counts as lost.

Cause: the node closed the connection of the silent engine before it knew whether another one would be selected.

The node now selects another engine first. If data arrives before that, or none is selected, the stream goes on where it is, up to its deadline. If one is selected, the connection is closed before the request is sent there, so that it never runs at both.

--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -1,7 +1,8 @@
 //! Streaming of responses to the caller.
 //!
-//! Data is passed on as it arrives. If the upstream of a resumable stream fails or sends nothing
-//! for too long, the stream is resumed at another upstream within the same response.
+//! Data is passed on as it arrives. If the upstream of a resumable stream fails, the stream is
+//! resumed at another upstream within the same response. If the upstream sends nothing for too
+//! long, another one is selected, and the stream moves there unless data arrives before that.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::RouteKind;
+use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::dispatch::SendOutcome;
 use fireflyhead_policy::fleet::UpstreamEntry;
 use fireflyhead_policy::health::Failure;
@@ -44,6 +46,8 @@
 /// Several times the longest pause that any deployment allows, because a request that the engine
 /// has preempted may pause longer than allowed and still finish.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Reason for resuming a stream whose upstream is silent, for the log.
+const SILENT: &str = "no data in time";
 /// Time after the deadline for which an upstream may still end its stream by itself.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Time after the deadline for which the rest of a stream may still be sent to the caller. Longer than
@@ -65,6 +69,10 @@
     /// Whether the caller has received data.
     started: bool,
     ended: bool,
+    /// Whether the stream may move to another upstream if its own is silent.
+    may_move: bool,
+    /// Result of a receive that has not been handled yet.
+    received: Option<StreamStep>,
     /// Time at which data for the caller was last received; before the first data, the start of the
     /// response.
     last_data: Time,
@@ -81,12 +89,21 @@
     End,
     /// The stream was interrupted.
     Broken(String, Failure),
+    /// No data arrived for [`SILENCE_TIMEOUT`].
+    Silent,
     /// The deadline of the request has passed.
     DeadlineExceeded,
     /// The grace period of the node's stop is over.
     NodeStopped,
 }
 
+/// Upstream that was selected for the next attempt, see [`Selection::Send`].
+struct NextUpstream {
+    job: JobId,
+    upstream: Arc<UpstreamEntry>,
+    version: Option<u64>,
+}
+
 /// Returns a response that streams `body` to the caller.
 #[expect(clippy::too_many_arguments, reason = "the parts of one response, moved into the stream")]
 pub(super) fn stream_response(
@@ -114,6 +131,8 @@
         event_end: EventEnd::default(),
         started: false,
         ended: false,
+        may_move: true,
+        received: None,
         last_data: clock::now(),
         _guard: guard,
     };
@@ -149,12 +168,16 @@
                     self.abort("interrupted", SendOutcome::Abandoned, "");
                     return Some(Err(BodyError::NodeStopped));
                 }
+                StreamStep::Silent => {
+                    if let Some(next) = self.select_next().await
+                        && let Err(e) = self.resume(SILENT, Failure::Timeout, Some(next)).await
+                    {
+                        return Some(Err(e));
+                    }
+                }
                 StreamStep::Broken(reason, failure) => {
-                    if !self.resume(&reason, failure).await {
-                        self.abort("broken", SendOutcome::Failed(failure), &reason);
-                        // hyper discards data that it has not written yet when a body fails.
-                        yield_now().await;
-                        return Some(Err(BodyError::Upstream(reason)));
+                    if let Err(e) = self.resume(&reason, failure, None).await {
+                        return Some(Err(e));
                     }
                 }
             }
@@ -164,6 +187,9 @@
 
     /// Receives one frame from the upstream, or detects that the stream ended or timed out.
     async fn receive(&mut self) -> StreamStep {
+        if let Some(step) = self.received.take() {
+            return step;
+        }
         let now = clock::now();
         let end = self.request.deadline + DEADLINE_SLACK;
         // `timeout` prefers data that is ready to its own end.
@@ -171,19 +197,31 @@
             return StreamStep::DeadlineExceeded;
         }
         let receive_deadline = match (&self.scanner, self.started) {
-            (Some(_), true) if self.request.may_retry(self.attempts.possibly_executed) => {
+            (Some(_), true)
+                if self.may_move && self.request.may_retry(self.attempts.possibly_executed) =>
+            {
                 now + SILENCE_TIMEOUT
             }
             (Some(_), _) | (None, _) => end,
         };
         let wait = receive_deadline.min(end).since(now);
         match self.request.wait_for(wait, self.body.frame()).await {
-            Ok(Some(Ok(frame))) => match frame.into_data() {
+            Ok(frame) => self.handle_frame(frame),
+            Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
+            Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
+            Err(WaitError::Timeout) => StreamStep::Silent,
+        }
+    }
+
+    /// Handles a frame of the upstream's body; `None` is the end of the body.
+    fn handle_frame(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> StreamStep {
+        match frame {
+            Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => self.split_events(data),
                 Err(_) => StreamStep::Skip,
             },
-            Ok(Some(Err(e))) => StreamStep::Broken(e.to_string(), Failure::Broken),
-            Ok(None) => {
+            Some(Err(e)) => StreamStep::Broken(e.to_string(), Failure::Broken),
+            None => {
                 let complete = match &self.scanner {
                     Some(scanner) => !scanner.has_partial_event(),
                     None => self.event_end.is_complete(),
@@ -196,11 +234,6 @@
                     ),
                 }
             }
-            Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
-            Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
-            Err(WaitError::Timeout) => {
-                StreamStep::Broken("no data in time".to_owned(), Failure::Timeout)
-            }
         }
     }
 
@@ -238,8 +271,56 @@
         self.request.shared.metrics.record_first_output(self.request.route.name.as_str(), delay);
     }
 
-    /// Resumes the stream at another upstream; `false` if no attempt is left or none succeeded.
-    async fn resume(&mut self, reason: &str, failure: Failure) -> bool {
+    /// Selects another upstream for a stream whose upstream is silent. Returns `None` if the stream
+    /// stays where it is, because data arrived before that or no upstream was selected.
+    async fn select_next(&mut self) -> Option<NextUpstream> {
+        let upstream = self.upstream.clone();
+        if !self.request.reserve_retry(&mut self.attempts, &upstream) {
+            self.may_move = false;
+            return None;
+        }
+        let selection = tokio::select! {
+            biased;
+            frame = self.body.frame() => Err(frame),
+            selection = self.request.select_upstream(&mut self.attempts, self.last_data) => {
+                Ok(selection)
+            }
+        };
+        match selection {
+            Ok(Selection::Send { job, upstream, version }) => {
+                return Some(NextUpstream { job, upstream, version });
+            }
+            Ok(Selection::Reject { .. } | Selection::DeadlineExceeded) => self.may_move = false,
+            Err(frame) => self.received = Some(self.handle_frame(frame)),
+        }
+        self.attempts.tried.retain(|tried| *tried != upstream);
+        None
+    }
+
+    /// Resumes the stream at `next` or, if that is `None` or fails, at further upstreams. Reports
+    /// the stream as cut off if no attempt is left or none succeeds.
+    async fn resume(
+        &mut self,
+        reason: &str,
+        failure: Failure,
+        next: Option<NextUpstream>,
+    ) -> Result<(), BodyError> {
+        if self.try_resume(reason, failure, next).await {
+            return Ok(());
+        }
+        self.abort("broken", SendOutcome::Failed(failure), reason);
+        // hyper discards data that it has not written yet when a body fails.
+        yield_now().await;
+        Err(BodyError::Upstream(reason.to_owned()))
+    }
+
+    /// Returns whether the stream was resumed; see [`StreamRelay::resume`].
+    async fn try_resume(
+        &mut self,
+        reason: &str,
+        failure: Failure,
+        mut next: Option<NextUpstream>,
+    ) -> bool {
         let Some(scanner) = &mut self.scanner else { return false };
         scanner.discard_partial_event();
         let last_id = scanner.last_id();
@@ -249,14 +330,16 @@
         self.connection = None;
         loop {
             let upstream = self.upstream.clone();
-            if !self.request.reserve_retry(&mut self.attempts, &upstream) {
-                return false;
-            }
-            let (job, upstream, version) =
-                match self.request.select_upstream(&mut self.attempts, since).await {
-                    Selection::Send { job, upstream, version } => (job, upstream, version),
+            let NextUpstream { job, upstream, version } = match next.take() {
+                Some(next) => next,
+                None if !self.request.reserve_retry(&mut self.attempts, &upstream) => return false,
+                None => match self.request.select_upstream(&mut self.attempts, since).await {
+                    Selection::Send { job, upstream, version } => {
+                        NextUpstream { job, upstream, version }
+                    }
                     Selection::Reject { .. } | Selection::DeadlineExceeded => return false,
-                };
+                },
+            };
             let head_deadline = self.request.head_deadline(&self.attempts);
             let result =
                 self.request.send_to(job, &upstream, version, head_deadline, last_id).await;
