Reset the connection of a caller of HTTP/1.0 whose stream is cut off

A stream that its upstream, its deadline or a stop of the node cut off looked complete to a caller of HTTP/1.0: the end of such a response is the end of its connection, and the node closed the connection regularly.

The node resets the connection of such a caller after an error of the body. Chunked responses show the error without that.

--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::RequestLimits;
+use http::Version;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use hyper::server::conn::http1;
@@ -74,6 +75,9 @@
     /// [`SendDeadline`] of the response in progress, in microseconds of [`clock::now`]; 0 if there
     /// is none.
     send_deadline: AtomicU64,
+    /// Whether the connection must be reset, so that the caller does not take a response that was
+    /// cut off for complete.
+    must_reset: AtomicBool,
     /// Notified when the response to a request has ended.
     request_ended: Notify,
 }
@@ -167,7 +171,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        match self.activity.must_reset.load(Ordering::Relaxed) {
+            // Dropping the stream resets the connection.
+            true => Poll::Ready(Ok(())),
+            false => Pin::new(&mut self.stream).poll_shutdown(cx),
+        }
     }
 
     fn poll_write_vectored(
@@ -185,6 +193,16 @@
     }
 }
 
+impl Drop for ActivityStream {
+    fn drop(&mut self) {
+        if self.activity.must_reset.load(Ordering::Relaxed)
+            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            tracing::debug!(event = "connection_not_reset", %error);
+        }
+    }
+}
+
 /// Counts a request as active on its connection until it is dropped.
 struct ActiveRequest(Arc<Activity>);
 
@@ -210,7 +228,9 @@
 /// for longer than a connection may be idle.
 struct ActiveBody {
     body: Body,
-    _active: ActiveRequest,
+    active: ActiveRequest,
+    /// Whether the end of the connection is the end of the body, as for callers of HTTP/1.0.
+    ends_with_connection: bool,
 }
 
 impl hyper::body::Body for ActiveBody {
@@ -221,7 +241,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let poll = Pin::new(&mut self.body).poll_frame(cx);
+        if self.ends_with_connection && matches!(poll, Poll::Ready(Some(Err(_)))) {
+            self.active.0.must_reset.store(true, Ordering::Relaxed);
+        }
+        poll
     }
 
     fn is_end_stream(&self) -> bool {
@@ -281,13 +305,18 @@
     activity.record_activity();
     let service = service_fn(|req| {
         let active = ActiveRequest::new(&activity);
+        let ends_with_connection = req.version() < Version::HTTP_11;
         let response = forward::handle(Arc::clone(&shared), req);
         async move {
             let response = response.await?;
             if let Some(SendDeadline(deadline)) = response.extensions().get() {
                 active.0.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
             }
-            Ok::<_, Infallible>(response.map(|body| ActiveBody { body, _active: active }))
+            Ok::<_, Infallible>(response.map(|body| ActiveBody {
+                body,
+                active,
+                ends_with_connection,
+            }))
         }
     });
     let io = TokioIo::new(ActivityStream { stream, activity: Arc::clone(&activity) });
