Wait for the only upstream of a request up to the deadline

An idempotent request got 502 after the latency objective of its route, although its upstream would have responded in time and no other one could be tried: the limit on the wait for a response head only serves to try another upstream.

The limit now applies only if the service has an upstream that the request has not tried. Not covered: the others are listed but can't take it.

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -159,7 +159,7 @@
                         return self.finish(&attempts, Outcome::DeadlineExceeded, fallback);
                     }
                 };
-            let head_deadline = self.head_deadline(&attempts);
+            let head_deadline = self.head_deadline(&attempts, &upstream.id);
             let result = self.send_to(job, &upstream, version, head_deadline, None).await;
             let outcome = match result {
                 AttemptResult::Response(response) => {
@@ -358,9 +358,9 @@
         attempts.refused < MAX_REFUSED_ATTEMPTS && self.spend_retry_budget()
     }
 
-    /// Returns the time up to which the next attempt waits for the head of the response. It is
-    /// earlier than the deadline if a further attempt may follow.
-    pub(super) fn head_deadline(&self, attempts: &Attempts) -> Time {
+    /// Returns the time up to which an attempt at `upstream` waits for the head of the response. It
+    /// is earlier than the deadline if a further attempt may follow at another upstream.
+    pub(super) fn head_deadline(&self, attempts: &Attempts, upstream: &Name) -> Time {
         let span = match self.route.kind {
             RouteKind::Idempotent => self.route.objective.max(MIN_HEAD_TIMEOUT),
             RouteKind::Streaming { resumable: true } => {
@@ -370,10 +370,13 @@
                 return self.deadline;
             }
         };
-        match attempts.possibly_executed + 1 < self.route.max_attempts {
-            true => clock::now() + span,
-            false => self.deadline,
-        }
+        let may_retry = attempts.possibly_executed + 1 < self.route.max_attempts
+            && self.shared.dispatcher().has_other_upstream(
+                &self.service,
+                upstream,
+                &attempts.tried,
+            );
+        if may_retry { clock::now() + span } else { self.deadline }
     }
 
     /// Builds the response to the caller from the head of an upstream's response.
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -357,7 +357,7 @@
                     Selection::Reject { .. } | Selection::DeadlineExceeded => return false,
                 },
             };
-            let head_deadline = self.request.head_deadline(&self.attempts);
+            let head_deadline = self.request.head_deadline(&self.attempts, &upstream.id);
             let result =
                 self.request.send_to(job, &upstream, version, head_deadline, last_id).await;
             self.upstream = upstream.id.clone();
