Refuse requests with a prompt part that crashes engines

Cause: a node treated the crash as a failure of the upstream alone and sent the request, and every other one with the same part, to the next engine. No node related the crashes to what the requests have in common, and none told the others.

The parts of requests without output at a crash are now suspect until a request with the part begins elsewhere. A crash counts only if a connection attempt is refused or the engine is listed with a new start. Nodes exchange the crashes, so that all reach the same verdict from crashes that each saw once; after three crashes they refuse the part at once with 503, before queueing and before each send. Sound parts that share all crashes with it are refused only together with it, and one request is let through a minute after the last crash, so that a wrong verdict ends. Nodes announce their protocol version in the store, and nodes of earlier builds are sent no evidence.

--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -39,11 +39,13 @@
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::quarantine::Announcement;
 use crate::state::Shared;
 use crate::store::StoreClient;
 
 use self::membership::MEMBER_PREFIX;
 use self::membership::OWNERSHIP_PREFIX;
+use self::membership::PROTOCOL_PREFIX;
 
 /// Interval at which the next call to each engine is decided.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -212,6 +214,15 @@
             } else if let Some(upstream) = key.strip_prefix(OWNERSHIP_PREFIX) {
                 let record = item.value.as_deref().and_then(OwnershipRecord::decode);
                 self.ownership.apply_record(&Name::from(upstream), record, item.revision);
+            } else if let Some(node) = key.strip_prefix(PROTOCOL_PREFIX)
+                && let Some(value) = item.value.as_deref()
+            {
+                match Announcement::decode(value) {
+                    Some(announcement) => {
+                        self.shared.quarantine.announce(&Name::from(node), announcement)
+                    }
+                    None => tracing::warn!(event = "announcement_ignored", node),
+                }
             }
         }
     }
--- a/crates/fireflyhead-gateway/src/engine_controller/membership.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/membership.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use fireflyhead_policy::Name;
+use fireflyhead_policy::message::PROTOCOL_VERSION;
 use fireflyhead_policy::ownership::Claim;
 use fireflyhead_policy::protocol::StoreCall;
 use fireflyhead_policy::protocol::StoreReply;
@@ -16,6 +17,7 @@
 use crate::clock;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
+use crate::quarantine::Announcement;
 use crate::state::Shared;
 use crate::store::Backoff;
 use crate::store::StoreClient;
@@ -24,6 +26,8 @@
 pub(super) const MEMBER_PREFIX: &str = "fireflyhead/members/";
 /// Key prefix of the ownership records.
 pub(super) const OWNERSHIP_PREFIX: &str = "fireflyhead/custody/";
+/// Key prefix of the protocol versions that nodes announce. Builds before version 2 ignore it.
+pub(super) const PROTOCOL_PREFIX: &str = "fireflyhead/protocol/";
 
 /// Obtains a lease, writes the membership entry and renews the lease, and starts over when the
 /// lease is lost. Ends when the controller stops.
@@ -65,7 +69,8 @@
     }
 }
 
-/// Writes the membership entry, retrying until it succeeds; `false` if the lease has expired.
+/// Writes the membership entry and the protocol version, retrying until that succeeds; `false` if
+/// the lease has expired.
 async fn write_membership_entry(
     shared: &Shared,
     store: &StoreClient,
@@ -75,9 +80,12 @@
     let settings = &shared.settings;
     let key = Name::from(format!("{MEMBER_PREFIX}{}", settings.node));
     let value = Bytes::from(settings.peer.to_string());
+    let protocol_key = Name::from(format!("{PROTOCOL_PREFIX}{}", settings.node));
+    let protocol =
+        Announcement { version: PROTOCOL_VERSION, incarnation: shared.incarnation }.encode();
     let call = StoreCall::Transaction {
         conditions: Vec::new(),
-        writes: vec![(key, value, lease)],
+        writes: vec![(key, value, lease), (protocol_key, Bytes::from(protocol), lease)],
         removes: Vec::new(),
     };
     loop {
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -32,6 +32,7 @@
 use crate::body::ReadError;
 use crate::clock;
 use crate::lifecycle::Phase;
+use crate::quarantine::PromptParts;
 use crate::state::Shared;
 
 use self::inbound_request::InboundRequest;
@@ -198,11 +199,13 @@
     };
     let served_by_engines = config.service(service.as_str()).is_some_and(|s| s.engine.is_some());
     shared.budget().record_request(arrived, &service);
+    let prompt_parts = PromptParts::new(&service, &head.prompt_parts);
     let request = InboundRequest {
         shared: Arc::clone(shared),
         parts,
         head,
         id,
+        prompt_parts,
         route: Arc::clone(route),
         service,
         served_by_engines,
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -23,6 +23,8 @@
 use crate::pool::MAX_IDLE_NOT_RETRYABLE;
 use crate::pool::PooledConnection;
 use crate::pool::SendError;
+use crate::quarantine::PartObserver;
+use crate::quarantine::QUARANTINED;
 use crate::state::Shared;
 
 use super::inbound_request::InboundRequest;
@@ -36,12 +38,18 @@
 pub(super) struct InFlightAttempt {
     shared: Arc<Shared>,
     id: JobId,
+    parts: PartObserver,
     ended: bool,
 }
 
 impl InFlightAttempt {
-    pub(super) fn new(shared: &Arc<Shared>, id: JobId) -> InFlightAttempt {
-        InFlightAttempt { shared: Arc::clone(shared), id, ended: false }
+    pub(super) fn new(shared: &Arc<Shared>, id: JobId, parts: PartObserver) -> InFlightAttempt {
+        InFlightAttempt { shared: Arc::clone(shared), id, parts, ended: false }
+    }
+
+    /// Records a chunk of a stream, for evidence on the parts of the prompt.
+    pub(super) fn record_chunk(&mut self) {
+        self.parts.record_chunk(&self.shared);
     }
 
     /// Reports the first output to the dispatcher and to the engine's holder.
@@ -57,6 +65,7 @@
             return;
         }
         self.ended = true;
+        self.parts.record_end(&self.shared, outcome);
         self.shared.metrics.record_send(outcome_name(outcome));
         let now = clock::now();
         self.shared.dispatcher().record_outcome(now, self.id, outcome);
@@ -150,7 +159,8 @@
         head_deadline: Time,
         resume_after: Option<u64>,
     ) -> AttemptResult {
-        let mut in_flight = InFlightAttempt::new(&self.shared, job);
+        let parts = PartObserver::new(&self.id, &self.prompt_parts, upstream);
+        let mut in_flight = InFlightAttempt::new(&self.shared, job, parts);
         self.set_stage(Stage::Sent(upstream.id.clone()));
         let max_idle = match self.route.kind.is_retryable() {
             true => Duration::MAX,
@@ -183,6 +193,10 @@
         let Some(req) = self.build_request(&node_set) else {
             return AttemptResult::NotSent("the request target is not valid".to_owned());
         };
+        if !self.prompt_parts.may_send(&self.shared) {
+            in_flight.finish(SendOutcome::Abandoned);
+            return AttemptResult::NotSent(QUARANTINED.to_owned());
+        }
         let wait = head_deadline.min(self.deadline).since(clock::now());
         let response = match self.wait_for(wait, connection.send(req)).await {
             Ok(Ok(response)) => response,
@@ -233,6 +247,7 @@
         let (head, body) = response.into_parts();
         let info = self.shared.protocol.parse_response(&head.headers);
         let fail = |in_flight: &mut InFlightAttempt, reason: &str| {
+            in_flight.parts.ignore();
             in_flight.finish(SendOutcome::Failed(Failure::Broken));
             AttemptResult::Unknown(reason.to_owned())
         };
@@ -288,6 +303,10 @@
         };
         match self.wait_for(left, crate::body::read(&mut body, MAX_BUFFERED_BYTES)).await {
             Ok(Ok(body)) => {
+                match head.status.is_success() {
+                    true => in_flight.parts.record_complete(&self.shared),
+                    false => in_flight.parts.ignore(),
+                }
                 in_flight.finish(outcome);
                 self.shared.pool.release(connection);
                 AttemptResult::Response(Box::new(UpstreamResponse::Buffered { head, body }))
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -23,6 +23,8 @@
 use crate::body::Body;
 use crate::clock;
 use crate::lifecycle::Phase;
+use crate::quarantine::PromptParts;
+use crate::quarantine::QUARANTINED;
 use crate::state::Shared;
 
 use super::RequestGuard;
@@ -56,6 +58,7 @@
     /// Platform headers of the request, parsed.
     pub(super) head: RequestHead,
     pub(super) id: Name,
+    pub(super) prompt_parts: PromptParts,
     pub(super) route: Arc<Route>,
     pub(super) service: Name,
     /// Whether the upstreams of the service are model engines.
@@ -277,6 +280,11 @@
             return Selection::Reject { reason: "stopped", retry_after: REFUSED_RETRY_AFTER };
         }
         self.set_stage(Stage::Waiting);
+        // Created first, so that a verdict between the check and the decision is not missed.
+        let mut verdicts = self.shared.quarantine.subscribe();
+        if let Some(retry_after) = self.prompt_parts.check(&self.shared, &self.id) {
+            return Selection::Reject { reason: QUARANTINED, retry_after };
+        }
         let id = self.shared.new_job_id();
         let job = Job {
             id,
@@ -302,7 +310,19 @@
             possibly_executed: attempts.possibly_executed > 0,
         };
         let mut pending = self.shared.submit(now, job);
-        let decision = self.wait_for(left, pending.decision()).await;
+        let decided = self.wait_for(left, pending.decision());
+        tokio::pin!(decided);
+        let decision = loop {
+            tokio::select! {
+                decision = &mut decided => break decision,
+                Ok(()) = verdicts.changed() => {
+                    if let Some(retry_after) = self.prompt_parts.check(&self.shared, &self.id) {
+                        attempts.queued += clock::now().since(now);
+                        return Selection::Reject { reason: QUARANTINED, retry_after };
+                    }
+                }
+            }
+        };
         attempts.queued += clock::now().since(now);
         match decision {
             Ok(Some(DispatchDecision::Send { upstream, version })) => {
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -274,6 +274,7 @@
 
     /// Records the time of the first data for the caller, or the pause since the last data.
     fn record_output(&mut self) {
+        self.in_flight.record_chunk();
         let now = clock::now();
         let pause = now.since(self.last_data);
         self.last_data = now;
--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -26,6 +26,7 @@
 use crate::datagram_sender::MAX_DATAGRAM_BYTES;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
+use crate::quarantine;
 use crate::state::Shared;
 
 /// Shortest interval of heartbeats within the zone. It determines the age of the load figures of
@@ -136,6 +137,7 @@
             Ok(Datagram::AdmissionResponses { holder, responses }) => {
                 shared.handle_admission_responses(clock::now(), &holder, responses);
             }
+            Ok(Datagram::CrashReports(reports)) => quarantine::handle_reports(&shared, &reports),
             Err(error) => tracing::warn!(event = "bad_datagram", error, len),
         }
     }
--- a/crates/fireflyhead-gateway/src/metrics.rs
+++ b/crates/fireflyhead-gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     sends: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
+    upstream_crashes: Counter<u64>,
+    quarantined_parts: Gauge<u64>,
     first_output: Histogram<f64>,
     total: Histogram<f64>,
     queue: Histogram<f64>,
@@ -59,6 +61,8 @@
             sends: meter.u64_counter("fireflyhead_sends").build(),
             store_calls: meter.u64_counter("fireflyhead_store_calls").build(),
             orders: meter.u64_counter("fireflyhead_orders").build(),
+            upstream_crashes: meter.u64_counter("fireflyhead_upstream_crashes").build(),
+            quarantined_parts: meter.u64_gauge("fireflyhead_quarantined_parts").build(),
             first_output: latency_histogram("fireflyhead_first_output"),
             total: latency_histogram("fireflyhead_request"),
             queue: latency_histogram("fireflyhead_queue"),
@@ -96,6 +100,16 @@
         self.orders.add(1, &[KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a crash of an upstream that this node confirmed.
+    pub fn record_upstream_crash(&self) {
+        self.upstream_crashes.add(1, &[]);
+    }
+
+    /// Sets the number of prompt parts in quarantine.
+    pub fn set_quarantined_parts(&self, parts: usize) {
+        self.quarantined_parts.record(u64::try_from(parts).unwrap_or(u64::MAX), &[]);
+    }
+
     /// Records the time to the first output of a request.
     pub fn record_first_output(&self, route: &str, delay: Duration) {
         self.first_output.record(delay.as_secs_f64(), &[KeyValue::new("route", route.to_owned())]);
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -34,6 +34,7 @@
 use crate::ingress;
 use crate::lifecycle::Phase;
 use crate::metrics::Metrics;
+use crate::quarantine;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::store;
@@ -127,6 +128,7 @@
         tasks.spawn(heartbeats::run_sender(Arc::clone(&shared), controller.clone()));
         tasks.spawn(heartbeats::run_receiver(Arc::clone(&shared), socket, controller.clone()));
         tasks.spawn(run_periodic_checks(Arc::clone(&shared)));
+        tasks.spawn(quarantine::run_exchange(Arc::clone(&shared)));
         for listener in readiness_listener.into_iter().chain(directory_listener) {
             tasks.spawn(directory::serve(Arc::clone(&shared), listener, Page::Directory));
         }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -44,6 +44,7 @@
 use crate::lifecycle::Phase;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::quarantine::QuarantineState;
 use crate::settings::GatewaySettings;
 
 /// Number of low bits of a job id that count requests; the bits above hold the start time of the
@@ -65,6 +66,8 @@
     pub pool: Pool,
     /// Store changes received from other nodes and not applied yet.
     pub feed_queue: FeedQueue,
+    /// Evidence on prompt parts that crash engines.
+    pub quarantine: QuarantineState,
     /// Makes the heartbeat task send before the interval has passed.
     pub heartbeat_now: Notify,
     /// Phase of the node.
@@ -107,6 +110,7 @@
             metrics,
             pool: Pool::default(),
             feed_queue: FeedQueue::default(),
+            quarantine: QuarantineState::default(),
             heartbeat_now: Notify::new(),
             lifecycle: Lifecycle::default(),
             config: Mutex::new(None),
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -28,6 +28,7 @@
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
 use crate::heartbeats::send_to_controller;
+use crate::quarantine;
 use crate::state::Shared;
 use crate::store::Backoff;
 use crate::store::StoreClient;
@@ -313,12 +314,14 @@
                         born = entry.incarnation,
                         adapters = entry.adapters.len()
                     );
+                    quarantine::handle_listed(&self.shared, entry);
                     self.shared.dispatcher().upsert_upstream(entry);
                 }
                 // Not logged: updates are frequent, and their adapters are known from heartbeats.
                 FleetChange::Updated(entry) => self.shared.dispatcher().upsert_upstream(entry),
                 FleetChange::Removed(id) => {
                     tracing::info!(event = "upstream_gone", upstream = %id);
+                    quarantine::handle_removed(&self.shared, id);
                     self.shared.dispatcher().remove_upstream(id);
                     self.shared.pool.close_idle(id.as_str());
                 }
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -5,6 +5,8 @@
 //! - [`AdapterRequest`]: asks the holder of an engine to load an adapter.
 //! - [`HolderMessage`]: asks the holder of an engine for admission of a request, or reports the
 //!   progress of one. [`AdmissionResponse`] is the holder's response.
+//! - [`CrashReport`]: a crash of an engine, with the prompt parts that may have caused it. Sent only
+//!   to nodes that announced at least [`EVIDENCE_PROTOCOL`].
 //! - [`Feed`]: changes of the store, for nodes that do not follow it themselves.
 //!
 //! The holder of an engine is the node that owns it: it alone orders adapter loads there and admits
@@ -21,8 +23,15 @@
 use crate::dispatch::Job;
 use crate::dispatch::JobId;
 use crate::protocol::ModelRef;
+use crate::quarantine::CrashReport;
 use crate::readers::Feed;
 
+/// Version of the protocol between nodes, which each node announces in the store. Nodes without an
+/// announcement have version 1.
+pub const PROTOCOL_VERSION: u32 = 2;
+/// Lowest version of nodes that understand [`Datagram::CrashReports`].
+pub const EVIDENCE_PROTOCOL: u32 = 2;
+
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NodeState {
@@ -301,4 +310,6 @@
         /// Responses.
         responses: Vec<AdmissionResponse>,
     },
+    /// Crashes of engines.
+    CrashReports(Vec<CrashReport>),
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -11,6 +11,7 @@
 //! | `Answer`, `Answers` | [`AdmissionResponse`], [`Datagram::AdmissionResponses`] |
 //! | `Reply` | [`AdmissionDecision`] |
 //! | `Progress` | [`ProgressReport`] |
+//! | `Crash`, `Evidence` | [`CrashReport`], [`Datagram::CrashReports`] |
 //!
 //! Some fields and events differ in name as well; the conversions below pair them.
 
@@ -35,6 +36,11 @@
 use crate::message::ProgressReport;
 use crate::message::UpstreamLoad;
 use crate::protocol::Item;
+use crate::quarantine::CrashId;
+use crate::quarantine::CrashReport;
+use crate::quarantine::MAX_PARTS_PER_CRASH;
+use crate::quarantine::MAX_REPORTS;
+use crate::quarantine::PartId;
 use crate::readers::Feed;
 
 /// Reason why a datagram could not be converted from its wire type.
@@ -74,6 +80,10 @@
                 let answers = responses.iter().map(wire::Answer::from).collect();
                 wire::datagram::Body::Answers(wire::Answers { answers, holder })
             }
+            Datagram::CrashReports(reports) => {
+                let crashes = reports.iter().take(MAX_REPORTS).map(wire::Crash::from).collect();
+                wire::datagram::Body::Evidence(wire::Evidence { crashes })
+            }
         };
         wire::Datagram { body: Some(body) }
     }
@@ -105,11 +115,41 @@
                 })
             }
             Some(wire::datagram::Body::Feed(feed)) => Ok(Datagram::Feed(feed.into())),
+            Some(wire::datagram::Body::Evidence(wire::Evidence { crashes })) => {
+                let reports = crashes.into_iter().take(MAX_REPORTS).map(CrashReport::from);
+                Ok(Datagram::CrashReports(reports.collect()))
+            }
             None => Err(WireError::Empty),
         }
     }
 }
 
+impl From<&CrashReport> for wire::Crash {
+    fn from(report: &CrashReport) -> wire::Crash {
+        let hashes =
+            |parts: &[PartId]| parts.iter().take(MAX_PARTS_PER_CRASH).map(|part| part.0).collect();
+        wire::Crash {
+            crash: report.crash.0,
+            age_ms: u64::try_from(report.age.as_millis()).unwrap_or(u64::MAX),
+            suspects: hashes(&report.suspects),
+            cleared: hashes(&report.cleared),
+        }
+    }
+}
+
+impl From<wire::Crash> for CrashReport {
+    fn from(crash: wire::Crash) -> CrashReport {
+        let parts =
+            |hashes: Vec<u64>| hashes.into_iter().take(MAX_PARTS_PER_CRASH).map(PartId).collect();
+        CrashReport {
+            crash: CrashId(crash.crash),
+            age: Duration::from_millis(crash.age_ms),
+            suspects: parts(crash.suspects),
+            cleared: parts(crash.cleared),
+        }
+    }
+}
+
 impl From<&HolderMessage> for wire::HolderMessage {
     fn from(message: &HolderMessage) -> wire::HolderMessage {
         let body = match message {
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -42,6 +42,9 @@
     pub model: Option<ModelRef>,
     /// Number of tokens; zero if the caller sent no count.
     pub tokens: TokenCount,
+    /// Ids of the parts of the prompt that other requests may share; empty if the caller named none
+    /// or the header is malformed.
+    pub prompt_parts: Vec<Name>,
     /// Time for which the caller waits; `None` if it did not say.
     pub deadline: Option<Duration>,
     /// Id of the last event that the caller received, if it resumes a stream.
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -14,6 +14,7 @@
 mod loads;
 mod messages;
 mod peers;
+mod quarantine;
 mod readers;
 mod replay;
 mod residency;
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -16,6 +16,9 @@
 use fireflyhead_policy::message::ProgressReport;
 use fireflyhead_policy::message::UpstreamLoad;
 use fireflyhead_policy::protocol::Item;
+use fireflyhead_policy::quarantine::CrashId;
+use fireflyhead_policy::quarantine::CrashReport;
+use fireflyhead_policy::quarantine::PartId;
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_schema::codec;
 use fireflyhead_schema::messages as wire;
@@ -114,6 +117,12 @@
             since_outage: Some(Duration::from_millis(900)),
             items,
         }),
+        Datagram::CrashReports(vec![CrashReport {
+            crash: CrashId(77),
+            age: Duration::from_millis(1_234),
+            suspects: vec![PartId(5), PartId(u64::MAX)],
+            cleared: vec![PartId(6)],
+        }]),
     ]
 }
 
@@ -153,7 +162,7 @@
     /// or cut off.
     #[test]
     fn decoding_damaged_datagrams_does_not_panic(
-        index in 0_usize..5,
+        index in 0_usize..6,
         changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
         cut in any::<prop::sample::Index>(),
     ) {
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -0,0 +1,432 @@
+//! Prompt parts that crash engines: evidence of several nodes, verdicts, trials and their limits.
+
+use std::time::Duration;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
+use fireflyhead_policy::message::Datagram;
+use fireflyhead_policy::quarantine::Change;
+use fireflyhead_policy::quarantine::CrashId;
+use fireflyhead_policy::quarantine::CrashReport;
+use fireflyhead_policy::quarantine::MAX_CRASHES;
+use fireflyhead_policy::quarantine::MAX_PARTS_PER_CRASH;
+use fireflyhead_policy::quarantine::MAX_REPORTS;
+use fireflyhead_policy::quarantine::PartId;
+use fireflyhead_policy::quarantine::ProbeResult;
+use fireflyhead_policy::quarantine::Quarantine;
+use fireflyhead_policy::quarantine::Verdict;
+use fireflyhead_schema::codec;
+use fireflyhead_schema::messages as wire;
+use proptest::prelude::*;
+
+use crate::setup::ms;
+
+/// Part that crashes engines.
+const DEADLY: PartId = PartId(666);
+/// Sound first part that all requests have.
+const FIRST: PartId = PartId(1);
+/// Time between two crashes.
+const GAP: u64 = 400;
+
+fn engine(n: u64) -> Name {
+    Name::from(format!("engine-{n}"))
+}
+
+/// Lets engine `n` crash at `now`, confirmed by a refused connection; `parts` are those of a
+/// request without output.
+fn crash(node: &mut Quarantine, now: Time, n: u64, parts: &[PartId]) -> CrashReport {
+    let id = node.record_break(now, &engine(n), 1, parts).expect("a connection attempt is due");
+    node.record_probe(now + Duration::from_millis(20), id, ProbeResult::Refused)
+        .expect("the crash is confirmed")
+}
+
+/// Sends all evidence of `from` to `to`, with a delay.
+fn send(now: Time, from: &Quarantine, to: &mut Quarantine) {
+    to.merge(now + Duration::from_millis(2), &from.reports(now));
+}
+
+/// Returns the verdict of a node that runs no trials.
+fn check(node: &mut Quarantine, now: Time, parts: &[PartId]) -> Verdict {
+    node.check(now, parts, |_| false)
+}
+
+fn is_refused(node: &mut Quarantine, now: Time, parts: &[PartId]) -> bool {
+    matches!(check(node, now, parts), Verdict::Refuse { .. })
+}
+
+/// Returns a node that has quarantined [`DEADLY`] alone, and the time of the third crash.
+fn node_with_verdict() -> (Quarantine, Time) {
+    let mut node = Quarantine::default();
+    for n in 0..3 {
+        crash(&mut node, ms(1_000 + n * GAP), n, &[FIRST, DEADLY, PartId(10 + n)]);
+    }
+    let last = ms(1_000 + 2 * GAP);
+    node.record_output(last + Duration::from_millis(50), &[FIRST, PartId(90)]);
+    (node, last)
+}
+
+/// Guards against a deadly part that no node recognizes because each node saw only one crash.
+#[test]
+fn nodes_that_saw_one_crash_each_quarantine_the_part_together() {
+    let mut nodes = [Quarantine::default(), Quarantine::default(), Quarantine::default()];
+    for (n, node) in (0..).zip(&mut nodes) {
+        crash(node, ms(1_000 + n * GAP), n, &[FIRST, DEADLY, PartId(10 + n)]);
+    }
+    let now = ms(2_000);
+    let sent: Vec<Vec<CrashReport>> = nodes.iter_mut().map(|node| node.take_unsent(now)).collect();
+    for node in &mut nodes {
+        sent.iter().for_each(|reports| node.merge(now, reports));
+        assert!(is_refused(node, now, &[FIRST, DEADLY, PartId(99)]));
+        assert!(!is_refused(node, now, &[FIRST, PartId(10)]));
+    }
+}
+
+/// Guards against requests that are refused for a sound part which all deadly requests share.
+#[test]
+fn a_sound_first_part_is_not_refused() {
+    let mut node = Quarantine::default();
+    for n in 0..8 {
+        let now = ms(1_000 + n * GAP);
+        crash(&mut node, now, n, &[FIRST, DEADLY, PartId(10 + n)]);
+        assert!(!is_refused(&mut node, now, &[FIRST, PartId(50)]), "after crash {n}");
+        node.record_output(now + Duration::from_millis(100), &[FIRST, PartId(50)]);
+        assert!(!is_refused(&mut node, now, &[FIRST, PartId(50)]), "after output {n}");
+    }
+    let groups: Vec<_> = node.groups().iter().map(|group| group.parts.clone()).collect();
+    assert_eq!(groups, [vec![DEADLY]]);
+}
+
+/// Guards against requests that are refused for a rare sound part that only ever occurred together
+/// with the deadly one: they are refused only if they have both.
+#[test]
+fn a_part_that_occurs_only_with_the_deadly_one_is_refused_only_with_it() {
+    let rare = PartId(7);
+    let mut node = Quarantine::default();
+    for n in 0..3 {
+        crash(&mut node, ms(1_000 + n * GAP), n, &[DEADLY, rare, PartId(10 + n)]);
+    }
+    let now = ms(3_000);
+    assert!(is_refused(&mut node, now, &[rare, DEADLY]));
+    assert!(!is_refused(&mut node, now, &[rare, PartId(50)]));
+    // A crash without the rare part shows that the other one suffices.
+    crash(&mut node, now, 9, &[DEADLY, PartId(60)]);
+    assert!(is_refused(&mut node, now, &[DEADLY, PartId(61)]));
+    assert!(!is_refused(&mut node, now, &[rare, PartId(50)]));
+}
+
+/// Guards against two deadly parts whose requests share a sound part, which is suspect in the
+/// crashes of both.
+#[test]
+fn two_deadly_parts_are_told_apart_from_the_part_that_they_share() {
+    let other = PartId(667);
+    let mut node = Quarantine::default();
+    node.record_output(ms(900), &[FIRST]);
+    for n in 0..6 {
+        let now = ms(1_000 + n * GAP);
+        let deadly = if n % 2 == 0 { DEADLY } else { other };
+        crash(&mut node, now, n, &[FIRST, deadly, PartId(10 + n)]);
+        if n % 2 == 1 {
+            node.record_output(now + Duration::from_millis(100), &[FIRST, PartId(50)]);
+        }
+        assert!(!is_refused(&mut node, now, &[FIRST, PartId(50)]), "after crash {n}");
+    }
+    let now = ms(4_000);
+    assert!(is_refused(&mut node, now, &[FIRST, DEADLY]));
+    assert!(is_refused(&mut node, now, &[FIRST, other]));
+}
+
+/// Guards against parts that are quarantined because many engines crash at once for another reason:
+/// as long as other requests with the parts begin, they are not refused.
+#[test]
+fn a_crash_of_many_engines_at_once_quarantines_no_part() {
+    let mut node = Quarantine::default();
+    node.record_output(ms(4_990), &[FIRST, PartId(2)]);
+    let now = ms(5_000);
+    for n in 0..20 {
+        crash(&mut node, now, n, &[FIRST, PartId(2 + n % 4), PartId(100 + n)]);
+        assert!(!is_refused(&mut node, now, &[FIRST, PartId(2)]), "after crash {n}");
+    }
+    let later = now + Duration::from_millis(120);
+    node.record_output(later, &[FIRST, PartId(2)]);
+    node.record_output(later, &[FIRST, PartId(3)]);
+    node.record_output(later, &[FIRST, PartId(4)]);
+    node.record_output(later, &[FIRST, PartId(5)]);
+    node.refresh(later + Duration::from_secs(3));
+    assert_eq!(node.groups(), []);
+}
+
+/// Guards against a rare part that is quarantined because its three requests were at engines that
+/// crashed at the same moment.
+#[test]
+fn three_crashes_at_the_same_moment_are_not_enough() {
+    let mut node = Quarantine::default();
+    for n in 0..3 {
+        crash(&mut node, ms(1_000 + n), n, &[PartId(5), PartId(10 + n)]);
+    }
+    assert!(!is_refused(&mut node, ms(2_000), &[PartId(5)]));
+}
+
+/// Guards against evidence from engines that live: ones that reset connections, do not reply, drain
+/// or were removed. A caller can't quarantine a part without crashing engines.
+#[test]
+fn broken_connections_of_live_engines_are_no_evidence() {
+    let mut node = Quarantine::default();
+    for n in 0..10 {
+        let now = ms(1_000 + n * GAP);
+        let parts = [FIRST, DEADLY];
+        let id = node.record_break(now, &engine(n), 1, &parts).expect("an attempt is due");
+        match n % 3 {
+            0 => assert_eq!(node.record_probe(now, id, ProbeResult::Accepted), None),
+            1 => assert_eq!(node.record_probe(now, id, ProbeResult::NoReply), None),
+            _ => {
+                node.forget_upstream(engine(n).as_str());
+                assert_eq!(node.record_probe(now, id, ProbeResult::Refused), None);
+            }
+        }
+        // A later restart, such as a planned one, proves nothing about the earlier break.
+        let restart = now + Duration::from_secs(11);
+        assert_eq!(node.record_start(restart, engine(n).as_str(), 2), None);
+    }
+    assert_eq!(node.groups(), []);
+    assert!(node.reports(ms(9_000)).is_empty());
+}
+
+/// Guards against a crash that is not recognized because connection attempts get no reply, though
+/// the engine is soon listed with a new start.
+#[test]
+fn a_new_start_confirms_a_crash() {
+    let mut node = Quarantine::default();
+    let id = node.record_break(ms(1_000), &engine(1), 1, &[DEADLY]).expect("an attempt is due");
+    assert_eq!(node.record_probe(ms(2_500), id, ProbeResult::NoReply), None);
+    assert_eq!(node.record_start(ms(3_000), "engine-1", 1), None, "the same start");
+    let report = node.record_start(ms(4_000), "engine-1", 2).expect("the crash is confirmed");
+    assert_eq!((report.crash, report.age), (id, Duration::from_secs(3)));
+    assert_eq!(report.suspects, [DEADLY]);
+}
+
+/// Guards against several connection attempts for one crash, and against the loss of the parts of
+/// all but the first request that it broke.
+#[test]
+fn one_attempt_confirms_the_breaks_of_all_requests() {
+    let mut node = Quarantine::default();
+    let id = node.record_break(ms(1_000), &engine(1), 1, &[FIRST]).expect("an attempt is due");
+    assert_eq!(node.record_break(ms(1_001), &engine(1), 1, &[DEADLY]), None);
+    let report = node.record_probe(ms(1_020), id, ProbeResult::Refused).expect("it is confirmed");
+    assert_eq!(report.suspects, [FIRST, DEADLY]);
+    assert_eq!(node.record_break(ms(1_030), &engine(1), 1, &[PartId(3)]), None);
+    assert_eq!(node.reports(ms(1_040))[0].suspects, [FIRST, PartId(3), DEADLY]);
+}
+
+/// Guards against a part that stays suspect because its output arrived between the crash and the
+/// confirmation, or at another node.
+#[test]
+fn output_clears_crashes_that_are_confirmed_later() {
+    let mut node = Quarantine::default();
+    let id = node.record_break(ms(1_000), &engine(1), 1, &[FIRST]).expect("an attempt is due");
+    node.record_output(ms(1_010), &[FIRST]);
+    let report = node.record_probe(ms(1_020), id, ProbeResult::Refused).expect("it is confirmed");
+    assert_eq!((report.suspects, report.cleared), (vec![], vec![FIRST]));
+
+    let (suspecting, _) = node_with_verdict();
+    let mut other = Quarantine::default();
+    other.record_output(ms(10_000), &[DEADLY]);
+    send(ms(10_010), &suspecting, &mut other);
+    assert_eq!(other.groups(), []);
+    let mut suspecting = suspecting;
+    suspecting.merge(ms(10_020), &other.take_unsent(ms(10_020)));
+    assert_eq!(suspecting.groups(), [], "the other node sends that the part is cleared");
+}
+
+/// Guards against a deadly part that is released because an earlier output clears later crashes.
+#[test]
+fn output_does_not_clear_later_crashes() {
+    let mut node = Quarantine::default();
+    node.record_output(ms(500), &[DEADLY]);
+    for n in 0..3 {
+        crash(&mut node, ms(1_000 + n * GAP), n, &[DEADLY]);
+    }
+    node.refresh(ms(3_000));
+    assert!(is_refused(&mut node, ms(3_000), &[DEADLY]));
+}
+
+/// Guards against nodes that do not learn of a verdict because messages were lost or they have
+/// restarted: the periodic message has all evidence.
+#[test]
+fn a_restarted_node_learns_the_verdict_from_one_periodic_message() {
+    let (node, last) = node_with_verdict();
+    let mut restarted = Quarantine::default();
+    send(last + Duration::from_secs(30), &node, &mut restarted);
+    assert!(is_refused(&mut restarted, last + Duration::from_secs(31), &[DEADLY]));
+}
+
+/// Guards against a wrong verdict that lasts: after a minute one request is let through, and if it
+/// begins, the parts are released at all nodes.
+#[test]
+fn a_wrong_verdict_is_released_by_a_trial() {
+    let (mut node, last) = node_with_verdict();
+    let (mut other, _) = node_with_verdict();
+    let request = [FIRST, DEADLY];
+    let early = last + Duration::from_secs(59);
+    node.refresh(early);
+    assert!(matches!(node.check(early, &request, |_| true), Verdict::Refuse { .. }));
+    let due = last + Duration::from_secs(61);
+    assert!(matches!(node.check(due, &request, |_| false), Verdict::Refuse { .. }));
+    assert_eq!(node.check(due, &request, |part| part == DEADLY), Verdict::Trial);
+    assert!(is_refused(&mut node, due, &request), "one trial at a time");
+    node.take_unsent(due);
+    let output = due + Duration::from_secs(1);
+    node.record_output(output, &request);
+    assert_eq!(node.check(output, &request, |_| true), Verdict::Serve);
+    other.merge(output, &node.take_unsent(output));
+    assert_eq!(other.check(output, &request, |_| true), Verdict::Serve);
+    assert_eq!(other.take_changes().last(), Some(&Change::Released(vec![DEADLY])));
+}
+
+/// Guards against trials of a deadly part that crash engines again and again: at most one per
+/// minute, and fewer after each crash.
+#[test]
+fn a_deadly_part_crashes_at_most_one_engine_per_minute() {
+    let (mut node, last) = node_with_verdict();
+    let mut trials = Vec::new();
+    for second in 0..600 {
+        let now = last + Duration::from_secs(second);
+        node.refresh(now);
+        if node.check(now, &[FIRST, DEADLY], |_| true) == Verdict::Trial {
+            crash(&mut node, now, 100 + second, &[FIRST, DEADLY]);
+            node.record_output(now, &[FIRST]);
+            trials.push(second);
+        }
+    }
+    assert!(!trials.is_empty());
+    assert!(trials.windows(2).all(|pair| pair[1] - pair[0] >= 60), "{trials:?}");
+    assert!(trials.len() <= 3, "{trials:?}");
+}
+
+/// Guards against a trial of a request that may crash the engine because of another part.
+#[test]
+fn a_request_with_another_suspect_part_is_no_trial() {
+    let (mut node, last) = node_with_verdict();
+    crash(&mut node, last + Duration::from_secs(1), 50, &[PartId(70)]);
+    let due = last + Duration::from_secs(70);
+    assert!(matches!(node.check(due, &[DEADLY, PartId(70)], |_| true), Verdict::Refuse { .. }));
+}
+
+/// Guards against evidence that is kept for longer than ten minutes.
+#[test]
+fn evidence_expires() {
+    let (mut node, last) = node_with_verdict();
+    node.refresh(last + Duration::from_secs(601));
+    assert_eq!(node.groups(), []);
+    assert!(node.reports(last + Duration::from_secs(601)).is_empty());
+    let old = CrashReport {
+        crash: CrashId(1),
+        age: Duration::from_secs(600),
+        suspects: vec![DEADLY],
+        cleared: vec![],
+    };
+    node.merge(last, &[old]);
+    node.refresh(last);
+    assert!(node.reports(last).is_empty());
+}
+
+/// Guards against evidence and messages that grow without bound, also if another node sends more
+/// than this one would, and against a bound that drops the crashes of a deadly part.
+#[test]
+fn evidence_is_bounded_and_keeps_the_crashes_of_a_deadly_part() {
+    let (mut node, last) = node_with_verdict();
+    for n in 0..200 {
+        let parts: Vec<PartId> = (0..40).map(|part| PartId(1_000 + n * 40 + part)).collect();
+        crash(&mut node, last + Duration::from_millis(n + 1), 1_000 + n, &parts);
+    }
+    let now = last + Duration::from_secs(1);
+    assert!(is_refused(&mut node, now, &[DEADLY]));
+    let reports = node.reports(now);
+    assert_eq!(reports.len(), MAX_REPORTS);
+    assert!(reports.iter().all(|report| report.suspects.len() <= MAX_PARTS_PER_CRASH));
+
+    let parts: Vec<PartId> = (0..100).map(PartId).collect();
+    let report = |n| CrashReport {
+        crash: CrashId(n),
+        age: Duration::from_secs(1),
+        suspects: parts.clone(),
+        cleared: parts.clone(),
+    };
+    let datagram = wire::Datagram::from(&Datagram::CrashReports((0..100).map(report).collect()));
+    let bytes = codec::encode(&datagram).expect("the datagram can be encoded");
+    assert!(bytes.len() <= 5_000, "{} bytes", bytes.len());
+    let excess = wire::Evidence {
+        crashes: (0..100)
+            .map(|n| wire::Crash { crash: n, age_ms: 1, suspects: vec![1; 100], cleared: vec![] })
+            .collect(),
+    };
+    let datagram = wire::Datagram { body: Some(wire::datagram::Body::Evidence(excess)) };
+    let Ok(Datagram::CrashReports(reports)) = Datagram::try_from(datagram) else {
+        panic!("the datagram is evidence")
+    };
+    assert_eq!(reports.len(), MAX_REPORTS);
+    assert!(reports.iter().all(|report| report.suspects.len() <= MAX_PARTS_PER_CRASH));
+}
+
+/// Guards against a steady message that is too large for the budget of control traffic: six of
+/// these a second must stay well below 12 KB.
+#[test]
+fn the_steady_message_is_small() {
+    let (node, last) = node_with_verdict();
+    let datagram = Datagram::CrashReports(node.reports(last + Duration::from_secs(5)));
+    let bytes = codec::encode(&wire::Datagram::from(&datagram)).expect("it can be encoded");
+    assert!(bytes.len() <= 300, "{} bytes", bytes.len());
+}
+
+prop_compose! {
+    fn any_report()(
+        crash in 0_u64..8,
+        age in 0_u64..3_000,
+        suspects in prop::collection::vec(0_u64..8, 0..6),
+        cleared in prop::collection::vec(0_u64..8, 0..3),
+    ) -> CrashReport {
+        CrashReport {
+            crash: CrashId(crash),
+            age: Duration::from_millis(age),
+            suspects: suspects.into_iter().map(PartId).collect(),
+            cleared: cleared.into_iter().map(PartId).collect(),
+        }
+    }
+}
+
+proptest! {
+    /// Guards against nodes that reach different verdicts because they received the same messages
+    /// in another order, or some of them twice.
+    #[test]
+    fn the_order_and_repetition_of_messages_do_not_matter(
+        reports in prop::collection::vec(any_report(), 0..30),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let now = ms(100_000);
+        let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+        for report in &reports {
+            first.merge(now, std::slice::from_ref(report));
+        }
+        let split = order.index(reports.len() + 1);
+        for report in reports[split..].iter().rev().chain(reports[..split].iter()).chain(&reports) {
+            second.merge(now, std::slice::from_ref(report));
+        }
+        prop_assert_eq!(first.groups(), second.groups());
+        prop_assert_eq!(first.reports(now), second.reports(now));
+    }
+
+    /// Guards against more crashes or parts than the bounds allow, whatever arrives.
+    #[test]
+    fn the_number_of_crashes_is_bounded(
+        reports in prop::collection::vec((any::<u64>(), prop::collection::vec(any::<u64>(), 0..30)), 0..80),
+    ) {
+        let now = ms(100_000);
+        let mut node = Quarantine::default();
+        for (crash, parts) in reports {
+            let suspects = parts.into_iter().map(PartId).collect();
+            let age = Duration::from_millis(crash % 1_000);
+            node.merge(now, &[CrashReport { crash: CrashId(crash), age, suspects, cleared: vec![] }]);
+            prop_assert!(node.crash_count() <= MAX_CRASHES);
+        }
+        prop_assert!(node.reports(now).iter().all(|r| r.suspects.len() <= MAX_PARTS_PER_CRASH));
+    }
+}
