Count the crash of an engine that is back before it is probed

A crash was not counted if the engine's supervisor had restarted it before the connection attempt: an accepted connection ended the wait for proof, although the entry of the engine then shows a new start.

A reset by an engine that lives stays without consequences. quarantine::an_engine_that_is_back_before_it_is_probed_has_crashed covers it; before, no crash was confirmed.

--- a/crates/fireflyhead-policy/src/quarantine.rs
+++ b/crates/fireflyhead-policy/src/quarantine.rs
@@ -243,11 +243,8 @@
     ) -> Option<CrashReport> {
         match result {
             ProbeResult::Refused => self.confirm(now, id),
-            ProbeResult::Accepted => {
-                self.unconfirmed.remove(&id);
-                None
-            }
-            ProbeResult::NoReply => {
+            // The engine may have been restarted already, which its entry then shows.
+            ProbeResult::Accepted | ProbeResult::NoReply => {
                 if let Some(unconfirmed) = self.unconfirmed.get_mut(&id) {
                     unconfirmed.probing = false;
                 }
--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -430,3 +430,14 @@
         prop_assert!(node.reports(now).iter().all(|r| r.suspects.len() <= MAX_PARTS_PER_CRASH));
     }
 }
+
+/// Guards against a crash that is missed because the engine is back before it is probed: its entry
+/// with a new start proves the crash.
+#[test]
+fn an_engine_that_is_back_before_it_is_probed_has_crashed() {
+    let mut node = Quarantine::default();
+    let id = node.record_break(ms(0), &engine(0), 1, &[FIRST, DEADLY]).expect("an attempt is due");
+    assert_eq!(node.record_probe(ms(20), id, ProbeResult::Accepted), None);
+    let crash = node.record_start(ms(1_500), engine(0).as_str(), 2);
+    assert!(crash.is_some_and(|crash| crash.suspects.contains(&DEADLY)));
+}
