Reset the connection of a response that is cut off at its deadline

A caller of HTTP/1.0 that stops reading until the deadline of its stream saw a regular end of the response: the connection was closed by the check of its timeouts, not by an error of the body. Read in the code, no run shows it.

--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -341,6 +341,8 @@
             }
             () = sleep(activity.check_delay(clock::now())) => {
                 if activity.is_timed_out(clock::now(), &limits()) {
+                    let cuts_response = activity.active_requests.load(Ordering::Relaxed) > 0;
+                    activity.must_reset.store(cuts_response, Ordering::Relaxed);
                     return;
                 }
             }
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! `fireflyhead-policy` and forwards the request there ([`forward`], [`pool`]). It watches the
 //! store for the configuration and the upstreams ([`store_watch`]), exchanges its load with the
 //! other nodes ([`heartbeats`]) and sends orders to the engines that it owns
-//! ([`engine_controller`]). Requests that crash engines are refused ([`quarantine`]). The headers, paths and bodies of the platform are behind a
+//! ([`engine_controller`]). Requests that crash engines are refused ([`quarantine`]). The headers,
+//! paths and bodies of the platform are behind a
 //! [`PlatformProtocol`](fireflyhead_policy::protocol::PlatformProtocol).
 //!
 //! All tasks run on one thread and share [`state::Shared`].
