Keep other parts of each crash if there are too many

A deadly part was never quarantined if more than 16 parts without output were at each crashing engine: among equals the parts with the lowest ids were kept, so that a part with a high id was dropped from every crash. The hash has fixed keys, so that a caller could also choose ids that displace others.

Equals are now ranked by their id combined with that of the crash, which callers don't know. A part that is kept once ranks first from then on. quarantine::a_deadly_part_with_a_high_id_is_found_among_many_parts failed before: not refused after 20 crashes with 21 parts each.

--- a/crates/fireflyhead-policy/src/quarantine.rs
+++ b/crates/fireflyhead-policy/src/quarantine.rs
@@ -389,18 +389,20 @@
     /// and among equals those without output at this node.
     fn bound_parts(&mut self, id: CrashId) {
         let Some(crash) = self.crashes.get(&id) else { return };
-        let mut ranked: Vec<(bool, usize, bool, PartId)> = crash
+        let mut ranked: Vec<(bool, usize, bool, u64, PartId)> = crash
             .parts
             .iter()
             .map(|(part, cleared)| {
                 let others = self.crashes.values().filter(|other| other.has_suspect(*part)).count();
-                (*cleared, usize::MAX - others, self.outputs.contains_key(part), *part)
+                // Another order for each crash, so that no part is dropped from all of them.
+                let order = part.0 ^ id.0;
+                (*cleared, usize::MAX - others, self.outputs.contains_key(part), order, *part)
             })
             .collect();
         ranked.sort_unstable();
         let dropped = ranked.split_off(MAX_PARTS_PER_CRASH);
         if let Some(crash) = self.crashes.get_mut(&id) {
-            for (_, _, _, part) in dropped {
+            for (.., part) in dropped {
                 crash.parts.remove(&part);
             }
         }
--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -441,3 +441,18 @@
     let crash = node.record_start(ms(1_500), engine(0).as_str(), 2);
     assert!(crash.is_some_and(|crash| crash.suspects.contains(&DEADLY)));
 }
+
+/// Guards against a deadly part that is dropped from every crash in favor of parts with lower ids,
+/// because engines crash with more parts without output than are kept.
+#[test]
+fn a_deadly_part_with_a_high_id_is_found_among_many_parts() {
+    let deadly = PartId(u64::MAX - 1);
+    let mut node = Quarantine::default();
+    for n in 0..20 {
+        let mut parts: Vec<PartId> =
+            (0..20).map(|part| PartId::new("service", &format!("{n} {part}"))).collect();
+        parts.push(deadly);
+        crash(&mut node, ms(1_000 + n * GAP), n, &parts);
+    }
+    assert!(is_refused(&mut node, ms(10_000), &[deadly]));
+}
