Separate a crash from an earlier reset by the same engine

A later break at the same start of an engine that accepted a connection now replaces the earlier one. quarantine::a_crash_is_told_apart_from_an_earlier_reset failed before: no crash was confirmed.

--- a/crates/fireflyhead-policy/src/quarantine.rs
+++ b/crates/fireflyhead-policy/src/quarantine.rs
@@ -135,6 +135,8 @@
     parts: BTreeSet<PartId>,
     /// Whether a connection attempt to the engine is in progress.
     probing: bool,
+    /// Whether a connection was accepted after the break.
+    accepted: bool,
 }
 
 /// Result of a connection attempt to an engine whose connections broke.
@@ -229,7 +231,13 @@
             at: now,
             parts: BTreeSet::new(),
             probing: false,
+            accepted: false,
         });
+        // The engine still has this start, so that the earlier break was no crash.
+        if std::mem::take(&mut unconfirmed.accepted) {
+            unconfirmed.at = now;
+            unconfirmed.parts.clear();
+        }
         unconfirmed.parts.extend(parts);
         (!std::mem::replace(&mut unconfirmed.probing, true)).then_some(id)
     }
@@ -247,6 +255,7 @@
             ProbeResult::Accepted | ProbeResult::NoReply => {
                 if let Some(unconfirmed) = self.unconfirmed.get_mut(&id) {
                     unconfirmed.probing = false;
+                    unconfirmed.accepted = result == ProbeResult::Accepted;
                 }
                 None
             }
--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -456,3 +456,17 @@
     }
     assert!(is_refused(&mut node, ms(10_000), &[deadly]));
 }
+
+/// Guards against a reset by an engine that lives, whose request becomes suspect in a crash some
+/// seconds later, and whose time is taken for that of the crash.
+#[test]
+fn a_crash_is_told_apart_from_an_earlier_reset() {
+    let mut node = Quarantine::default();
+    let id = node.record_break(ms(0), &engine(0), 1, &[PartId(5)]).expect("an attempt is due");
+    assert_eq!(node.record_probe(ms(20), id, ProbeResult::Accepted), None);
+    let id = node.record_break(ms(9_990), &engine(0), 1, &[DEADLY]).expect("an attempt is due");
+    node.refresh(ms(10_000));
+    let report = node.record_probe(ms(10_010), id, ProbeResult::Refused);
+    let report = report.expect("the crash is confirmed");
+    assert_eq!((report.age, report.suspects), (Duration::from_millis(20), vec![DEADLY]));
+}
