Send all changed crashes if one message can't hold them

Crashes beyond the 16 of one message were forgotten as if they had been sent. If a part was cleared of more crashes, other nodes went on refusing it; the periodic message begins with other crashes.

The rest now stays unsent until the next message, at most 500 ms later. quarantine::a_release_reaches_other_nodes_if_there_are_many_crashes failed before: still refused 11 s after the release, with messages both ways.

--- a/crates/fireflyhead-policy/src/quarantine.rs
+++ b/crates/fireflyhead-policy/src/quarantine.rs
@@ -570,12 +570,17 @@
         !self.unsent.is_empty()
     }
 
-    /// Returns the crashes that the other nodes should learn of at once, and forgets that they
-    /// should.
+    /// Returns up to [`MAX_REPORTS`] of the crashes that the other nodes should learn of at once, and
+    /// forgets that they should learn of these.
     pub fn take_unsent(&mut self, now: Time) -> Vec<CrashReport> {
-        let unsent = std::mem::take(&mut self.unsent);
-        let reports = unsent.iter().filter_map(|id| Some(report(now, *id, self.crashes.get(id)?)));
-        reports.take(MAX_REPORTS).collect()
+        self.unsent.retain(|id| self.crashes.contains_key(id));
+        let mut reports = Vec::new();
+        while reports.len() < MAX_REPORTS
+            && let Some(id) = self.unsent.pop_first()
+        {
+            reports.extend(self.crashes.get(&id).map(|crash| report(now, id, crash)));
+        }
+        reports
     }
 
     /// Returns the crashes for a periodic message: those of the quarantined groups and the newest
--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -470,3 +470,26 @@
     let report = report.expect("the crash is confirmed");
     assert_eq!((report.age, report.suspects), (Duration::from_millis(20), vec![DEADLY]));
 }
+
+/// Guards against nodes that keep a wrong verdict because the part is suspect in more crashes than
+/// fit into one message.
+#[test]
+fn a_release_reaches_other_nodes_if_there_are_many_crashes() {
+    let (mut node, mut other) = (Quarantine::default(), Quarantine::default());
+    for n in 0..MAX_CRASHES as u64 {
+        let report = crash(&mut node, ms(1_000 + n * GAP), n, &[DEADLY]);
+        node.take_unsent(ms(1_000 + n * GAP));
+        other.merge(ms(1_020 + n * GAP), &[report]);
+    }
+    assert!(is_refused(&mut other, ms(20_000), &[DEADLY]));
+    node.record_output(ms(20_000), &[DEADLY]);
+    assert!(!is_refused(&mut node, ms(20_000), &[DEADLY]));
+    for n in 0..20 {
+        let now = ms(20_000 + n * 500);
+        node.refresh(now);
+        other.merge(now, &node.take_unsent(now));
+        send(now, &node, &mut other);
+        send(now, &other, &mut node);
+    }
+    assert!(!is_refused(&mut other, ms(31_000), &[DEADLY]));
+}
