Test that failing trials don't release a deadly part

Fails: the part is served 660 s after the third crash. Crashes expire after 600 s and the trials are up to 480 s apart, so that fewer than the three crashes of a verdict are left.

--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -493,3 +493,21 @@
     }
     assert!(!is_refused(&mut other, ms(31_000), &[DEADLY]));
 }
+
+/// Guards against a deadly part that is released while its trials crash engines, because fewer
+/// crashes than a verdict needs are young enough.
+#[test]
+fn a_deadly_part_is_not_released_while_its_trials_fail() {
+    let (mut node, last) = node_with_verdict();
+    for second in 1..3_600 {
+        let now = last + Duration::from_secs(second);
+        node.refresh(now);
+        match node.check(now, &[FIRST, DEADLY], |_| true) {
+            Verdict::Refuse { .. } => continue,
+            Verdict::Trial => {}
+            Verdict::Serve => panic!("served {second} s after the third crash"),
+        }
+        crash(&mut node, now, 100 + second, &[FIRST, DEADLY]);
+        node.record_output(now + Duration::from_millis(100), &[FIRST]);
+    }
+}
