Test that a cleared part stays cleared among many suspects

Fails: 16 suspects displace the record that the first part is cleared. A later report with the part as a suspect makes it suspect again, and it is refused. In the other order of the same reports it isn't.

--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -511,3 +511,25 @@
         node.record_output(now + Duration::from_millis(100), &[FIRST]);
     }
 }
+
+/// Guards against a sound part that becomes suspect again because too many suspects displace the
+/// record that it is cleared.
+#[test]
+fn a_cleared_part_stays_cleared_if_there_are_many_suspects() {
+    let report = |n: u64, suspects: Vec<PartId>, cleared: Vec<PartId>| CrashReport {
+        crash: CrashId(n),
+        age: Duration::from_millis(6_000 - n * GAP),
+        suspects,
+        cleared,
+    };
+    let mut node = Quarantine::default();
+    let now = ms(10_000);
+    for n in 0..6 {
+        let others: Vec<PartId> = (0..16).map(|part| PartId(1_000 + n * 16 + part)).collect();
+        node.merge(now, &[report(n, others, vec![FIRST])]);
+    }
+    for n in 0..6 {
+        node.merge(now, &[report(n, vec![FIRST], vec![])]);
+    }
+    assert!(!is_refused(&mut node, now, &[FIRST]));
+}
