Test old evidence of a node that was cut off

Fails: a crash without suspects is dropped 60 s after it, and outputs of more than 4096 parts are kept for 10 s. The evidence of a node that was cut off for longer then quarantines a part that was cleared.

--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -533,3 +533,23 @@
     }
     assert!(!is_refused(&mut node, now, &[FIRST]));
 }
+
+/// Guards against a sound part that is quarantined long after it was cleared, because a node that
+/// was cut off sends old evidence.
+#[test]
+fn evidence_of_a_node_that_was_cut_off_does_not_quarantine_a_cleared_part() {
+    let (mut node, mut other) = (Quarantine::default(), Quarantine::default());
+    for n in 0..3 {
+        let report = crash(&mut node, ms(1_000 + n * GAP), n, &[PartId(5)]);
+        other.merge(ms(1_020 + n * GAP), &[report]);
+    }
+    node.record_output(ms(3_000), &[PartId(5)]);
+    assert!(!is_refused(&mut node, ms(3_000), &[PartId(5)]));
+    for second in 4..100 {
+        node.refresh(ms(second * 1_000));
+        let parts: Vec<PartId> = (0..100).map(|n| PartId(second * 1_000 + n)).collect();
+        node.record_output(ms(second * 1_000), &parts);
+    }
+    send(ms(100_000), &other, &mut node);
+    assert!(!is_refused(&mut node, ms(100_010), &[PartId(5)]));
+}
