Test a part that two deadly parts occur with

Fails: the shared part is suspect in four crashes, each deadly part in two, so that requests are refused for the shared part alone. No response began between the crashes.

--- a/crates/fireflyhead-policy/tests/policy/quarantine.rs
+++ b/crates/fireflyhead-policy/tests/policy/quarantine.rs
@@ -553,3 +553,14 @@
     send(ms(100_000), &other, &mut node);
     assert!(!is_refused(&mut node, ms(100_010), &[PartId(5)]));
 }
+
+/// Guards against a sound part that is quarantined alone because two deadly parts occur with it.
+#[test]
+fn a_part_that_two_deadly_parts_occur_with_is_not_quarantined_alone() {
+    let mut node = Quarantine::default();
+    for n in 0..4 {
+        let deadly = if n % 2 == 0 { DEADLY } else { PartId(667) };
+        crash(&mut node, ms(1_000 + n * GAP), n, &[PartId(5), deadly, PartId(10 + n)]);
+    }
+    assert!(!is_refused(&mut node, ms(4_000), &[PartId(5), PartId(99)]));
+}
