Keep what is cleared of a crash beside many suspects

A sound part was refused again: 16 other suspects of a crash displaced the record that the part is cleared, and a later report with the part as a suspect made it suspect again. A caller can send 16 fresh parts with each request that crashes an engine.

--- a/crates/fireflyhead-policy/src/quarantine.rs
+++ b/crates/fireflyhead-policy/src/quarantine.rs
@@ -394,8 +394,8 @@
         }
     }
 
-    /// Keeps [`MAX_PARTS_PER_CRASH`] parts of a crash: those that are suspect in most other crashes,
-    /// and among equals those without output at this node.
+    /// Keeps [`MAX_PARTS_PER_CRASH`] suspects of a crash and as many cleared parts: those that are
+    /// suspect in most other crashes, and among equals those without output at this node.
     fn bound_parts(&mut self, id: CrashId) {
         let Some(crash) = self.crashes.get(&id) else { return };
         let mut ranked: Vec<(bool, usize, bool, u64, PartId)> = crash
@@ -409,10 +409,14 @@
             })
             .collect();
         ranked.sort_unstable();
-        let dropped = ranked.split_off(MAX_PARTS_PER_CRASH);
+        let first_cleared = ranked.partition_point(|(cleared, ..)| !cleared);
+        let dropped = ranked[..first_cleared]
+            .iter()
+            .skip(MAX_PARTS_PER_CRASH)
+            .chain(ranked[first_cleared..].iter().skip(MAX_PARTS_PER_CRASH));
         if let Some(crash) = self.crashes.get_mut(&id) {
             for (.., part) in dropped {
-                crash.parts.remove(&part);
+                crash.parts.remove(part);
             }
         }
     }
