Keep cleared crashes as long as suspected ones

A sound part was refused by nodes that had cleared it: a crash without suspects was dropped after 60 s, so that a node that was cut off for longer brought the suspects back.

--- a/crates/fireflyhead-policy/src/quarantine.rs
+++ b/crates/fireflyhead-policy/src/quarantine.rs
@@ -31,8 +31,8 @@
 pub const MAX_PARTS_PER_CRASH: usize = 16;
 /// Age at which a crash no longer counts.
 pub const MAX_CRASH_AGE: Duration = Duration::from_secs(600);
-/// Age at which a crash without suspects is dropped. Until then it is kept, because other nodes may
-/// not know yet that its parts are cleared.
+/// Age at which a crash without suspects is no longer sent at intervals. It is kept, because a node
+/// that was cut off may not know yet that its parts are cleared.
 const MAX_CLEARED_AGE: Duration = Duration::from_secs(60);
 /// Number of crashes after which a part is quarantined.
 const MIN_CRASHES: usize = 3;
@@ -443,11 +443,7 @@
     pub fn refresh(&mut self, now: Time) {
         self.crashes.retain(|_, crash| {
             let age = now.since(crash.at);
-            let limit = match crash.suspects().next() {
-                Some(_) => MAX_CRASH_AGE,
-                None => MAX_CLEARED_AGE,
-            };
-            age < limit
+            age < MAX_CRASH_AGE
         });
         self.unconfirmed.retain(|_, unconfirmed| now.since(unconfirmed.at) < CONFIRM_TIMEOUT);
         self.trials.retain(|_, at| now.since(*at) < MAX_CRASH_AGE);
@@ -592,7 +588,13 @@
     pub fn reports(&self, now: Time) -> Vec<CrashReport> {
         let grouped: BTreeSet<CrashId> =
             self.groups.iter().flat_map(|group| group.crashes.iter().copied()).collect();
-        let mut crashes: Vec<(&CrashId, &Crash)> = self.crashes.iter().collect();
+        let mut crashes: Vec<(&CrashId, &Crash)> = self
+            .crashes
+            .iter()
+            .filter(|(_, crash)| {
+                crash.suspects().next().is_some() || now.since(crash.at) < MAX_CLEARED_AGE
+            })
+            .collect();
         crashes
             .sort_by_key(|(id, crash)| (!grouped.contains(*id), std::cmp::Reverse(crash.at), **id));
         let reports = crashes.into_iter().map(|(id, crash)| report(now, *id, crash));
