Keep the crashes of a part while it goes on crashing engines

A deadly part was served by all nodes 660 s after its third crash although each trial had crashed an engine (BUDGET): crashes expired after ten minutes, trials are up to eight minutes apart, and a verdict needs three.

--- a/crates/fireflyhead-policy/src/quarantine.rs
+++ b/crates/fireflyhead-policy/src/quarantine.rs
@@ -29,8 +29,10 @@
 pub const MAX_REPORTS: usize = 16;
 /// Number of parts that are kept for a crash, suspect or cleared.
 pub const MAX_PARTS_PER_CRASH: usize = 16;
-/// Age at which a crash no longer counts.
+/// Age at which a crash no longer counts, unless one of its suspects is suspect in a newer crash.
 pub const MAX_CRASH_AGE: Duration = Duration::from_secs(600);
+/// Age at which a crash no longer counts in any case.
+pub const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(3_600);
 /// Age at which a crash without suspects is no longer sent at intervals. It is kept, because a node
 /// that was cut off may not know yet that its parts are cleared.
 const MAX_CLEARED_AGE: Duration = Duration::from_secs(60);
@@ -330,8 +332,21 @@
 
     /// Merges the crashes that another node reported.
     pub fn merge(&mut self, now: Time, reports: &[CrashReport]) {
+        let mut recent: BTreeSet<PartId> = self
+            .crashes
+            .values()
+            .filter(|crash| now.since(crash.at) < MAX_CRASH_AGE)
+            .flat_map(Crash::suspects)
+            .collect();
+        for report in reports.iter().filter(|report| report.age < MAX_CRASH_AGE) {
+            recent.extend(&report.suspects);
+        }
         for report in reports.iter().take(MAX_REPORTS) {
-            if report.age >= MAX_CRASH_AGE {
+            let limit = match report.suspects.iter().any(|part| recent.contains(part)) {
+                true => MAX_EVIDENCE_AGE,
+                false => MAX_CRASH_AGE,
+            };
+            if report.age >= limit {
                 continue;
             }
             let suspects = report.suspects.iter().take(MAX_PARTS_PER_CRASH).copied();
@@ -441,9 +456,16 @@
 
     /// Drops outdated evidence and decides anew.
     pub fn refresh(&mut self, now: Time) {
+        let mut newest: HashMap<PartId, Time> = HashMap::new();
+        for crash in self.crashes.values() {
+            for part in crash.suspects() {
+                let at = newest.entry(part).or_insert(crash.at);
+                *at = crash.at.max(*at);
+            }
+        }
         self.crashes.retain(|_, crash| {
-            let age = now.since(crash.at);
-            age < MAX_CRASH_AGE
+            let last = crash.suspects().map(|part| newest[&part]).max().unwrap_or(crash.at);
+            now.since(last) < MAX_CRASH_AGE && now.since(crash.at) < MAX_EVIDENCE_AGE
         });
         self.unconfirmed.retain(|_, unconfirmed| now.since(unconfirmed.at) < CONFIRM_TIMEOUT);
         self.trials.retain(|_, at| now.since(*at) < MAX_CRASH_AGE);
