Don't take the end of a response without a length for its success

A crash that ends a response with neither a length nor chunks looks like its regular end, so that the part which caused it was cleared at all nodes. Found by a review, by reading; no run or test shows it.

The end of such a response clears no part. It is handled like a broken connection: it counts only if the engine then refuses a connection.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -245,6 +245,7 @@
         mut in_flight: InFlightAttempt,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
+        in_flight.parts.record_head(&head.headers);
         let info = self.shared.protocol.parse_response(&head.headers);
         let fail = |in_flight: &mut InFlightAttempt, reason: &str| {
             in_flight.parts.ignore();
--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -32,6 +32,8 @@
 use fireflyhead_policy::quarantine::Quarantine;
 use fireflyhead_policy::quarantine::Verdict;
 use fireflyhead_policy::rendezvous;
+use http::HeaderMap;
+use http::header;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -239,6 +241,8 @@
     names: Arc<[Name]>,
     /// Number of chunks of data.
     chunks: u32,
+    /// Whether the response has a length or chunks, so that its regular end is no crash.
+    framed: bool,
 }
 
 impl PartObserver {
@@ -251,6 +255,7 @@
             ids: Arc::clone(&parts.ids),
             names: Arc::clone(&parts.names),
             chunks: 0,
+            framed: false,
         }
     }
 
@@ -262,10 +267,18 @@
         }
     }
 
-    /// Records a complete response.
+    /// Records the head of a response.
+    pub(crate) fn record_head(&mut self, headers: &HeaderMap) {
+        self.framed = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+    }
+
+    /// Records a complete response. Without a length or chunks, its end may be a crash.
     pub(crate) fn record_complete(&mut self, shared: &Shared) {
-        self.chunks = CHUNKS_BEGUN;
-        self.record_output(shared);
+        if self.framed {
+            self.chunks = CHUNKS_BEGUN;
+            self.record_output(shared);
+        }
     }
 
     /// Makes the observer ignore the end of the attempt: the upstream responded, but not with an
@@ -280,8 +293,8 @@
             return;
         }
         match outcome {
-            SendOutcome::Served if self.chunks > 0 => self.record_output(shared),
-            // A stream without a length ends like this if the upstream crashes.
+            SendOutcome::Served if self.chunks > 0 && self.framed => self.record_output(shared),
+            // A response without a length or chunks ends like this if the upstream crashes.
             SendOutcome::Served | SendOutcome::Failed(Failure::Broken) => self.record_break(shared),
             SendOutcome::Failed(_)
             | SendOutcome::Full
