--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -42,10 +42,9 @@
 use super::inbound_request::InboundRequest;
 use super::inbound_request::Selection;
 
-/// Time without data after which a resumable stream that has begun is resumed at another upstream,
-/// if an attempt is left.
-/// Several times the longest pause that any deployment allows, because a request that the engine
-/// has preempted may pause longer than allowed and still finish.
+/// Time without data after which another upstream is selected for a resumable stream that has
+/// begun, if an attempt is left. Several times the longest pause that any deployment allows,
+/// because a request that the engine has preempted may pause longer than allowed and still finish.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Number of bytes of a stream after which the other tasks of the node have their turn, so that an
 /// upstream that sends without end doesn't delay their requests.
