Log how the end of a response was marked and how much was received

The line of a request told neither, so that the hypotheses on truncated streams could not be told apart: a stream that ends with its connection, before the first event, within one or between two. Fields `framing` and `bytes` are new.

The body of a response with its connection is now one type, which reads it and decides whether it is whole, for streams and for other responses. The decision is as before: within an event a stream isn't whole. The quarantine takes the framing from there too. Bytes after the last blank line of a resumable stream that is whole, but has other line ends than LF, are passed on; they were dropped before.

--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod inbound_request;
 mod local_responses;
+mod response_body;
 mod streaming;
 
 use std::convert::Infallible;
@@ -38,6 +39,7 @@
 use self::inbound_request::InboundRequest;
 use self::local_responses::empty_response;
 use self::local_responses::service_unavailable;
+pub(crate) use self::response_body::Framing;
 
 /// `Retry-After` while the node has no configuration, or no service for the request.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -29,6 +29,9 @@
 
 use super::inbound_request::InboundRequest;
 use super::inbound_request::Stage;
+use super::response_body::Content;
+use super::response_body::Framing;
+use super::response_body::ResponseBody;
 
 /// Largest body of a response that is not a stream, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -87,15 +90,15 @@
         head: http::response::Parts,
         /// Body.
         body: Bytes,
+        /// How the end of the body was marked.
+        framing: Framing,
     },
     /// Head, and a body that is still being received.
     Streaming {
         /// Head.
         head: http::response::Parts,
         /// Body.
-        body: Incoming,
-        /// Connection on which the body is received.
-        connection: PooledConnection,
+        body: ResponseBody,
         /// Attempt, to be finished at the end of the body.
         in_flight: InFlightAttempt,
     },
@@ -154,7 +157,7 @@
     pub(super) async fn send_to(
         &self,
         job: JobId,
-        upstream: &UpstreamEntry,
+        upstream: &Arc<UpstreamEntry>,
         version: Option<u64>,
         head_deadline: Time,
         resume_after: Option<u64>,
@@ -239,13 +242,16 @@
     /// Checks the head of a response and reads the body unless it is a stream.
     async fn check_response(
         &self,
-        upstream: &UpstreamEntry,
+        upstream: &Arc<UpstreamEntry>,
         response: Response<Incoming>,
         connection: PooledConnection,
         mut in_flight: InFlightAttempt,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
-        in_flight.parts.record_head(&head.headers);
+        let is_stream = self.route.kind.is_stream() && head.status.is_success();
+        let content = if is_stream { Content::Events } else { Content::Opaque };
+        let body = ResponseBody::new(&head, body, content, connection, Arc::clone(upstream));
+        in_flight.parts.record_framing(body.framing());
         let info = self.shared.protocol.parse_response(&head.headers);
         let fail = |in_flight: &mut InFlightAttempt, reason: &str| {
             in_flight.parts.ignore();
@@ -269,7 +275,7 @@
         }
         if info.not_run {
             in_flight.finish(SendOutcome::Full);
-            self.reuse_connection(body, connection).await;
+            self.reuse_connection(body).await;
             return AttemptResult::NotExecuted(NotExecutedReason::Full);
         }
         if info.id.is_none() || !info.signed {
@@ -278,23 +284,18 @@
         if head.status.is_success() && head.headers.contains_key(header::CONTENT_ENCODING) {
             return fail(&mut in_flight, "the response has a content encoding");
         }
-        if self.route.kind.is_stream() && head.status.is_success() {
-            return AttemptResult::Response(Box::new(UpstreamResponse::Streaming {
-                head,
-                body,
-                connection,
-                in_flight,
-            }));
+        if is_stream {
+            let response = UpstreamResponse::Streaming { head, body, in_flight };
+            return AttemptResult::Response(Box::new(response));
         }
-        self.read_buffered(head, body, connection, in_flight).await
+        self.read_buffered(head, body, in_flight).await
     }
 
     /// Reads the whole body of a response.
     async fn read_buffered(
         &self,
         head: http::response::Parts,
-        mut body: Incoming,
-        connection: PooledConnection,
+        mut body: ResponseBody,
         mut in_flight: InFlightAttempt,
     ) -> AttemptResult {
         let left = self.deadline.since(clock::now());
@@ -302,19 +303,21 @@
             true => SendOutcome::Failed(Failure::ErrorResponse),
             false => SendOutcome::Served,
         };
-        match self.wait_for(left, crate::body::read(&mut body, MAX_BUFFERED_BYTES)).await {
-            Ok(Ok(body)) => {
+        match self.wait_for(left, body.read_whole(MAX_BUFFERED_BYTES)).await {
+            Ok(Ok(data)) => {
                 match head.status.is_success() {
                     true => in_flight.parts.record_complete(&self.shared),
                     false => in_flight.parts.ignore(),
                 }
                 in_flight.finish(outcome);
-                self.shared.pool.release(connection);
-                AttemptResult::Response(Box::new(UpstreamResponse::Buffered { head, body }))
+                let framing = body.framing();
+                body.release(&self.shared);
+                let response = UpstreamResponse::Buffered { head, body: data, framing };
+                AttemptResult::Response(Box::new(response))
             }
             Ok(Err(error)) => {
                 in_flight.finish(SendOutcome::Failed(Failure::Broken));
-                AttemptResult::Unknown(format!("{error:?}"))
+                AttemptResult::Unknown(error.to_string())
             }
             Err(WaitError::Timeout) => {
                 in_flight.finish(SendOutcome::Failed(Failure::Timeout));
@@ -326,13 +329,11 @@
 
     /// Reads the rest of a short response and returns the connection to the pool. The connection
     /// is closed if the rest takes too long or is too large.
-    async fn reuse_connection(&self, mut body: Incoming, connection: PooledConnection) {
+    async fn reuse_connection(&self, mut body: ResponseBody) {
         const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
         const MAX_REFUSAL_BYTES: usize = 16 * 1024;
-        if let Ok(Ok(_)) =
-            timeout(DRAIN_TIMEOUT, crate::body::read(&mut body, MAX_REFUSAL_BYTES)).await
-        {
-            self.shared.pool.release(connection);
+        if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, body.read_whole(MAX_REFUSAL_BYTES)).await {
+            body.release(&self.shared);
         }
     }
 }
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -34,6 +34,7 @@
 use super::attempt::WaitError;
 use super::local_responses::empty_response;
 use super::local_responses::service_unavailable;
+use super::response_body::Framing;
 use super::streaming;
 
 /// Number of attempts that sent no byte after which a request is rejected.
@@ -117,6 +118,18 @@
     pub(super) first_output: Option<Duration>,
     /// Longest time between two chunks of a stream.
     pub(super) longest_pause: Duration,
+    /// How the end of the last response that was received was marked.
+    framing: Option<Framing>,
+    /// Number of bytes of response bodies that were received from all upstreams.
+    body_bytes: usize,
+}
+
+impl Attempts {
+    /// Records what was received of a response's body.
+    pub(super) fn record_body(&mut self, framing: Framing, len: usize) {
+        self.framing = Some(framing);
+        self.body_bytes += len;
+    }
 }
 
 /// Final outcome of a request.
@@ -152,11 +165,8 @@
                 match self.select_upstream(&mut attempts, self.arrived).await {
                     Selection::Send { job, upstream, version } => (job, upstream, version),
                     Selection::Reject { reason, retry_after } => {
-                        return self.finish(
-                            &attempts,
-                            Outcome::Reject { reason, retry_after },
-                            fallback,
-                        );
+                        let outcome = Outcome::Reject { reason, retry_after };
+                        return self.finish(&attempts, outcome, fallback);
                     }
                     Selection::DeadlineExceeded => {
                         return self.finish(&attempts, Outcome::DeadlineExceeded, fallback);
@@ -169,14 +179,14 @@
                     attempts.possibly_executed += 1;
                     attempts.delivered += 1;
                     match *response {
-                        UpstreamResponse::Streaming { head, body, connection, in_flight } => {
+                        UpstreamResponse::Streaming { head, body, in_flight } => {
                             let request = Arc::new(self);
                             return streaming::stream_response(
-                                request, attempts, head, body, connection, in_flight, &upstream,
-                                guard,
+                                request, attempts, head, body, in_flight, guard,
                             );
                         }
-                        UpstreamResponse::Buffered { head, body } => {
+                        UpstreamResponse::Buffered { head, body, framing } => {
+                            attempts.record_body(framing, body.len());
                             let failed = head.status.is_server_error();
                             let response = self.build_response(head, body::full(body));
                             match failed && self.reserve_retry(&mut attempts, &upstream.id) {
@@ -457,6 +467,8 @@
             pause_ms = attempts.longest_pause.as_millis() as u64,
             tokens = self.head.tokens.prompt,
             sends = attempts.delivered,
+            framing = attempts.framing.map(Framing::name),
+            bytes = attempts.body_bytes,
         );
     }
 }
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/forward/response_body.rs
@@ -0,0 +1,188 @@
+//! Body of an upstream's response, and the decision whether it is whole.
+//!
+//! A body ends with its length, its last chunk or its connection. A stream of events is whole if it
+//! doesn't end within an event.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use fireflyhead_policy::Name;
+use fireflyhead_policy::fleet::UpstreamEntry;
+use http::header;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
+use hyper::body::Incoming;
+
+use crate::pool::PooledConnection;
+use crate::sse::EventEnd;
+use crate::state::Shared;
+
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Framing {
+    /// By a length, or by a status that excludes a body.
+    Length,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing of a response as hyper reads it.
+    pub(super) fn of(head: &Parts, body: &Incoming) -> Framing {
+        match body.size_hint().exact() {
+            Some(_) => Framing::Length,
+            None if is_chunked(head) => Framing::Chunked,
+            None => Framing::Connection,
+        }
+    }
+
+    /// Returns the name for the log.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Framing::Length => "length",
+            Framing::Chunked => "chunked",
+            Framing::Connection => "connection",
+        }
+    }
+}
+
+/// Returns whether `chunked` is the last transfer coding.
+fn is_chunked(head: &Parts) -> bool {
+    let last = head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    last.and_then(|value| value.to_str().ok())
+        .and_then(|value| value.rsplit(',').next())
+        .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// What is known of the content of a body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Content {
+    /// Nothing.
+    Opaque,
+    /// A stream of events.
+    Events,
+}
+
+/// Reason why a body can't be read to its end, or isn't whole.
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
+pub(super) enum ReadError {
+    /// the connection failed: {0}
+    Connection(hyper::Error),
+    /// the stream ended within an event
+    InsideEvent,
+    /// the body is larger than the limit
+    TooLarge,
+}
+
+impl std::error::Error for ReadError {}
+
+/// Body of a response, with its connection. Dropping it closes the connection.
+pub(super) struct ResponseBody {
+    body: Incoming,
+    connection: PooledConnection,
+    upstream: Arc<UpstreamEntry>,
+    framing: Framing,
+    content: Content,
+    event_end: EventEnd,
+    /// Number of bytes received.
+    len: usize,
+    /// Whether the end has been received.
+    at_end: bool,
+}
+
+impl ResponseBody {
+    /// Creates the body of a response of `upstream` that is received on `connection`.
+    pub(super) fn new(
+        head: &Parts,
+        body: Incoming,
+        content: Content,
+        connection: PooledConnection,
+        upstream: Arc<UpstreamEntry>,
+    ) -> ResponseBody {
+        let framing = Framing::of(head, &body);
+        ResponseBody {
+            body,
+            connection,
+            upstream,
+            framing,
+            content,
+            event_end: EventEnd::default(),
+            len: 0,
+            at_end: false,
+        }
+    }
+
+    /// Returns the id of the upstream.
+    pub(super) fn upstream(&self) -> &Name {
+        &self.upstream.id
+    }
+
+    /// Returns how the end of the body is marked.
+    pub(super) fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns the number of bytes received so far.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns the next data; `None` at the end of a whole body. Can be cancelled without loss of
+    /// data.
+    ///
+    /// # Errors
+    /// The connection failed, or the body ended without being whole.
+    pub(super) async fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
+        while !self.at_end {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.len += data.len();
+                    self.event_end.push(&data);
+                    return Ok(Some(data));
+                }
+                Some(Err(e)) => return Err(ReadError::Connection(e)),
+                None => self.at_end = true,
+            }
+        }
+        self.check_whole().map(|()| None)
+    }
+
+    /// Reads the whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// The body is larger than `limit`, its connection failed, or it isn't whole.
+    pub(super) async fn read_whole(&mut self, limit: usize) -> Result<Bytes, ReadError> {
+        if self.body.size_hint().lower() > limit as u64 {
+            return Err(ReadError::TooLarge);
+        }
+        let mut buf = BytesMut::new();
+        while let Some(data) = self.next().await? {
+            if buf.len() + data.len() > limit {
+                return Err(ReadError::TooLarge);
+            }
+            buf.extend_from_slice(&data);
+        }
+        Ok(buf.freeze())
+    }
+
+    /// Returns the connection to the pool after a whole body.
+    pub(super) fn release(self, shared: &Shared) {
+        if self.framing != Framing::Connection {
+            shared.pool.release(self.connection);
+        }
+    }
+
+    /// Decides whether the body, whose end has been received, is whole.
+    fn check_whole(&self) -> Result<(), ReadError> {
+        match self.content {
+            Content::Events if !self.event_end.is_complete() => Err(ReadError::InsideEvent),
+            Content::Events | Content::Opaque => Ok(()),
+        }
+    }
+}
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -17,11 +17,9 @@
 use fireflyhead_policy::health::Failure;
 use futures::stream;
 use http::Response;
-use http::header;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use tokio::task::yield_now;
 
 use crate::body::Body;
@@ -29,8 +27,6 @@
 use crate::body::SendDeadline;
 use crate::clock;
 use crate::lifecycle::Phase;
-use crate::pool::PooledConnection;
-use crate::sse::EventEnd;
 use crate::sse::EventScanner;
 
 use super::RequestGuard;
@@ -41,6 +37,8 @@
 use super::inbound_request::Attempts;
 use super::inbound_request::InboundRequest;
 use super::inbound_request::Selection;
+use super::response_body::ReadError;
+use super::response_body::ResponseBody;
 
 /// Time without data after which another upstream is selected for a resumable stream that has
 /// begun, if an attempt is left. Several times the longest pause that any deployment allows,
@@ -62,13 +60,11 @@
     request: Arc<InboundRequest>,
     attempts: Attempts,
     upstream: Name,
-    body: Incoming,
-    connection: Option<PooledConnection>,
+    /// Body of the current upstream; `None` while the stream is being resumed, and at its end.
+    body: Option<ResponseBody>,
     in_flight: InFlightAttempt,
     /// Splits the data into events; `None` if the stream is not resumable and passed on unchanged.
     scanner: Option<EventScanner>,
-    /// End of the data of a stream that is not resumable.
-    event_end: EventEnd,
     /// Whether the caller has received data.
     started: bool,
     ended: bool,
@@ -110,30 +106,23 @@
 }
 
 /// Returns a response that streams `body` to the caller.
-#[expect(clippy::too_many_arguments, reason = "the parts of one response, moved into the stream")]
 pub(super) fn stream_response(
     request: Arc<InboundRequest>,
     attempts: Attempts,
-    mut head: http::response::Parts,
-    body: Incoming,
-    connection: PooledConnection,
+    head: http::response::Parts,
+    body: ResponseBody,
     in_flight: InFlightAttempt,
-    upstream: &UpstreamEntry,
     guard: RequestGuard,
 ) -> Response<Body> {
-    // With a length, the caller would take a stream for complete that ends inside an event.
-    head.headers.remove(header::CONTENT_LENGTH);
     let resumable = request.route.kind == RouteKind::Streaming { resumable: true };
     let scanner = resumable.then(|| EventScanner::new(request.head.last_event_id));
     let relay = StreamRelay {
         request: Arc::clone(&request),
         attempts,
-        upstream: upstream.id.clone(),
-        body,
-        connection: Some(connection),
+        upstream: body.upstream().clone(),
+        body: Some(body),
         in_flight,
         scanner,
-        event_end: EventEnd::default(),
         started: false,
         ended: false,
         may_move: true,
@@ -218,38 +207,29 @@
             (Some(_), _) | (None, _) => end,
         };
         let wait = receive_deadline.min(end).since(now);
-        match self.request.wait_for(wait, self.body.frame()).await {
-            Ok(frame) => self.handle_frame(frame),
+        let Some(body) = &mut self.body else {
+            return StreamStep::Broken("the connection is closed".to_owned(), Failure::Broken);
+        };
+        match self.request.wait_for(wait, body.next()).await {
+            Ok(data) => self.handle_data(data),
             Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
             Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
             Err(WaitError::Timeout) => StreamStep::Silent,
         }
     }
 
-    /// Handles a frame of the upstream's body; `None` is the end of the body.
-    fn handle_frame(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> StreamStep {
-        match frame {
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) => {
-                    self.turn_bytes += data.len();
-                    self.split_events(data)
-                }
-                Err(_) => StreamStep::Skip,
-            },
-            Some(Err(e)) => StreamStep::Broken(e.to_string(), Failure::Broken),
-            None => {
-                let complete = match &self.scanner {
-                    Some(scanner) => !scanner.has_partial_event(),
-                    None => self.event_end.is_complete(),
-                };
-                match complete {
-                    true => StreamStep::End,
-                    false => StreamStep::Broken(
-                        "the stream ended within an event".to_owned(),
-                        Failure::Broken,
-                    ),
-                }
+    /// Handles what was received from the upstream; `None` is the end of a whole stream.
+    fn handle_data(&mut self, data: Result<Option<Bytes>, ReadError>) -> StreamStep {
+        match data {
+            Ok(Some(data)) => {
+                self.turn_bytes += data.len();
+                self.split_events(data)
             }
+            Ok(None) => match self.scanner.as_mut().map(EventScanner::take_rest) {
+                Some(rest) if !rest.is_empty() => StreamStep::Data(rest),
+                Some(_) | None => StreamStep::End,
+            },
+            Err(e) => StreamStep::Broken(e.to_string(), Failure::Broken),
         }
     }
 
@@ -257,10 +237,7 @@
     fn split_events(&mut self, data: Bytes) -> StreamStep {
         let data = match &mut self.scanner {
             Some(scanner) => scanner.push(&data),
-            None => {
-                self.event_end.push(&data);
-                data
-            }
+            None => data,
         };
         match &self.scanner {
             _ if !data.is_empty() => StreamStep::Data(data),
@@ -296,9 +273,10 @@
             self.may_move = false;
             return None;
         }
+        let body = self.body.as_mut()?;
         let selection = tokio::select! {
             biased;
-            frame = self.body.frame() => Err(frame),
+            data = body.next() => Err(data),
             selection = self.request.select_upstream(&mut self.attempts, self.last_data) => {
                 Ok(selection)
             }
@@ -308,7 +286,7 @@
                 return Some(NextUpstream { job, upstream, version });
             }
             Ok(Selection::Reject { .. } | Selection::DeadlineExceeded) => self.may_move = false,
-            Err(frame) => self.received = Some(self.handle_frame(frame)),
+            Err(data) => self.received = Some(self.handle_data(data)),
         }
         self.attempts.tried.retain(|tried| *tried != upstream);
         None
@@ -344,7 +322,7 @@
         let since = if self.started { self.last_data } else { self.request.arrived };
         self.in_flight.finish(SendOutcome::Failed(failure));
         // Closes the connection, so that the first upstream stops before the second one starts.
-        self.connection = None;
+        self.close_body();
         loop {
             let upstream = self.upstream.clone();
             let NextUpstream { job, upstream, version } = match next.take() {
@@ -377,10 +355,8 @@
                 reason,
                 ok = matches!(response, Some(UpstreamResponse::Streaming { .. }))
             );
-            if let Some(UpstreamResponse::Streaming { body, connection, in_flight, .. }) = response
-            {
-                self.body = body;
-                self.connection = Some(connection);
+            if let Some(UpstreamResponse::Streaming { body, in_flight, .. }) = response {
+                self.body = Some(body);
                 self.in_flight = in_flight;
                 if self.started {
                     self.in_flight.record_first_output();
@@ -399,16 +375,30 @@
             self.request.shared.dispatcher().record_pause(clock::now(), &self.upstream, permille);
         }
         self.in_flight.finish(SendOutcome::Served);
-        if let Some(connection) = self.connection.take() {
-            self.request.shared.pool.release(connection);
+        self.record_body();
+        if let Some(body) = self.body.take() {
+            body.release(&self.request.shared);
         }
         self.request.log_completion(&self.attempts, "answered", Some(&self.upstream), 200, "");
     }
 
+    /// Records the framing and the size of the body, for the log line of the request.
+    fn record_body(&mut self) {
+        if let Some(body) = &self.body {
+            self.attempts.record_body(body.framing(), body.len());
+        }
+    }
+
+    /// Closes the connection to the upstream.
+    fn close_body(&mut self) {
+        self.record_body();
+        self.body = None;
+    }
+
     /// Closes the connection and reports a stream that was cut off.
     fn abort(&mut self, outcome: &'static str, send: SendOutcome, reason: &str) {
         self.ended = true;
-        self.connection = None;
+        self.close_body();
         self.in_flight.finish(send);
         self.request.log_completion(&self.attempts, outcome, Some(&self.upstream), 200, reason);
     }
@@ -417,7 +407,7 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if !self.ended {
-            self.connection = None;
+            self.close_body();
             let outcome = self.request.shared.abandoned_outcome();
             self.request.log_completion(&self.attempts, outcome, Some(&self.upstream), 200, "");
         }
--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -32,8 +32,6 @@
 use fireflyhead_policy::quarantine::Quarantine;
 use fireflyhead_policy::quarantine::Verdict;
 use fireflyhead_policy::rendezvous;
-use http::HeaderMap;
-use http::header;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -41,6 +39,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::forward::Framing;
 use crate::state::Shared;
 
 /// Interval at which all evidence is sent to some other nodes, in case a message was lost or a node
@@ -267,10 +266,9 @@
         }
     }
 
-    /// Records the head of a response.
-    pub(crate) fn record_head(&mut self, headers: &HeaderMap) {
-        self.framed = headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
+    /// Records how the end of the response is marked.
+    pub(crate) fn record_framing(&mut self, framing: Framing) {
+        self.framed = framing != Framing::Connection;
     }
 
     /// Records a complete response. Without a length or chunks, its end may be a crash.
--- a/crates/fireflyhead-gateway/src/sse.rs
+++ b/crates/fireflyhead-gateway/src/sse.rs
@@ -59,6 +59,11 @@
         self.buf.clear();
     }
 
+    /// Returns the bytes after the last blank line, at the end of a whole stream.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buf.split().freeze()
+    }
+
     /// Returns whether bytes of an incomplete event have been received.
     pub fn has_partial_event(&self) -> bool {
         !self.buf.is_empty()
