Don't show a stream as complete that ends before its first event

Callers saw status 200 with an empty, complete body when an engine crashed after the head of a stream that had neither a length nor chunks. The end of the connection was taken for the regular end of the stream, because no event had been begun. Such a stream is now whole only if it has an event; one that goes on after an event may be empty, and so may one with a length or chunks. On resumable routes another engine takes over.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -223,7 +223,8 @@
                 return AttemptResult::Unknown("no response head in time".to_owned());
             }
         };
-        self.check_response(upstream, response, connection, in_flight).await
+        let is_resumed = resume_after.or(self.head.last_event_id).is_some();
+        self.check_response(upstream, response, is_resumed, connection, in_flight).await
     }
 
     /// Builds the request to the upstream; `None` if the request target is not valid.
@@ -244,12 +245,16 @@
         &self,
         upstream: &Arc<UpstreamEntry>,
         response: Response<Incoming>,
+        is_resumed: bool,
         connection: PooledConnection,
         mut in_flight: InFlightAttempt,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
-        let is_stream = self.route.kind.is_stream() && head.status.is_success();
-        let content = if is_stream { Content::Events } else { Content::Opaque };
+        let content = match self.route.kind.is_stream() && head.status.is_success() {
+            false => Content::Opaque,
+            true if is_resumed => Content::RemainingEvents,
+            true => Content::Events,
+        };
         let body = ResponseBody::new(&head, body, content, connection, Arc::clone(upstream));
         in_flight.parts.record_framing(body.framing());
         let info = self.shared.protocol.parse_response(&head.headers);
@@ -284,7 +289,7 @@
         if head.status.is_success() && head.headers.contains_key(header::CONTENT_ENCODING) {
             return fail(&mut in_flight, "the response has a content encoding");
         }
-        if is_stream {
+        if content != Content::Opaque {
             let response = UpstreamResponse::Streaming { head, body, in_flight };
             return AttemptResult::Response(Box::new(response));
         }
--- a/crates/fireflyhead-gateway/src/forward/response_body.rs
+++ b/crates/fireflyhead-gateway/src/forward/response_body.rs
@@ -1,7 +1,8 @@
 //! Body of an upstream's response, and the decision whether it is whole.
 //!
 //! A body ends with its length, its last chunk or its connection. A stream of events is whole if it
-//! doesn't end within an event.
+//! doesn't end within an event. One that ends with its connection must have an event, because the
+//! connection also ends if the upstream crashes after the head.
 
 use std::sync::Arc;
 
@@ -63,8 +64,10 @@
 pub(super) enum Content {
     /// Nothing.
     Opaque,
-    /// A stream of events.
+    /// A stream of events from the first one on.
     Events,
+    /// The rest of a stream of events, which may be empty.
+    RemainingEvents,
 }
 
 /// Reason why a body can't be read to its end, or isn't whole.
@@ -73,6 +76,8 @@
 pub(super) enum ReadError {
     /// the connection failed: {0}
     Connection(hyper::Error),
+    /// the stream ended before its first event
+    BeforeFirstEvent,
     /// the stream ended within an event
     InsideEvent,
     /// the body is larger than the limit
@@ -181,8 +186,12 @@
     /// Decides whether the body, whose end has been received, is whole.
     fn check_whole(&self) -> Result<(), ReadError> {
         match self.content {
-            Content::Events if !self.event_end.is_complete() => Err(ReadError::InsideEvent),
-            Content::Events | Content::Opaque => Ok(()),
+            Content::Opaque => Ok(()),
+            _ if !self.event_end.is_complete() => Err(ReadError::InsideEvent),
+            Content::Events if self.len == 0 && self.framing == Framing::Connection => {
+                Err(ReadError::BeforeFirstEvent)
+            }
+            Content::Events | Content::RemainingEvents => Ok(()),
         }
     }
 }
