Don't show a response as complete whose upstream crashed at its end

Callers saw a short body as complete when an upstream crashed between two events of a stream, or within a plain response, that had neither a length nor chunks: the kernel closes the connections of a process that ends in the regular way, and nothing in the bytes tells this end from a whole response.

20 ms after such an end the node now opens a connection to the upstream, which it needs for the next request anyway. If that is refused, the response is not whole: a stream is cut off or resumed, other responses fail with 502 or are retried. Without a reply in 100 ms the response counts as whole. Connections of such responses are no longer returned to the pool. An upstream that stops listening within 20 ms of its last response of this kind loses it; a short body that looks whole would be worse.

The quarantine uses the same probe.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -308,7 +308,8 @@
             true => SendOutcome::Failed(Failure::ErrorResponse),
             false => SendOutcome::Served,
         };
-        match self.wait_for(left, body.read_whole(MAX_BUFFERED_BYTES)).await {
+        let read = body.read_whole(&self.shared, MAX_BUFFERED_BYTES);
+        match self.wait_for(left, read).await {
             Ok(Ok(data)) => {
                 match head.status.is_success() {
                     true => in_flight.parts.record_complete(&self.shared),
@@ -337,7 +338,11 @@
     async fn reuse_connection(&self, mut body: ResponseBody) {
         const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
         const MAX_REFUSAL_BYTES: usize = 16 * 1024;
-        if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, body.read_whole(MAX_REFUSAL_BYTES)).await {
+        if body.framing() == Framing::Connection {
+            return;
+        }
+        let read = body.read_whole(&self.shared, MAX_REFUSAL_BYTES);
+        if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, read).await {
             body.release(&self.shared);
         }
     }
--- a/crates/fireflyhead-gateway/src/forward/response_body.rs
+++ b/crates/fireflyhead-gateway/src/forward/response_body.rs
@@ -1,25 +1,35 @@
 //! Body of an upstream's response, and the decision whether it is whole.
 //!
-//! A body ends with its length, its last chunk or its connection. A stream of events is whole if it
-//! doesn't end within an event. One that ends with its connection must have an event, because the
-//! connection also ends if the upstream crashes after the head.
+//! A body ends with its length, its last chunk or its connection. Only the first two prove that the
+//! upstream has sent all of it: the connections of a process that crashes end in the regular way. A
+//! body that ends with its connection is whole if its upstream still accepts connections. A stream
+//! of events is whole if it also doesn't end within an event or, unless its end is proved, before
+//! the first one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::fleet::UpstreamEntry;
+use fireflyhead_policy::quarantine::ProbeResult;
 use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use tokio::time::sleep;
 
+use crate::pool::PROBE_DELAY;
 use crate::pool::PooledConnection;
 use crate::sse::EventEnd;
 use crate::state::Shared;
 
+/// Time for which a connection attempt may delay the end of a response. Upstreams in the same
+/// region accept within milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How the end of a body is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Framing {
@@ -80,6 +90,8 @@
     BeforeFirstEvent,
     /// the stream ended within an event
     InsideEvent,
+    /// the connection ended with the process of the upstream
+    UpstreamCrashed,
     /// the body is larger than the limit
     TooLarge,
 }
@@ -142,7 +154,7 @@
     ///
     /// # Errors
     /// The connection failed, or the body ended without being whole.
-    pub(super) async fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
+    pub(super) async fn next(&mut self, shared: &Shared) -> Result<Option<Bytes>, ReadError> {
         while !self.at_end {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
@@ -155,19 +167,23 @@
                 None => self.at_end = true,
             }
         }
-        self.check_whole().map(|()| None)
+        self.check_whole(shared).await.map(|()| None)
     }
 
     /// Reads the whole body of at most `limit` bytes.
     ///
     /// # Errors
     /// The body is larger than `limit`, its connection failed, or it isn't whole.
-    pub(super) async fn read_whole(&mut self, limit: usize) -> Result<Bytes, ReadError> {
+    pub(super) async fn read_whole(
+        &mut self,
+        shared: &Shared,
+        limit: usize,
+    ) -> Result<Bytes, ReadError> {
         if self.body.size_hint().lower() > limit as u64 {
             return Err(ReadError::TooLarge);
         }
         let mut buf = BytesMut::new();
-        while let Some(data) = self.next().await? {
+        while let Some(data) = self.next(shared).await? {
             if buf.len() + data.len() > limit {
                 return Err(ReadError::TooLarge);
             }
@@ -184,14 +200,21 @@
     }
 
     /// Decides whether the body, whose end has been received, is whole.
-    fn check_whole(&self) -> Result<(), ReadError> {
-        match self.content {
-            Content::Opaque => Ok(()),
-            _ if !self.event_end.is_complete() => Err(ReadError::InsideEvent),
-            Content::Events if self.len == 0 && self.framing == Framing::Connection => {
-                Err(ReadError::BeforeFirstEvent)
-            }
-            Content::Events | Content::RemainingEvents => Ok(()),
+    async fn check_whole(&self, shared: &Shared) -> Result<(), ReadError> {
+        if self.content != Content::Opaque && !self.event_end.is_complete() {
+            return Err(ReadError::InsideEvent);
+        }
+        if self.framing != Framing::Connection {
+            return Ok(());
+        }
+        if self.content == Content::Events && self.len == 0 {
+            return Err(ReadError::BeforeFirstEvent);
+        }
+        sleep(PROBE_DELAY).await;
+        let UpstreamEntry { id, address, .. } = &*self.upstream;
+        match shared.pool.probe(id, *address, PROBE_TIMEOUT).await {
+            ProbeResult::Refused => Err(ReadError::UpstreamCrashed),
+            ProbeResult::Accepted | ProbeResult::NoReply => Ok(()),
         }
     }
 }
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -210,7 +210,7 @@
         let Some(body) = &mut self.body else {
             return StreamStep::Broken("the connection is closed".to_owned(), Failure::Broken);
         };
-        match self.request.wait_for(wait, body.next()).await {
+        match self.request.wait_for(wait, body.next(&self.request.shared)).await {
             Ok(data) => self.handle_data(data),
             Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
             Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
@@ -276,7 +276,7 @@
         let body = self.body.as_mut()?;
         let selection = tokio::select! {
             biased;
-            data = body.next() => Err(data),
+            data = body.next(&self.request.shared) => Err(data),
             selection = self.request.select_upstream(&mut self.attempts, self.last_data) => {
                 Ok(selection)
             }
--- a/crates/fireflyhead-gateway/src/pool.rs
+++ b/crates/fireflyhead-gateway/src/pool.rs
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::quarantine::ProbeResult;
 use http::Request;
 use http::Response;
 use http::header;
@@ -52,6 +53,9 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 /// Largest idle time of a connection that is reused for a request that must not be sent again.
 pub const MAX_IDLE_NOT_RETRYABLE: Duration = Duration::from_millis(400);
+/// Time from the end of a connection to the first [`Pool::probe`]. The sockets of a crashed process
+/// close one after the other.
+pub const PROBE_DELAY: Duration = Duration::from_millis(20);
 /// Largest number of idle connections kept per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 /// Largest size of a response head and of hyper's read buffer, in bytes.
@@ -129,6 +133,29 @@
     idle_limit: Duration,
 }
 
+impl Connection {
+    /// Opens a connection to `address`.
+    async fn open(address: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let read_limit = Arc::new(AtomicUsize::new(usize::MAX));
+        let io = TokioIo::new(UpstreamStream { stream, read_limit: Arc::clone(&read_limit) });
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io)
+            .await
+            .map_err(io::Error::other)?;
+        let driver = tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(error = %e, "connection to upstream {address} failed");
+            }
+        })
+        .abort_handle();
+        Ok(Connection { sender, driver, read_limit, idle_limit: MAX_IDLE_TIME })
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -179,31 +206,29 @@
         if let Some(pooled) = self.take_idle(upstream, max_idle) {
             return Ok(pooled);
         }
-        let not_sent = |e: &dyn std::fmt::Display| SendError::NotSent(e.to_string());
-        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(not_sent(&e)),
-            Err(_) => return Err(SendError::NotSent("timed out while connecting".to_owned())),
-        };
-        stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(USER_TIMEOUT))
-            .map_err(|e| not_sent(&e))?;
-        let read_limit = Arc::new(AtomicUsize::new(usize::MAX));
-        let io = TokioIo::new(UpstreamStream { stream, read_limit: Arc::clone(&read_limit) });
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(io)
-            .await
-            .map_err(|e| not_sent(&e))?;
-        let driver = tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                tracing::debug!(error = %e, "connection to upstream {address} failed");
+        let connected = timeout(CONNECT_TIMEOUT, Connection::open(address)).await;
+        match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(connection) => Ok(PooledConnection { upstream: upstream.clone(), connection }),
+            Err(e) => Err(SendError::NotSent(e.to_string())),
+        }
+    }
+
+    /// Finds out whether a process listens at the address of `upstream`, within `limit`. Keeps the
+    /// connection for the next request.
+    pub async fn probe(
+        &self,
+        upstream: &Name,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> ProbeResult {
+        match timeout(limit, Connection::open(address)).await {
+            Ok(Ok(connection)) => {
+                self.release(PooledConnection { upstream: upstream.clone(), connection });
+                ProbeResult::Accepted
             }
-        })
-        .abort_handle();
-        let connection = Connection { sender, driver, read_limit, idle_limit: MAX_IDLE_TIME };
-        Ok(PooledConnection { upstream: upstream.clone(), connection })
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+            Ok(Err(_)) | Err(_) => ProbeResult::NoReply,
+        }
     }
 
     /// Returns a connection to the pool after a complete exchange.
--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -6,7 +6,6 @@
 //! caller or an engine that resets connections is no evidence.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -32,7 +31,6 @@
 use fireflyhead_policy::quarantine::Quarantine;
 use fireflyhead_policy::quarantine::Verdict;
 use fireflyhead_policy::rendezvous;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -40,6 +38,7 @@
 
 use crate::clock;
 use crate::forward::Framing;
+use crate::pool::PROBE_DELAY;
 use crate::state::Shared;
 
 /// Interval at which all evidence is sent to some other nodes, in case a message was lost or a node
@@ -47,9 +46,6 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of nodes to which all evidence is sent in each interval.
 const EXCHANGE_NODES: usize = 3;
-/// Time from a break to the first connection attempt. The sockets of a crashed process close one
-/// after the other.
-const PROBE_DELAY: Duration = Duration::from_millis(20);
 /// Time after which a connection attempt without a reply is given up.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of connection attempts until one gets a reply.
@@ -347,11 +343,7 @@
     let mut result = ProbeResult::NoReply;
     for _ in 0..PROBE_ATTEMPTS {
         sleep(PROBE_DELAY).await;
-        result = match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => ProbeResult::Accepted,
-            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
-            Ok(Err(_)) | Err(_) => ProbeResult::NoReply,
-        };
+        result = shared.pool.probe(&upstream, address, PROBE_TIMEOUT).await;
         if result != ProbeResult::NoReply {
             break;
         }
