Reset the connection of a caller of HTTP/1.0 if the node is killed

A caller of HTTP/1.0 gets a stream up to the end of its connection. If the process of the node ended within it, or a stopping node dropped a connection whose caller read slowly, the kernel closed the connection in the regular way, and the stream looked complete. The reset was only set up once the body had failed.

The socket of such a response now resets when it is closed, from the head of the response on, until its body has ended without an error.

--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -16,6 +16,7 @@
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::RequestLimits;
 use http::Version;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use hyper::server::conn::http1;
@@ -75,8 +76,8 @@
     /// [`SendDeadline`] of the response in progress, in microseconds of [`clock::now`]; 0 if there
     /// is none.
     send_deadline: AtomicU64,
-    /// Whether the connection must be reset, so that the caller does not take a response that was
-    /// cut off for complete.
+    /// Whether the connection must be reset if it is closed now, so that the caller does not take a
+    /// response that is cut off for complete.
     must_reset: AtomicBool,
     /// Notified when the response to a request has ended.
     request_ended: Notify,
@@ -132,6 +133,23 @@
 struct ActivityStream {
     stream: TcpStream,
     activity: Arc<Activity>,
+    /// Whether the socket resets the connection when it is closed, also by the end of the process.
+    resets_on_close: bool,
+}
+
+impl ActivityStream {
+    /// Makes the socket follow [`Activity::must_reset`].
+    fn update_linger(&mut self) {
+        let must_reset = self.activity.must_reset.load(Ordering::Relaxed);
+        if must_reset == self.resets_on_close {
+            return;
+        }
+        self.resets_on_close = must_reset;
+        let linger = must_reset.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&self.stream).set_linger(linger) {
+            tracing::debug!(event = "linger_not_set", %error);
+        }
+    }
 }
 
 impl AsyncRead for ActivityStream {
@@ -161,6 +179,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_linger();
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.activity.record_write(&poll);
         poll
@@ -171,7 +190,8 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.activity.must_reset.load(Ordering::Relaxed) {
+        self.update_linger();
+        match self.resets_on_close {
             // Dropping the stream resets the connection.
             true => Poll::Ready(Ok(())),
             false => Pin::new(&mut self.stream).poll_shutdown(cx),
@@ -183,6 +203,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_linger();
         let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.activity.record_write(&poll);
         poll
@@ -195,11 +216,7 @@
 
 impl Drop for ActivityStream {
     fn drop(&mut self) {
-        if self.activity.must_reset.load(Ordering::Relaxed)
-            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
-        {
-            tracing::debug!(event = "connection_not_reset", %error);
-        }
+        self.update_linger();
     }
 }
 
@@ -233,6 +250,17 @@
     ends_with_connection: bool,
 }
 
+impl ActiveBody {
+    /// Creates the body of a response to a caller of `version`.
+    fn new(body: Body, active: ActiveRequest, version: Version) -> ActiveBody {
+        let ends_with_connection = version < Version::HTTP_11 && body.size_hint().exact().is_none();
+        if ends_with_connection {
+            active.0.must_reset.store(true, Ordering::Relaxed);
+        }
+        ActiveBody { body, active, ends_with_connection }
+    }
+}
+
 impl hyper::body::Body for ActiveBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -242,8 +270,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let poll = Pin::new(&mut self.body).poll_frame(cx);
-        if self.ends_with_connection && matches!(poll, Poll::Ready(Some(Err(_)))) {
-            self.active.0.must_reset.store(true, Ordering::Relaxed);
+        if self.ends_with_connection && matches!(poll, Poll::Ready(None)) {
+            self.active.0.must_reset.store(false, Ordering::Relaxed);
         }
         poll
     }
@@ -305,21 +333,21 @@
     activity.record_activity();
     let service = service_fn(|req| {
         let active = ActiveRequest::new(&activity);
-        let ends_with_connection = req.version() < Version::HTTP_11;
+        let version = req.version();
         let response = forward::handle(Arc::clone(&shared), req);
         async move {
             let response = response.await?;
             if let Some(SendDeadline(deadline)) = response.extensions().get() {
                 active.0.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
             }
-            Ok::<_, Infallible>(response.map(|body| ActiveBody {
-                body,
-                active,
-                ends_with_connection,
-            }))
+            Ok::<_, Infallible>(response.map(|body| ActiveBody::new(body, active, version)))
         }
     });
-    let io = TokioIo::new(ActivityStream { stream, activity: Arc::clone(&activity) });
+    let io = TokioIo::new(ActivityStream {
+        stream,
+        activity: Arc::clone(&activity),
+        resets_on_close: false,
+    });
     let connection = http1::Builder::new()
         .max_buf_size(limits().header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
