Log in which era the store is, and ignore replies of an older one

No line of the log told that the store had been restored from a copy. The header `Store-Era` is read from each reply; the first reply of a later era is logged, and `store_read` has the era. A reply of an era before the newest known one counts as no reply, because what it says is gone.

--- a/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
@@ -16,6 +16,7 @@
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
 use crate::state::Shared;
+use crate::store::HttpResponse;
 use crate::store::send_http_call;
 
 /// Timeout of a call. Engines reply within milliseconds, and a lost packet is retransmitted after
@@ -35,14 +36,14 @@
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.report_call();
     let report = match send_http_call(&http, address, http_call, header, CALL_TIMEOUT).await {
-        Ok((200, body)) => match shared.protocol.parse_report(&body) {
+        Ok(HttpResponse { status: 200, body, .. }) => match shared.protocol.parse_report(&body) {
             Ok(report) => Some(report),
             Err(error) => {
                 tracing::warn!(event = "bad_report", %upstream, %error);
                 None
             }
         },
-        Ok((status, _)) => {
+        Ok(HttpResponse { status, .. }) => {
             tracing::info!(event = "no_report", %upstream, status);
             None
         }
@@ -73,12 +74,12 @@
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.order_call(&order);
     let result = send_http_call(&http, address, http_call, header, CALL_TIMEOUT).await;
-    let reply = match &result {
-        Ok((202, _)) => OrderReply::Accepted,
-        Ok((200, _)) => OrderReply::AlreadyApplied,
-        Ok((409, _)) => OrderReply::Conflict,
-        Ok((421, _)) => OrderReply::Misdirected,
-        Ok((500.., _)) | Err(_) => OrderReply::Unanswered,
+    let reply = match result.as_ref().map(|response| response.status) {
+        Ok(202) => OrderReply::Accepted,
+        Ok(200) => OrderReply::AlreadyApplied,
+        Ok(409) => OrderReply::Conflict,
+        Ok(421) => OrderReply::Misdirected,
+        Ok(500..) | Err(_) => OrderReply::Unanswered,
         Ok(_) => OrderReply::Rejected,
     };
     let kind = match order.kind {
--- a/crates/fireflyhead-gateway/src/engine_controller/membership.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/membership.rs
@@ -40,7 +40,8 @@
     let mut backoff = Backoff::new(Duration::from_millis(200), Duration::from_millis(1_000));
     loop {
         let sent = clock::now();
-        let lease = match store.call(&StoreCall::Grant { ttl }).await {
+        let lease = match store.call(&StoreCall::Grant { ttl }).await.map(|response| response.reply)
+        {
             Ok(StoreReply::Lease { lease, .. }) => lease,
             Ok(reply) => {
                 tracing::debug!(event = "lease_not_granted", ?reply);
@@ -89,7 +90,7 @@
         removes: Vec::new(),
     };
     loop {
-        match store.call(&call).await {
+        match store.call(&call).await.map(|response| response.reply) {
             Ok(StoreReply::Applied { .. }) => return true,
             Ok(StoreReply::NoLease) => return false,
             Ok(reply) => tracing::debug!(event = "not_registered", ?reply),
@@ -111,7 +112,7 @@
 ) {
     loop {
         let sent = clock::now();
-        match store.call(&StoreCall::Renew { lease }).await {
+        match store.call(&StoreCall::Renew { lease }).await.map(|response| response.reply) {
             Ok(StoreReply::Lease { .. }) => {
                 backoff.reset();
                 if controller.tell(ControllerMsg::LeaseRenewed { lease, sent }).await.is_err() {
@@ -157,7 +158,7 @@
             .collect(),
         removes: orphans.iter().map(|(id, _)| key(id)).collect(),
     };
-    let revision = match store.call(&call).await {
+    let revision = match store.call(&call).await.map(|response| response.reply) {
         Ok(StoreReply::Applied { revision }) => Some(revision),
         Ok(reply) => {
             tracing::info!(event = "custody_not_claimed", ?reply);
--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fireflyhead_policy::era::Era;
 use fireflyhead_policy::protocol::HttpCall;
 use fireflyhead_policy::protocol::PlatformProtocol;
 use fireflyhead_policy::protocol::ProtocolError;
 use fireflyhead_policy::protocol::StoreCall;
 use fireflyhead_policy::protocol::StoreReply;
+use http::HeaderMap;
 use rand::Rng;
 use reqwest::Client;
+use tokio::sync::watch;
 
 use crate::metrics::Metrics;
 
@@ -32,10 +35,21 @@
     Transport(reqwest::Error),
     /// invalid reply from the store: {0}
     Reply(ProtocolError),
+    /// the reply is of era {0} of the store, which has been restored since
+    OldEra(Era),
 }
 
 impl std::error::Error for StoreError {}
 
+/// Reply of the store with the era in which the call was executed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreResponse {
+    /// Era of the store.
+    pub era: Era,
+    /// Reply.
+    pub reply: StoreReply,
+}
+
 /// Client of the store. A call without a reply may have been executed, or may still be
 /// executed later.
 pub struct StoreClient {
@@ -43,6 +57,8 @@
     address: SocketAddr,
     protocol: Arc<dyn PlatformProtocol>,
     metrics: Arc<Metrics>,
+    /// Newest known era.
+    era: watch::Sender<Era>,
 }
 
 impl StoreClient {
@@ -55,28 +71,60 @@
         protocol: Arc<dyn PlatformProtocol>,
         metrics: Arc<Metrics>,
     ) -> reqwest::Result<StoreClient> {
-        Ok(StoreClient { http: http_client()?, address, protocol, metrics })
+        let era = watch::Sender::new(Era::FIRST);
+        Ok(StoreClient { http: http_client()?, address, protocol, metrics, era })
     }
 
     /// Makes a call and counts its outcome.
     ///
     /// # Errors
-    /// No reply arrived in time, or it is invalid.
-    pub async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
+    /// No reply arrived in time, it is invalid, or it is of an older era than the newest known one.
+    pub async fn call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
         let timeout = match call {
             StoreCall::Watch { wait, .. } => *wait + WATCH_ROUND_TRIP,
             _ => CALL_TIMEOUT,
         };
         let encoded = self.protocol.store_call(call);
         let result = match send_http_call(&self.http, self.address, encoded, None, timeout).await {
-            Ok((status, body)) => {
-                self.protocol.parse_store_reply(call, status, &body).map_err(StoreError::Reply)
+            Ok(response) => {
+                let reply = self
+                    .protocol
+                    .parse_store_reply(call, response.status, &response.body)
+                    .map_err(StoreError::Reply);
+                let era = self.protocol.store_era(&response.headers);
+                match self.observe_era(era) {
+                    true => reply.map(|reply| StoreResponse { era, reply }),
+                    false => Err(StoreError::OldEra(era)),
+                }
             }
             Err(e) => Err(StoreError::Transport(e)),
         };
         self.metrics.record_store_call(call_name(call), outcome_name(&result));
         result
     }
+
+    /// Returns the newest known era.
+    pub fn era(&self) -> Era {
+        *self.era.borrow()
+    }
+
+    /// Returns a receiver that is notified of each new era.
+    pub fn subscribe(&self) -> watch::Receiver<Era> {
+        self.era.subscribe()
+    }
+
+    /// Records that the store was seen in `era`; returns whether that is the newest known one.
+    pub fn observe_era(&self, era: Era) -> bool {
+        self.era.send_if_modified(|known| {
+            let is_new = era > *known;
+            if is_new {
+                tracing::warn!(event = "store_restored", %era, previous = %known);
+                *known = era;
+            }
+            is_new
+        });
+        era == self.era()
+    }
 }
 
 /// Creates an HTTP client for calls to the store and to engines.
@@ -92,14 +140,21 @@
         .build()
 }
 
-/// Makes an HTTP call; returns the status and the whole body.
+/// Response to an HTTP call.
+pub(crate) struct HttpResponse {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Makes an HTTP call and reads the whole response.
 pub(crate) async fn send_http_call(
     http: &Client,
     address: SocketAddr,
     call: HttpCall,
     header: Option<(&'static str, &str)>,
     timeout: Duration,
-) -> reqwest::Result<(u16, Bytes)> {
+) -> reqwest::Result<HttpResponse> {
     let url = format!("http://{address}{}", call.target);
     let mut request = http.request(call.method, url).timeout(timeout);
     if let Some((name, value)) = header {
@@ -110,7 +165,8 @@
     }
     let response = request.send().await?;
     let status = response.status().as_u16();
-    Ok((status, response.bytes().await?))
+    let headers = response.headers().clone();
+    Ok(HttpResponse { status, headers, body: response.bytes().await? })
 }
 
 /// Exponential backoff between retries of a failed call, with jitter.
@@ -153,11 +209,12 @@
 }
 
 /// Returns the metrics label of a call's outcome.
-fn outcome_name(result: &Result<StoreReply, StoreError>) -> &'static str {
+fn outcome_name(result: &Result<StoreResponse, StoreError>) -> &'static str {
     match result {
-        Ok(StoreReply::Refused) => "refused",
-        Ok(StoreReply::Conflict { .. }) => "conflict",
+        Ok(StoreResponse { reply: StoreReply::Refused, .. }) => "refused",
+        Ok(StoreResponse { reply: StoreReply::Conflict { .. }, .. }) => "conflict",
         Ok(_) => "ok",
+        Err(StoreError::OldEra(_)) => "old_era",
         Err(StoreError::Transport(_)) => "no_reply",
         Err(StoreError::Reply(_)) => "bad_reply",
     }
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -91,7 +91,8 @@
                 Ok((items, revision)) => {
                     self.mark_store_reachable();
                     self.apply_snapshot(&items).await;
-                    tracing::info!(event = "store_read", items = items.len(), revision);
+                    let era = self.store.era();
+                    tracing::info!(event = "store_read", items = items.len(), revision, %era);
                     return revision;
                 }
                 Err(reason) => self.handle_store_failure(&reason).await,
@@ -106,7 +107,7 @@
         loop {
             let after = all.last().map(|item| item.key.clone());
             let call = StoreCall::Range { prefix: Name::from(ALL_KEYS), after };
-            match self.store.call(&call).await {
+            match self.store.call(&call).await.map(|response| response.reply) {
                 Ok(StoreReply::Items { items, more, revision }) => {
                     // The pages are not a snapshot. The watch starts at the revision of the first
                     // one, so it returns all changes that later pages may have missed.
@@ -131,7 +132,7 @@
             let sent = clock::now();
             let wait = MAX_WATCH_WAIT.min(self.shared.settings.lease_ttl / 3);
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
-            match self.store.call(&call).await {
+            match self.store.call(&call).await.map(|response| response.reply) {
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.mark_store_reachable();
                     let relevant = self.apply_changes(&items).await;
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod budget;
 pub mod config;
 pub mod dispatch;
+pub mod era;
 pub mod fleet;
 pub mod health;
 pub mod limits;
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -13,6 +13,7 @@
 
 use crate::Name;
 use crate::config::Config;
+use crate::era::Era;
 use crate::fleet::UpstreamEntry;
 
 /// Base model, and adapter if any, that a request names.
@@ -348,6 +349,8 @@
         status: u16,
         body: &[u8],
     ) -> Result<StoreReply, ProtocolError>;
+    /// Returns the era of the store that sent a reply with these headers.
+    fn store_era(&self, headers: &HeaderMap) -> Era;
     /// Parses an item of the store.
     fn parse_store_item(&self, item: &Item) -> StoreRecord;
     /// Returns the header that names the target upstream of an order or a report call.
--- a/src/ops/store.rs
+++ b/src/ops/store.rs
@@ -60,6 +60,11 @@
         Ok(OperatorClient { store: store.map_err(OperatorError::Client)? })
     }
 
+    async fn call(&self, call: &StoreCall) -> Result<StoreReply, OperatorError> {
+        let response = self.store.call(call).await.map_err(OperatorError::Store)?;
+        Ok(response.reply)
+    }
+
     /// Reads the whole store page by page.
     ///
     /// # Errors
@@ -69,7 +74,7 @@
         let mut after = None;
         loop {
             let call = StoreCall::Range { prefix: Name::from(""), after: after.clone() };
-            match self.store.call(&call).await.map_err(OperatorError::Store)? {
+            match self.call(&call).await? {
                 StoreReply::Items { items, more, .. } => {
                     after = items.last().map(|item| item.key.clone());
                     items.iter().for_each(|item| listing.add(item));
@@ -116,7 +121,7 @@
                 writes: std::mem::take(&mut writes),
                 removes: Vec::new(),
             };
-            match self.store.call(&call).await.map_err(OperatorError::Store)? {
+            match self.call(&call).await? {
                 StoreReply::Applied { .. } => {}
                 StoreReply::Conflict { .. } => return Err(OperatorError::Conflict),
                 reply => return Err(OperatorError::Rejected(format!("{reply:?}"))),
