Compare revisions of the store only within one era

A node that watches the store itself and asked again only after the revisions had passed its own got a wrong part of the history.

A node's position is now an era and a revision. Feeds carry the era; one of a later era makes the node read everything anew, one of an older era is ignored and doesn't count as a sign of life of the reader. A reply or a feed of a later era ends a watch in progress. The pages of a full read must be of one era. In the first era feeds are encoded as before, later ones are a new message that is sent only to nodes that announced protocol version 3; earlier builds then watch the store themselves.

--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -23,6 +23,7 @@
 use fireflyhead_policy::health::Failure;
 use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::message::EVIDENCE_PROTOCOL;
+use fireflyhead_policy::message::Heartbeat;
 use fireflyhead_policy::quarantine::Change;
 use fireflyhead_policy::quarantine::CrashId;
 use fireflyhead_policy::quarantine::CrashReport;
@@ -116,6 +117,13 @@
         self.announcements().insert(node.clone(), announcement);
     }
 
+    /// Returns whether the process that sent `heartbeat` has announced at least `version`.
+    pub(crate) fn understands(&self, heartbeat: &Heartbeat, version: u32) -> bool {
+        self.announcements().get(&heartbeat.node).is_some_and(|announcement| {
+            announcement.version >= version && announcement.incarnation == heartbeat.incarnation
+        })
+    }
+
     fn announcements(&self) -> MutexGuard<'_, HashMap<Name, Announcement>> {
         self.announcements.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -436,17 +444,11 @@
 
 /// Returns the live nodes that understand evidence. Earlier builds log an error for it.
 fn exchange_peers(shared: &Shared, now: Time) -> Vec<(Name, SocketAddr)> {
-    let announcements = shared.quarantine.announcements();
     let peers = shared.peers();
     peers
         .live(now)
         .map(|peer| &peer.heartbeat)
-        .filter(|heartbeat| {
-            announcements.get(&heartbeat.node).is_some_and(|announcement| {
-                announcement.version >= EVIDENCE_PROTOCOL
-                    && announcement.incarnation == heartbeat.incarnation
-            })
-        })
+        .filter(|heartbeat| shared.quarantine.understands(heartbeat, EVIDENCE_PROTOCOL))
         .map(|heartbeat| (heartbeat.node.clone(), heartbeat.peer_address))
         .collect()
 }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -22,10 +22,12 @@
 use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::dispatch::SendOutcome;
 use fireflyhead_policy::dispatch::UnresponsiveHolder;
+use fireflyhead_policy::era::Era;
 use fireflyhead_policy::fleet::Fleet;
 use fireflyhead_policy::limits::RouteLimits;
 use fireflyhead_policy::message::AdmissionResponse;
 use fireflyhead_policy::message::Datagram;
+use fireflyhead_policy::message::ERA_PROTOCOL;
 use fireflyhead_policy::message::HolderMessage;
 use fireflyhead_policy::message::NodeState;
 use fireflyhead_policy::message::Placement;
@@ -372,12 +374,17 @@
 
     /// Sends store changes to the other live nodes of the zone.
     pub fn forward_feed(&self, now: Time, feed: Feed) {
+        let needs_announcement = feed.era != Era::FIRST;
         let datagram = Datagram::Feed(feed);
         let targets: Vec<SocketAddr> = self
             .peers()
             .live(now)
-            .filter(|peer| peer.heartbeat.zone == self.settings.zone)
-            .map(|peer| peer.heartbeat.peer_address)
+            .map(|peer| &peer.heartbeat)
+            .filter(|heartbeat| heartbeat.zone == self.settings.zone)
+            .filter(|heartbeat| {
+                !needs_announcement || self.quarantine.understands(heartbeat, ERA_PROTOCOL)
+            })
+            .map(|heartbeat| heartbeat.peer_address)
             .collect();
         self.datagrams.send_all(&targets, &datagram);
     }
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -2,8 +2,8 @@
 //!
 //! One watch covers all keys. It is paced, because upstreams write often and each return of a
 //! watch costs another call; changes still arrive well within the bounds for configuration and
-//! draining. If the store has compacted the history after the known revision, everything is read
-//! again. Only some nodes of a zone, its readers, watch the store. They send the changes to the
+//! draining. If the store has compacted the history after the known revision, or was restored,
+//! everything is read again. Only some nodes of a zone, its readers, watch the store. They send the changes to the
 //! other nodes of the zone as feeds; those watch the store themselves only while no feed arrives.
 
 use std::collections::HashMap;
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use fireflyhead_policy::Name;
+use fireflyhead_policy::era::Position;
 use fireflyhead_policy::fleet::FleetChange;
 use fireflyhead_policy::fleet::LAPSE_GRACE;
 use fireflyhead_policy::protocol::Item;
@@ -32,6 +33,7 @@
 use crate::state::Shared;
 use crate::store::Backoff;
 use crate::store::StoreClient;
+use crate::store::StoreResponse;
 
 /// Prefix that matches all keys.
 const ALL_KEYS: &str = "";
@@ -66,9 +68,14 @@
         controller,
         connected: false,
     };
+    let mut eras = watcher.store.subscribe();
     loop {
-        let revision = watcher.read_all().await;
-        watcher.watch(revision).await;
+        let position = watcher.read_all().await;
+        tokio::select! {
+            () = watcher.watch(position) => {}
+            // Can't fail: the sender lives as long as the watcher's client.
+            _ = eras.wait_for(|era| *era > position.era) => {}
+        }
     }
 }
 
@@ -83,64 +90,74 @@
 }
 
 impl StoreWatcher {
-    /// Reads all items, retrying until that succeeds, and returns the revision after which to
-    /// watch for changes.
-    async fn read_all(&mut self) -> u64 {
+    /// Reads all items, retrying until that succeeds, and returns the position after which to watch
+    /// for changes.
+    async fn read_all(&mut self) -> Position {
         loop {
             match self.read_pages().await {
-                Ok((items, revision)) => {
+                Ok((items, position)) => {
                     self.mark_store_reachable();
                     self.apply_snapshot(&items).await;
-                    let era = self.store.era();
+                    let Position { era, revision } = position;
                     tracing::info!(event = "store_read", items = items.len(), revision, %era);
-                    return revision;
+                    return position;
                 }
                 Err(reason) => self.handle_store_failure(&reason).await,
             }
         }
     }
 
-    /// Reads all pages of items. Returns them with the revision of the first page.
-    async fn read_pages(&self) -> Result<(Vec<Item>, u64), String> {
+    /// Reads all pages of items. Returns them with the position of the first page.
+    async fn read_pages(&self) -> Result<(Vec<Item>, Position), String> {
         let mut all: Vec<Item> = Vec::new();
-        let mut first_revision = None;
+        let mut first = None;
         loop {
             let after = all.last().map(|item| item.key.clone());
             let call = StoreCall::Range { prefix: Name::from(ALL_KEYS), after };
-            match self.store.call(&call).await.map(|response| response.reply) {
-                Ok(StoreReply::Items { items, more, revision }) => {
+            let StoreResponse { era, reply } =
+                self.store.call(&call).await.map_err(|e| e.to_string())?;
+            match reply {
+                StoreReply::Items { items, more, revision } => {
                     // The pages are not a snapshot. The watch starts at the revision of the first
                     // one, so it returns all changes that later pages may have missed.
-                    let revision = *first_revision.get_or_insert(revision);
+                    let first = *first.get_or_insert(Position { era, revision });
+                    if era != first.era {
+                        return Err("the store was restored between two pages".to_owned());
+                    }
                     let empty = items.is_empty();
                     all.extend(items);
                     if !more || empty {
-                        return Ok((all, revision));
+                        return Ok((all, first));
                     }
                 }
-                Ok(reply) => return Err(format!("{reply:?}")),
-                Err(e) => return Err(e.to_string()),
+                reply => return Err(format!("{reply:?}")),
             }
         }
     }
 
-    /// Applies the changes after a revision, from feeds or own watches, until the store has
-    /// compacted the history.
-    async fn watch(&mut self, mut after: u64) {
+    /// Applies the changes after a position, from feeds or own watches, until the store has
+    /// compacted the history or was restored.
+    async fn watch(&mut self, mut position: Position) {
         loop {
-            after = self.apply_feeds(after).await;
+            position.revision = self.apply_feeds(position).await;
+            let Position { era, revision: after } = position;
             let sent = clock::now();
             let wait = MAX_WATCH_WAIT.min(self.shared.settings.lease_ttl / 3);
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
-            match self.store.call(&call).await.map(|response| response.reply) {
+            let reply = match self.store.call(&call).await {
+                Ok(response) if response.era != era => return,
+                Ok(response) => Ok(response.reply),
+                Err(e) => Err(e),
+            };
+            match reply {
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.mark_store_reachable();
                     let relevant = self.apply_changes(&items).await;
                     if self.shared.is_reader(clock::now()) {
-                        self.forward_changes(after, revision, relevant);
+                        self.forward_changes(position, revision, relevant);
                         sleep(self.watch_interval().saturating_sub(clock::now().since(sent))).await;
                     }
-                    after = revision.max(after);
+                    position.revision = revision.max(after);
                 }
                 Ok(StoreReply::Compacted) => {
                     tracing::info!(event = "store_history_gone", after);
@@ -159,22 +176,24 @@
 
     /// Applies feeds from the readers of the zone. Returns the last applied revision once this node
     /// must watch the store itself: it is a reader, no feed arrived in time, or a feed is missing.
-    async fn apply_feeds(&mut self, mut after: u64) -> u64 {
+    async fn apply_feeds(&mut self, Position { era, revision: mut after }: Position) -> u64 {
         let limit = self.watch_interval() + FEED_MARGIN;
+        let mut last_feed = clock::now();
         while !self.shared.is_reader(clock::now()) {
-            let wait_started = clock::now();
-            let Some(feed) = self.shared.feed_queue.next(limit).await else {
+            let left = (last_feed + limit).since(clock::now());
+            let Some(feed) = self.shared.feed_queue.next(left).await else {
                 tracing::info!(event = "no_feed", after);
                 return after;
             };
             let now = clock::now();
-            if now.since(wait_started) >= limit + SUSPENSION_THRESHOLD {
+            if now.since(last_feed) >= limit + SUSPENSION_THRESHOLD {
                 self.shared.feed_queue.clear();
                 return after;
             }
-            let since_outage = feed.since_outage;
-            match feed.changes_after(after) {
+            let (since_outage, feed_era) = (feed.since_outage, feed.era);
+            match feed.changes_after(Position { era, revision: after }) {
                 FeedOutcome::Apply(items, to) => {
+                    last_feed = now;
                     self.mark_store_reachable();
                     if let Some(since_outage) = since_outage {
                         self.shared.fleet().record_outage_end(now - since_outage);
@@ -184,23 +203,28 @@
                 }
                 FeedOutcome::Gap => {
                     tracing::info!(event = "feed_gap", after);
+                    self.store.observe_era(feed_era);
                     return after;
                 }
+                FeedOutcome::Outdated => {
+                    tracing::debug!(event = "feed_outdated", era = %feed_era);
+                }
             }
         }
         after
     }
 
     /// Sends changes to the other nodes of the zone.
-    fn forward_changes(&self, from: u64, to: u64, items: Vec<Item>) {
+    fn forward_changes(&self, after: Position, to: u64, items: Vec<Item>) {
         let now = clock::now();
+        let Position { era, revision: from } = after;
         let bytes: usize = items.iter().map(|item| item.value.as_ref().map_or(0, Bytes::len)).sum();
         let outage_end = self.shared.fleet().outage_end();
         let since_outage = outage_end.map(|at| now.since(at)).filter(|age| *age < LAPSE_GRACE);
         let feed = match bytes <= MAX_FEED_BYTES {
-            true => Feed { from, to, since_outage, items },
+            true => Feed { era, from, to, since_outage, items },
             // The other nodes detect the gap and watch the store themselves.
-            false => Feed { from: to, to, since_outage, items: Vec::new() },
+            false => Feed { era, from: to, to, since_outage, items: Vec::new() },
         };
         self.shared.forward_feed(now, feed);
     }
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -7,7 +7,8 @@
 //!   progress of one. [`AdmissionResponse`] is the holder's response.
 //! - [`CrashReport`]: a crash of an engine, with the prompt parts that may have caused it. Sent only
 //!   to nodes that announced at least [`EVIDENCE_PROTOCOL`].
-//! - [`Feed`]: changes of the store, for nodes that do not follow it themselves.
+//! - [`Feed`]: changes of the store, for nodes that do not follow it themselves. After the store was
+//!   restored, sent only to nodes that announced at least [`ERA_PROTOCOL`].
 //!
 //! The holder of an engine is the node that owns it: it alone orders adapter loads there and admits
 //! requests. Module [`wire`] converts the messages to and from the generated wire types, some of
@@ -28,9 +29,11 @@
 
 /// Version of the protocol between nodes, which each node announces in the store. Nodes without an
 /// announcement have version 1.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 /// Lowest version of nodes that understand [`Datagram::CrashReports`].
 pub const EVIDENCE_PROTOCOL: u32 = 2;
+/// Lowest version of nodes that understand a [`Feed`] of a later era than the first one.
+pub const ERA_PROTOCOL: u32 = 3;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -22,6 +22,7 @@
 
 use crate::Name;
 use crate::dispatch::JobId;
+use crate::era::Era;
 use crate::message::AdapterRequest;
 use crate::message::AdmissionDecision;
 use crate::message::AdmissionRequest;
@@ -74,7 +75,13 @@
                 let messages = messages.iter().map(wire::HolderMessage::from).collect();
                 wire::datagram::Body::ToHolder(wire::HolderMessages { node, messages })
             }
-            Datagram::Feed(feed) => wire::datagram::Body::Feed(feed.into()),
+            Datagram::Feed(feed) if feed.era == Era::FIRST => {
+                wire::datagram::Body::Feed(feed.into())
+            }
+            Datagram::Feed(feed) => wire::datagram::Body::EraFeed(wire::EraFeed {
+                era: feed.era.number(),
+                feed: Some(feed.into()),
+            }),
             Datagram::AdmissionResponses { holder, responses } => {
                 let holder = holder.to_string();
                 let answers = responses.iter().map(wire::Answer::from).collect();
@@ -115,6 +122,10 @@
                 })
             }
             Some(wire::datagram::Body::Feed(feed)) => Ok(Datagram::Feed(feed.into())),
+            Some(wire::datagram::Body::EraFeed(wire::EraFeed { era, feed })) => {
+                let feed = Feed::from(feed.ok_or(WireError::Empty)?);
+                Ok(Datagram::Feed(Feed { era: Era::new(era), ..feed }))
+            }
             Some(wire::datagram::Body::Evidence(wire::Evidence { crashes })) => {
                 let reports = crashes.into_iter().take(MAX_REPORTS).map(CrashReport::from);
                 Ok(Datagram::CrashReports(reports.collect()))
@@ -331,6 +342,7 @@
             lease: item.lease,
         };
         Feed {
+            era: Era::FIRST,
             from: feed.from,
             to: feed.to,
             since_outage: feed.back_us.map(Duration::from_micros),
--- a/crates/fireflyhead-policy/src/readers.rs
+++ b/crates/fireflyhead-policy/src/readers.rs
@@ -5,9 +5,12 @@
 //! node that is not a reader watches the store itself only while it receives no changes, so that
 //! a reader that is killed, paused or partitioned costs the other nodes one timeout.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use crate::Name;
+use crate::era::Era;
+use crate::era::Position;
 use crate::protocol::Item;
 
 /// Number of readers in one zone; the second one covers the loss of the first.
@@ -38,6 +41,8 @@
 /// Changes of the store between two revisions, as a reader forwards them.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Feed {
+    /// Era of the store, to which the revisions belong.
+    pub era: Era,
     /// Revision after which the feed contains all changes.
     pub from: u64,
     /// Last revision that the feed covers.
@@ -53,16 +58,22 @@
 pub enum FeedOutcome {
     /// Changes to apply, and the revision up to which the store is known afterwards.
     Apply(Vec<Item>, u64),
-    /// Changes between the known revision and the start of the feed are missing.
+    /// Changes between the known revision and the start of the feed are missing, or the store was
+    /// restored between.
     Gap,
+    /// The feed is of an older era than the node knows.
+    Outdated,
 }
 
 impl Feed {
-    /// Returns the changes that a node has to apply if it knows the store up to revision `after`.
-    pub fn changes_after(self, after: u64) -> FeedOutcome {
-        match self.from > after {
-            true => FeedOutcome::Gap,
-            false => {
+    /// Returns the changes that a node has to apply if it knows the store up to `known`.
+    pub fn changes_after(self, known: Position) -> FeedOutcome {
+        let after = known.revision;
+        match self.era.cmp(&known.era) {
+            Ordering::Less => FeedOutcome::Outdated,
+            Ordering::Greater => FeedOutcome::Gap,
+            Ordering::Equal if self.from > after => FeedOutcome::Gap,
+            Ordering::Equal => {
                 let items = self.items.into_iter().filter(|item| item.revision > after).collect();
                 FeedOutcome::Apply(items, after.max(self.to))
             }
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::dispatch::JobId;
+use fireflyhead_policy::era::Era;
 use fireflyhead_policy::message::AdmissionDecision;
 use fireflyhead_policy::message::AdmissionRequest;
 use fireflyhead_policy::message::AdmissionResponse;
@@ -106,17 +107,20 @@
         Item { key: Name::from("k"), value: Some(Bytes::from("v")), revision: 7, lease: 2 },
         Item { key: Name::from("gone"), value: None, revision: 8, lease: 0 },
     ];
+    let feed = Feed {
+        era: Era::FIRST,
+        from: 5,
+        to: 8,
+        since_outage: Some(Duration::from_millis(900)),
+        items,
+    };
     vec![
         heartbeat(true),
         heartbeat(false),
         Datagram::HolderMessages { node: Name::from("node-1"), messages },
         Datagram::AdmissionResponses { holder: Name::from("node-2"), responses },
-        Datagram::Feed(Feed {
-            from: 5,
-            to: 8,
-            since_outage: Some(Duration::from_millis(900)),
-            items,
-        }),
+        Datagram::Feed(feed.clone()),
+        Datagram::Feed(Feed { era: Era::new(3), ..feed }),
         Datagram::CrashReports(vec![CrashReport {
             crash: CrashId(77),
             age: Duration::from_millis(1_234),
--- a/crates/fireflyhead-policy/tests/policy/readers.rs
+++ b/crates/fireflyhead-policy/tests/policy/readers.rs
@@ -1,6 +1,8 @@
 //! Nodes that read the store for the others of their zone, and the feeds of changes that they send.
 
 use fireflyhead_policy::Name;
+use fireflyhead_policy::era::Era;
+use fireflyhead_policy::era::Position;
 use fireflyhead_policy::protocol::Item;
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_policy::readers::FeedOutcome;
@@ -17,9 +19,20 @@
     Item { key: Name::from(format!("k{revision}")), value: None, revision, lease: 0 }
 }
 
+/// Returns a position in the first era.
+fn known(revision: u64) -> Position {
+    Position { era: Era::FIRST, revision }
+}
+
 /// Returns a feed with one change for each revision after `from` up to `to`.
 fn feed(from: u64, to: u64) -> Feed {
-    Feed { from, to, since_outage: None, items: (from + 1..=to).map(item).collect() }
+    Feed {
+        era: Era::FIRST,
+        from,
+        to,
+        since_outage: None,
+        items: (from + 1..=to).map(item).collect(),
+    }
 }
 
 /// Guards against a zone without a reader, and against a store that every node reads: all nodes
@@ -48,13 +61,27 @@
 /// received from two readers.
 #[test]
 fn a_feed_is_applied_only_without_a_gap() {
-    assert_eq!(feed(5, 7).changes_after(5), FeedOutcome::Apply(vec![item(6), item(7)], 7));
-    assert_eq!(feed(5, 7).changes_after(6), FeedOutcome::Apply(vec![item(7)], 7));
-    assert_eq!(feed(5, 7).changes_after(9), FeedOutcome::Apply(Vec::new(), 9));
-    assert_eq!(feed(5, 7).changes_after(4), FeedOutcome::Gap);
+    assert_eq!(feed(5, 7).changes_after(known(5)), FeedOutcome::Apply(vec![item(6), item(7)], 7));
+    assert_eq!(feed(5, 7).changes_after(known(6)), FeedOutcome::Apply(vec![item(7)], 7));
+    assert_eq!(feed(5, 7).changes_after(known(9)), FeedOutcome::Apply(Vec::new(), 9));
+    assert_eq!(feed(5, 7).changes_after(known(4)), FeedOutcome::Gap);
     // A reader sends this feed instead of changes that do not fit into a datagram.
-    let without_items = Feed { from: 7, to: 7, since_outage: None, items: Vec::new() };
-    assert_eq!(without_items.changes_after(5), FeedOutcome::Gap);
+    let without_items =
+        Feed { era: Era::FIRST, from: 7, to: 7, since_outage: None, items: Vec::new() };
+    assert_eq!(without_items.changes_after(known(5)), FeedOutcome::Gap);
+}
+
+/// Guards against changes that are compared by their revisions although the store was restored
+/// between.
+#[test]
+fn feeds_of_other_eras_are_not_applied() {
+    let later = Era::new(2);
+    let restored = Position { era: later, revision: 5 };
+    assert_eq!(Feed { era: later, ..feed(5, 7) }.changes_after(known(9)), FeedOutcome::Gap);
+    assert_eq!(feed(5, 7).changes_after(restored), FeedOutcome::Outdated);
+    let items = vec![item(6), item(7)];
+    let applied = Feed { era: later, ..feed(5, 7) }.changes_after(restored);
+    assert_eq!(applied, FeedOutcome::Apply(items, 7));
 }
 
 proptest! {
@@ -74,7 +101,7 @@
                 [(first_sent, first_sent + by_first), (second_sent, second_sent + by_second)];
             (first_sent, second_sent) = (first_sent + by_first, second_sent + by_second);
             for (from, to) in feeds.into_iter().filter(|_| delivered) {
-                match feed(from, to).changes_after(after) {
+                match feed(from, to).changes_after(known(after)) {
                     FeedOutcome::Apply(items, to) => {
                         applied.extend(items.iter().map(|item| item.revision));
                         after = to;
@@ -83,6 +110,7 @@
                         applied.extend(after + 1..=to);
                         after = to;
                     }
+                    FeedOutcome::Outdated => prop_assert!(false, "all feeds are of one era"),
                 }
             }
         }
