Keep upstreams that left from coming back with an older copy of the store

After a restore, the copy lists upstreams that have left since it was made, and shows others as ready that have said that they drain. Upstreams that joined since are missing in the copy and were dropped at once by nodes that noticed no outage.

For 5 s from the start of an era, a full read doesn't bring back an upstream that was removed, that drains or that has started again since, unless the entry has a later start. A change that is written in the new era counts as before.

--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -68,6 +68,7 @@
         store,
         controller,
         connected: false,
+        era: Era::FIRST,
     };
     let mut eras = watcher.store.subscribe();
     loop {
@@ -88,6 +89,8 @@
     backoff: Backoff,
     /// Whether the store is reachable, directly or through the feeds of a reader.
     connected: bool,
+    /// Era of the last full read.
+    era: Era,
 }
 
 impl StoreWatcher {
@@ -245,10 +248,14 @@
         sleep(self.backoff.next_delay()).await;
     }
 
-    /// Applies all items of the store. Upstreams that are not among them are removed, after an
-    /// outage only once their grace period has passed.
-    async fn apply_snapshot(&self, items: &[Item], era: Era) {
+    /// Applies all items of the store in `era`. Upstreams that are not among them are removed, after
+    /// an outage or a restore only once their grace period has passed.
+    async fn apply_snapshot(&mut self, items: &[Item], era: Era) {
         let now = clock::now();
+        if era > self.era {
+            self.era = era;
+            self.shared.fleet().begin_era(now);
+        }
         let mut listed = HashMap::new();
         for item in items {
             match self.shared.protocol.parse_store_item(item) {
--- a/crates/fireflyhead-policy/src/fleet.rs
+++ b/crates/fireflyhead-policy/src/fleet.rs
@@ -1,7 +1,9 @@
 //! Upstreams that are registered in the store.
 //!
 //! Survives store outages: an entry that lapses while the store is unavailable stays in use until
-//! [`LAPSE_GRACE`] after the end of the outage, because its upstream still serves requests.
+//! [`LAPSE_GRACE`] after the end of the outage, because its upstream still serves requests. Survives
+//! restores of the store from an older copy too: the copy doesn't bring back an upstream that has
+//! left, or make one ready again that drains.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,6 +19,15 @@
 /// The platform documents that live upstreams register again within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time after a restore of the store within which upstreams have written their entries again, or
+/// those of the copy have expired.
+const RESTORE_GRACE: Duration = Duration::from_millis(5_000);
+/// Number of removed upstreams from which those are forgotten that were removed earlier than
+/// [`REMOVED_TTL`] ago.
+const MAX_REMOVED: usize = 4_096;
+/// Time for which a removed upstream is remembered at least, longer than any copy is old.
+const REMOVED_TTL: Duration = Duration::from_secs(600);
+
 /// State that an upstream publishes in its entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpstreamState {
@@ -66,6 +77,10 @@
     entries: HashMap<Name, Arc<UpstreamEntry>>,
     /// Entries that lapsed during or shortly after an outage, with the time of the lapse.
     lapsed: HashMap<Name, Time>,
+    /// Start times of upstreams that were removed, with the time of the removal.
+    removed: HashMap<Name, (u64, Time)>,
+    /// Start of the store's era; `None` before the first restore.
+    era_began: Option<Time>,
     store_unavailable: bool,
     /// End of the last store outage.
     outage_end: Option<Time>,
@@ -85,6 +100,13 @@
         }
     }
 
+    /// Records that the store was restored from a copy, after an outage.
+    pub fn begin_era(&mut self, now: Time) {
+        self.start_outage();
+        self.end_outage(now);
+        self.era_began = Some(now);
+    }
+
     /// Records that another node observed a store outage that ended at `at`.
     pub fn record_outage_end(&mut self, at: Time) {
         self.outage_end = self.outage_end.max(Some(at));
@@ -109,6 +131,7 @@
         match entry {
             Some(entry) => {
                 self.lapsed.remove(id);
+                self.removed.remove(id);
                 match self.entries.get(id) {
                     Some(old) if **old == entry => Vec::new(),
                     old => {
@@ -131,11 +154,12 @@
                 self.lapsed.entry(id.clone()).or_insert(now);
                 Vec::new()
             }
-            None => self.remove(id),
+            None => self.remove(now, id),
         }
     }
 
     /// Applies a full read of the store: known entries that are missing from it count as removed.
+    /// Shortly after a restore, entries that must be older than the known state are ignored.
     pub fn replace(
         &mut self,
         now: Time,
@@ -144,7 +168,11 @@
         let missing: Vec<Name> =
             self.entries.keys().filter(|id| !listed.contains_key(*id)).cloned().collect();
         let mut changes = Vec::new();
+        let may_be_old = self.era_began.is_some_and(|began| now.since(began) < RESTORE_GRACE);
         for (id, entry) in listed {
+            if may_be_old && self.is_outdated(id, entry) {
+                continue;
+            }
             changes.extend(self.apply(now, id, Some(entry.clone())));
         }
         for id in missing {
@@ -163,7 +191,19 @@
             return Vec::new();
         }
         let ids: Vec<Name> = self.lapsed.drain().map(|(id, _)| id).collect();
-        ids.iter().flat_map(|id| self.remove(id)).collect()
+        ids.iter().flat_map(|id| self.remove(now, id)).collect()
+    }
+
+    /// Returns whether the upstream had left, drained or restarted after `entry` was written.
+    fn is_outdated(&self, id: &Name, entry: &UpstreamEntry) -> bool {
+        match (self.entries.get(id), self.removed.get(id)) {
+            (Some(known), _) if known.incarnation == entry.incarnation => {
+                known.state == UpstreamState::Draining && entry.state == UpstreamState::Ready
+            }
+            (Some(known), _) => entry.incarnation < known.incarnation,
+            (None, Some((incarnation, _))) => entry.incarnation <= *incarnation,
+            (None, None) => false,
+        }
     }
 
     /// Returns the entry of upstream `id`.
@@ -176,11 +216,13 @@
         self.entries.values()
     }
 
-    fn remove(&mut self, id: &Name) -> Vec<FleetChange> {
+    fn remove(&mut self, now: Time, id: &Name) -> Vec<FleetChange> {
         self.lapsed.remove(id);
-        match self.entries.remove(id) {
-            Some(_) => vec![FleetChange::Removed(id.clone())],
-            None => Vec::new(),
+        let Some(entry) = self.entries.remove(id) else { return Vec::new() };
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.retain(|_, (_, at)| now.since(*at) < REMOVED_TTL);
         }
+        self.removed.insert(id.clone(), (entry.incarnation, now));
+        vec![FleetChange::Removed(id.clone())]
     }
 }
--- a/crates/fireflyhead-policy/tests/policy/fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/fleet.rs
@@ -5,6 +5,8 @@
 use fireflyhead_policy::Name;
 use fireflyhead_policy::fleet::Fleet;
 use fireflyhead_policy::fleet::FleetChange;
+use fireflyhead_policy::fleet::UpstreamEntry;
+use fireflyhead_policy::fleet::UpstreamState;
 
 use crate::setup::ms;
 use crate::setup::upstream_entry;
@@ -59,6 +61,56 @@
     assert!(fleet.get("engine-1").is_some());
 }
 
+/// Returns the entry of the fleet's upstream with this state.
+fn entry_with_state(state: UpstreamState) -> UpstreamEntry {
+    UpstreamEntry { state, ..upstream_entry("engine-1", "models", 64) }
+}
+
+/// Guards against requests to an upstream that has left, because the copy from which the store was
+/// restored still lists it.
+#[test]
+fn an_upstream_that_left_is_not_listed_again_by_an_old_copy() {
+    let (mut fleet, id) = fleet_with_one_upstream();
+    fleet.apply(ms(1_000), &id, None);
+    fleet.begin_era(ms(5_000));
+    let copy = HashMap::from([(id.clone(), entry_with_state(UpstreamState::Ready))]);
+    assert!(fleet.replace(ms(5_010), &copy).is_empty());
+    assert!(fleet.get("engine-1").is_none());
+    // A later start of the upstream is known to be newer, as is an entry that is written again.
+    let mut restarted = entry_with_state(UpstreamState::Ready);
+    restarted.incarnation += 1;
+    assert_eq!(fleet.replace(ms(5_020), &HashMap::from([(id.clone(), restarted)])).len(), 1);
+    fleet.apply(ms(5_030), &id, None);
+    fleet.remove_lapsed(ms(8_000));
+    assert_eq!(fleet.apply(ms(8_010), &id, Some(entry_with_state(UpstreamState::Ready))).len(), 1);
+}
+
+/// Guards against requests to an upstream that has said that it drains, because the copy from which
+/// the store was restored is older.
+#[test]
+fn a_draining_upstream_is_not_ready_again_by_an_old_copy() {
+    let (mut fleet, id) = fleet_with_one_upstream();
+    fleet.apply(ms(1_000), &id, Some(entry_with_state(UpstreamState::Draining)));
+    fleet.begin_era(ms(5_000));
+    let copy = HashMap::from([(id.clone(), entry_with_state(UpstreamState::Ready))]);
+    assert!(fleet.replace(ms(5_010), &copy).is_empty());
+    let state = |fleet: &Fleet| fleet.get("engine-1").map(|entry| entry.state);
+    assert_eq!(state(&fleet), Some(UpstreamState::Draining));
+    fleet.apply(ms(6_000), &id, Some(entry_with_state(UpstreamState::Ready)));
+    assert_eq!(state(&fleet), Some(UpstreamState::Ready));
+}
+
+/// Guards against live upstreams that are dropped because the copy from which the store was restored
+/// is older than their entries.
+#[test]
+fn an_upstream_that_an_old_copy_lacks_is_kept_for_the_grace_period() {
+    let (mut fleet, id) = fleet_with_one_upstream();
+    fleet.begin_era(ms(5_000));
+    assert!(fleet.replace(ms(5_010), &HashMap::new()).is_empty());
+    assert!(fleet.get("engine-1").is_some());
+    assert_eq!(fleet.remove_lapsed(ms(7_300)), vec![FleetChange::Removed(id)]);
+}
+
 /// Guards against a log line for each adapter or model that an engine loads: only `Listed` and
 /// `Removed` are logged.
 #[test]
