Follow the store again once the grace period after a restore is over

An entry of the copy that seemed to be outdated was ignored until the upstream wrote it again. An upstream that was ready again before the restore, of which a node had missed the last write, stayed draining for that node if it never wrote again. The node now applies such entries 5 s after the start of the era if the store still has them. Entries that lapse now end like those that are removed, also for the quarantine.

--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -189,7 +189,7 @@
 async fn run_periodic_checks(shared: Arc<Shared>) {
     loop {
         heartbeats::drop_unreachable_nodes(&shared);
-        store_watch::remove_lapsed_upstreams(&shared);
+        store_watch::end_grace(&shared);
         shared.pool.close_expired(clock::now());
         sleep(PERIODIC_CHECK_INTERVAL).await;
     }
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -266,7 +266,7 @@
             }
         }
         let changes = self.shared.fleet().replace(now, &listed);
-        self.apply_fleet_changes(changes).await;
+        apply_fleet_changes(&self.shared, changes);
         self.send_internal_items(items, era, true).await;
     }
 
@@ -295,7 +295,7 @@
                 }
             }
         }
-        self.apply_fleet_changes(changes).await;
+        apply_fleet_changes(&self.shared, changes);
         self.send_internal_items(items, era, false).await;
         relevant
     }
@@ -329,35 +329,6 @@
         }
     }
 
-    /// Applies changes of the upstreams to the dispatcher and the connection pool.
-    async fn apply_fleet_changes(&self, changes: Vec<FleetChange>) {
-        for change in &changes {
-            match change {
-                FleetChange::Listed(entry) => {
-                    tracing::info!(
-                        event = "upstream_listed",
-                        upstream = %entry.id,
-                        service = %entry.service,
-                        state = ?entry.state,
-                        born = entry.incarnation,
-                        adapters = entry.adapters.len()
-                    );
-                    quarantine::handle_listed(&self.shared, entry);
-                    self.shared.dispatcher().upsert_upstream(entry);
-                }
-                // Not logged: updates are frequent, and their adapters are known from heartbeats.
-                FleetChange::Updated(entry) => self.shared.dispatcher().upsert_upstream(entry),
-                FleetChange::Removed(id) => {
-                    tracing::info!(event = "upstream_gone", upstream = %id);
-                    quarantine::handle_removed(&self.shared, id);
-                    self.shared.dispatcher().remove_upstream(id);
-                    self.shared.pool.close_idle(id.as_str());
-                }
-            }
-        }
-        self.shared.dispatch_waiting(clock::now());
-    }
-
     /// Sends the membership entries and ownership records among `items` to the engine controller.
     async fn send_internal_items(&self, items: &[Item], era: Era, full: bool) {
         let internal = items
@@ -373,14 +344,39 @@
     }
 }
 
-/// Removes upstreams that were not listed again within the grace period after a store outage.
-pub fn remove_lapsed_upstreams(shared: &Shared) {
-    let changes = shared.fleet().remove_lapsed(clock::now());
-    for change in changes {
-        if let FleetChange::Removed(id) = change {
-            tracing::info!(event = "upstream_gone", upstream = %id, reason = "not listed again");
-            shared.dispatcher().remove_upstream(&id);
-            shared.pool.close_idle(id.as_str());
+/// Ends the grace periods of upstreams after an outage or a restore of the store.
+pub fn end_grace(shared: &Shared) {
+    let changes = shared.fleet().end_grace(clock::now());
+    if !changes.is_empty() {
+        apply_fleet_changes(shared, changes);
+    }
+}
+
+/// Applies changes of the upstreams to the dispatcher and the connection pool.
+fn apply_fleet_changes(shared: &Shared, changes: Vec<FleetChange>) {
+    for change in &changes {
+        match change {
+            FleetChange::Listed(entry) => {
+                tracing::info!(
+                    event = "upstream_listed",
+                    upstream = %entry.id,
+                    service = %entry.service,
+                    state = ?entry.state,
+                    born = entry.incarnation,
+                    adapters = entry.adapters.len()
+                );
+                quarantine::handle_listed(shared, entry);
+                shared.dispatcher().upsert_upstream(entry);
+            }
+            // Not logged: updates are frequent, and their adapters are known from heartbeats.
+            FleetChange::Updated(entry) => shared.dispatcher().upsert_upstream(entry),
+            FleetChange::Removed(id) => {
+                tracing::info!(event = "upstream_gone", upstream = %id);
+                quarantine::handle_removed(shared, id);
+                shared.dispatcher().remove_upstream(id);
+                shared.pool.close_idle(id.as_str());
+            }
         }
     }
+    shared.dispatch_waiting(clock::now());
 }
--- a/crates/fireflyhead-policy/src/fleet.rs
+++ b/crates/fireflyhead-policy/src/fleet.rs
@@ -79,6 +79,8 @@
     lapsed: HashMap<Name, Time>,
     /// Start times of upstreams that were removed, with the time of the removal.
     removed: HashMap<Name, (u64, Time)>,
+    /// Entries of the copy from which the store was restored that seem to be outdated.
+    outdated: HashMap<Name, UpstreamEntry>,
     /// Start of the store's era; `None` before the first restore.
     era_began: Option<Time>,
     store_unavailable: bool,
@@ -120,13 +122,14 @@
     /// Applies the entry of upstream `id`, or its removal from the store if `entry` is `None`.
     ///
     /// An entry that is removed during an outage or within [`LAPSE_GRACE`] after its end is kept
-    /// until [`Fleet::remove_lapsed`] removes it.
+    /// until [`Fleet::end_grace`] removes it.
     pub fn apply(
         &mut self,
         now: Time,
         id: &Name,
         entry: Option<UpstreamEntry>,
     ) -> Vec<FleetChange> {
+        self.outdated.remove(id);
         let outage_ended_recently = self.outage_end.is_some_and(|at| now.since(at) < LAPSE_GRACE);
         match entry {
             Some(entry) => {
@@ -159,7 +162,8 @@
     }
 
     /// Applies a full read of the store: known entries that are missing from it count as removed.
-    /// Shortly after a restore, entries that must be older than the known state are ignored.
+    /// Shortly after a restore, entries that seem to be older than the known state wait until
+    /// [`Fleet::end_grace`].
     pub fn replace(
         &mut self,
         now: Time,
@@ -171,6 +175,7 @@
         let may_be_old = self.era_began.is_some_and(|began| now.since(began) < RESTORE_GRACE);
         for (id, entry) in listed {
             if may_be_old && self.is_outdated(id, entry) {
+                self.outdated.insert(id.clone(), entry.clone());
                 continue;
             }
             changes.extend(self.apply(now, id, Some(entry.clone())));
@@ -181,8 +186,19 @@
         changes
     }
 
-    /// Removes the lapsed entries once [`LAPSE_GRACE`] has passed since the end of the outage.
-    pub fn remove_lapsed(&mut self, now: Time) -> Vec<FleetChange> {
+    /// Removes the lapsed entries once [`LAPSE_GRACE`] has passed since the end of the outage, and
+    /// applies those of a restored copy that the store still has [`RESTORE_GRACE`] after the restore.
+    pub fn end_grace(&mut self, now: Time) -> Vec<FleetChange> {
+        let mut changes = self.remove_lapsed(now);
+        if self.era_began.is_some_and(|began| now.since(began) >= RESTORE_GRACE) {
+            for (id, entry) in std::mem::take(&mut self.outdated) {
+                changes.extend(self.apply(now, &id, Some(entry)));
+            }
+        }
+        changes
+    }
+
+    fn remove_lapsed(&mut self, now: Time) -> Vec<FleetChange> {
         let grace_over = match self.outage_end {
             Some(at) if !self.store_unavailable => now.since(at) >= LAPSE_GRACE,
             Some(_) | None => false,
--- a/crates/fireflyhead-policy/tests/policy/fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/fleet.rs
@@ -43,9 +43,9 @@
     fleet.start_outage();
     fleet.end_outage(ms(5_000));
     assert!(fleet.replace(ms(5_010), &HashMap::new()).is_empty());
-    assert!(fleet.remove_lapsed(ms(7_000)).is_empty());
+    assert!(fleet.end_grace(ms(7_000)).is_empty());
     assert!(fleet.get("engine-1").is_some());
-    assert_eq!(fleet.remove_lapsed(ms(7_300)), vec![FleetChange::Removed(id)]);
+    assert_eq!(fleet.end_grace(ms(7_300)), vec![FleetChange::Removed(id)]);
 }
 
 /// Guards against a live upstream that is dropped at the end of the grace period although it was
@@ -57,7 +57,7 @@
     fleet.end_outage(ms(5_000));
     fleet.apply(ms(5_010), &id, None);
     fleet.apply(ms(6_000), &id, Some(upstream_entry("engine-1", "models", 64)));
-    assert!(fleet.remove_lapsed(ms(8_000)).is_empty());
+    assert!(fleet.end_grace(ms(8_000)).is_empty());
     assert!(fleet.get("engine-1").is_some());
 }
 
@@ -81,7 +81,7 @@
     restarted.incarnation += 1;
     assert_eq!(fleet.replace(ms(5_020), &HashMap::from([(id.clone(), restarted)])).len(), 1);
     fleet.apply(ms(5_030), &id, None);
-    fleet.remove_lapsed(ms(8_000));
+    fleet.end_grace(ms(8_000));
     assert_eq!(fleet.apply(ms(8_010), &id, Some(entry_with_state(UpstreamState::Ready))).len(), 1);
 }
 
@@ -96,7 +96,9 @@
     assert!(fleet.replace(ms(5_010), &copy).is_empty());
     let state = |fleet: &Fleet| fleet.get("engine-1").map(|entry| entry.state);
     assert_eq!(state(&fleet), Some(UpstreamState::Draining));
-    fleet.apply(ms(6_000), &id, Some(entry_with_state(UpstreamState::Ready)));
+    assert!(fleet.end_grace(ms(9_900)).is_empty());
+    let still_listed = fleet.end_grace(ms(10_000));
+    assert!(matches!(still_listed[..], [FleetChange::Listed(_)]));
     assert_eq!(state(&fleet), Some(UpstreamState::Ready));
 }
 
@@ -108,7 +110,7 @@
     fleet.begin_era(ms(5_000));
     assert!(fleet.replace(ms(5_010), &HashMap::new()).is_empty());
     assert!(fleet.get("engine-1").is_some());
-    assert_eq!(fleet.remove_lapsed(ms(7_300)), vec![FleetChange::Removed(id)]);
+    assert_eq!(fleet.end_grace(ms(7_300)), vec![FleetChange::Removed(id)]);
 }
 
 /// Guards against a log line for each adapter or model that an engine loads: only `Listed` and
