Apply a table with a version above those that a restored store has lost

`fireflyhead table apply` took the version after the one in the store. After a restore that is a version which nodes already have, or a lower one, so that they ignored the table, although the command reported success. From the second era on, versions start at the number of the era times 2^32. The command fails if the store is restored between reading and writing, because the revision of its condition may have been given out again.

--- a/crates/fireflyhead-policy/src/era.rs
+++ b/crates/fireflyhead-policy/src/era.rs
@@ -9,6 +9,8 @@
 
 /// Number of bits of a fencing token that hold the revision.
 const REVISION_BITS: u32 = 40;
+/// Number of bits of a configuration's version below those that hold the era.
+const CONFIG_BITS: u32 = 32;
 
 /// Era of the store; it rises by one with each restore.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -34,6 +36,12 @@
     pub const fn fencing_token(self, revision: u64) -> u64 {
         ((self.0 - Era::FIRST.0) << REVISION_BITS) | revision
     }
+
+    /// Returns the lowest version for a configuration that is derived from the one in the store. It
+    /// is above all versions of earlier eras, of which the store may have lost the newest.
+    pub const fn min_config_version(self) -> u64 {
+        (self.0 - Era::FIRST.0) << CONFIG_BITS
+    }
 }
 
 impl Default for Era {
--- a/src/bin/fireflyhead/commands/table.rs
+++ b/src/bin/fireflyhead/commands/table.rs
@@ -11,11 +11,13 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use fireflyhead::ops::store::Listing;
 use fireflyhead::ops::store::OperatorError;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::config::EngineSpec;
 use fireflyhead_policy::config::ModelSpec;
 use fireflyhead_policy::config::Service;
+use fireflyhead_policy::era::Position;
 use fireflyhead_policy::table::RowError;
 use fireflyhead_policy::table::Table;
 use serde::Serialize;
@@ -107,18 +109,19 @@
 /// The exit status is [`cli::EXIT_CONFLICT`] if the configuration changed after it was read.
 async fn apply(matches: &ArgMatches) -> Result<ExitCode> {
     let operator = cli::operator_client(matches)?;
-    let current = operator.list().await?.config;
-    let (version, revision) = match &current {
+    let Listing { era, config: current, .. } = operator.list().await?;
+    let (next_version, revision) = match &current {
         Some((config, revision)) => (config.version + 1, *revision),
         None => (1, 0),
     };
+    let version = next_version.max(era.min_config_version());
     let table = match Table::from_csv(version, &read_file(matches, "file")?) {
         Ok(table) => table,
         Err(errors) => return Ok(print_row_errors(&errors)),
     };
     let config = table.config(services(matches, &table)?);
     let versions = table.adapter_versions();
-    match operator.write_config(&config, &versions, revision).await {
+    match operator.write_config(&config, &versions, Position { era, revision }).await {
         Ok(()) => {}
         Err(e @ OperatorError::Conflict) => {
             eprintln!("error: {e}");
--- a/src/ops/store.rs
+++ b/src/ops/store.rs
@@ -6,10 +6,13 @@
 use fireflyhead_gateway::metrics::Metrics;
 use fireflyhead_gateway::store::StoreClient;
 use fireflyhead_gateway::store::StoreError;
+use fireflyhead_gateway::store::StoreResponse;
 use fireflyhead_platform::Platform;
 use fireflyhead_platform::operator;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::config::Config;
+use fireflyhead_policy::era::Era;
+use fireflyhead_policy::era::Position;
 use fireflyhead_policy::fleet::UpstreamEntry;
 use fireflyhead_policy::protocol::Item;
 use fireflyhead_policy::protocol::PlatformProtocol;
@@ -41,6 +44,8 @@
 /// Configuration, upstreams and nodes in the store.
 #[derive(Debug, Default)]
 pub struct Listing {
+    /// Era of the store.
+    pub era: Era,
     /// Configuration with its store revision; `None` if none was written yet.
     pub config: Option<(Config, u64)>,
     /// Registered upstreams.
@@ -60,11 +65,6 @@
         Ok(OperatorClient { store: store.map_err(OperatorError::Client)? })
     }
 
-    async fn call(&self, call: &StoreCall) -> Result<StoreReply, OperatorError> {
-        let response = self.store.call(call).await.map_err(OperatorError::Store)?;
-        Ok(response.reply)
-    }
-
     /// Reads the whole store page by page.
     ///
     /// # Errors
@@ -74,7 +74,13 @@
         let mut after = None;
         loop {
             let call = StoreCall::Range { prefix: Name::from(""), after: after.clone() };
-            match self.call(&call).await? {
+            let StoreResponse { era, reply } =
+                self.store.call(&call).await.map_err(OperatorError::Store)?;
+            if after.is_some() && era != listing.era {
+                return Err(OperatorError::Store(StoreError::Restored(era)));
+            }
+            listing.era = era;
+            match reply {
                 StoreReply::Items { items, more, .. } => {
                     after = items.last().map(|item| item.key.clone());
                     items.iter().for_each(|item| listing.add(item));
@@ -87,8 +93,8 @@
         }
     }
 
-    /// Writes a configuration and adapter versions if the configuration in the store still has
-    /// `revision`; 0 means that there is none yet.
+    /// Writes a configuration and adapter versions if the configuration in the store still has the
+    /// revision of `position`, and the store is in its era; revision 0 means that there is none yet.
     ///
     /// The versions that don't fit into the first transaction follow in further transactions, which
     /// have no precondition.
@@ -100,11 +106,11 @@
         &self,
         config: &Config,
         versions: &[(Name, u64)],
-        revision: u64,
+        position: Position,
     ) -> Result<(), OperatorError> {
         // The store accepts 32 entries in a transaction: condition, configuration and these.
         const VERSIONS_PER_TRANSACTION: usize = 30;
-        let mut conditions = vec![operator::config_condition(revision)];
+        let mut conditions = vec![operator::config_condition(position.revision)];
         let mut writes = vec![operator::config_item(config)];
         let mut chunks = versions.chunks(VERSIONS_PER_TRANSACTION);
         let version_items = |chunk: Option<&[(Name, u64)]>| {
@@ -121,7 +127,8 @@
                 writes: std::mem::take(&mut writes),
                 removes: Vec::new(),
             };
-            match self.call(&call).await? {
+            let reply = self.store.call_in(position.era, &call).await;
+            match reply.map_err(OperatorError::Store)? {
                 StoreReply::Applied { .. } => {}
                 StoreReply::Conflict { .. } => return Err(OperatorError::Conflict),
                 reply => return Err(OperatorError::Rejected(format!("{reply:?}"))),
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -97,6 +97,32 @@
     assert_eq!(unreachable.status.code(), Some(1));
 }
 
+/// Guards against a table that nodes ignore after a restore of the store, because its version is one
+/// that the store has lost, or a lower one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn table_apply_exceeds_the_versions_that_a_restored_store_has_lost() {
+    let store = Store::start(0).await.expect("the store starts");
+    store.allow_all_writers();
+    let address = store.address().to_string();
+    let table = Deployment::from_name("magnolia").expect("the name is known").table_csv();
+    let file = TempFile::write("restored.csv", &table);
+    let args =
+        ["table", "apply", file.path(), "--store", &address, "--engine", "pew-scribe=base:8"];
+    let mut versions = Vec::new();
+    for _ in 0..2 {
+        let copy = store.backup();
+        for _ in 0..3 {
+            let applied = run_fireflyhead(&args).await;
+            assert_eq!(applied.status.code(), Some(0), "{}", text(&applied.stderr));
+            let config = store.get("op/config").expect("the configuration is written");
+            let config: serde_json::Value = serde_json::from_str(&config).expect("it is JSON");
+            versions.push(config["version"].as_u64().expect("it has a version"));
+        }
+        drop(store.restore(&copy));
+    }
+    assert!(versions.is_sorted_by(|earlier, later| earlier < later), "{versions:?}");
+}
+
 /// Guards against a daemon that reports only the first invalid setting.
 #[tokio::test]
 async fn the_daemon_reports_all_invalid_settings() {
