--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -40,7 +40,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::quarantine::Announcement;
+use crate::protocol_versions::Announcement;
 use crate::state::Shared;
 use crate::store::StoreClient;
 
@@ -239,7 +239,7 @@
             {
                 match Announcement::decode(value) {
                     Some(announcement) => {
-                        self.shared.quarantine.announce(&Name::from(node), announcement)
+                        self.shared.protocol_versions.announce(&Name::from(node), announcement)
                     }
                     None => tracing::warn!(event = "announcement_ignored", node),
                 }
--- a/crates/fireflyhead-gateway/src/engine_controller/membership.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/membership.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
-use crate::quarantine::Announcement;
+use crate::protocol_versions::Announcement;
 use crate::state::Shared;
 use crate::store::Backoff;
 use crate::store::StoreClient;
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod node;
 pub mod pool;
+pub mod protocol_versions;
 pub mod quarantine;
 pub mod settings;
 pub mod sse;
--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -5,7 +5,6 @@
 //! process listens at the engine's address any more, or the engine is listed with a new start: a
 //! caller or an engine that resets connections is no evidence.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -23,7 +22,6 @@
 use fireflyhead_policy::health::Failure;
 use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::message::EVIDENCE_PROTOCOL;
-use fireflyhead_policy::message::Heartbeat;
 use fireflyhead_policy::quarantine::Change;
 use fireflyhead_policy::quarantine::CrashId;
 use fireflyhead_policy::quarantine::CrashReport;
@@ -57,38 +55,10 @@
 /// Code of the refusals in logs and metrics.
 pub(crate) const QUARANTINED: &str = "quarantined";
 
-/// Protocol version that a node announced in the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Announcement {
-    /// Version of the protocol between nodes.
-    pub version: u32,
-    /// Start of the process that announced it. A process of another build may follow under the same
-    /// name before its entry in the store changes.
-    pub incarnation: u64,
-}
-
-impl Announcement {
-    /// Encodes the announcement as the value of its key in the store.
-    pub fn encode(self) -> String {
-        format!("{} {}", self.version, self.incarnation)
-    }
-
-    /// Decodes the value of a key in the store; `None` if it is malformed. Later versions may
-    /// append further fields.
-    pub fn decode(value: &[u8]) -> Option<Announcement> {
-        let mut fields = std::str::from_utf8(value).ok()?.split_ascii_whitespace();
-        let version = fields.next()?.parse().ok()?;
-        let incarnation = fields.next()?.parse().ok()?;
-        Some(Announcement { version, incarnation })
-    }
-}
-
-/// Evidence and verdicts of a node, and the nodes with which it exchanges them.
+/// Evidence and verdicts of a node.
 #[derive(Debug)]
 pub struct QuarantineState {
     policy: Mutex<Quarantine>,
-    /// Kept when the entry of a node lapses: the incarnation tells whether it is still valid.
-    announcements: Mutex<HashMap<Name, Announcement>>,
     /// Changes with each change of the verdicts.
     verdicts: watch::Sender<()>,
     /// Makes the exchange task send before the interval has passed.
@@ -99,7 +69,6 @@
     fn default() -> QuarantineState {
         QuarantineState {
             policy: Mutex::default(),
-            announcements: Mutex::default(),
             verdicts: watch::Sender::new(()),
             unsent: Notify::new(),
         }
@@ -112,22 +81,6 @@
         self.verdicts.subscribe()
     }
 
-    /// Records the announcement of a node.
-    pub(crate) fn announce(&self, node: &Name, announcement: Announcement) {
-        self.announcements().insert(node.clone(), announcement);
-    }
-
-    /// Returns whether the process that sent `heartbeat` has announced at least `version`.
-    pub(crate) fn understands(&self, heartbeat: &Heartbeat, version: u32) -> bool {
-        self.announcements().get(&heartbeat.node).is_some_and(|announcement| {
-            announcement.version >= version && announcement.incarnation == heartbeat.incarnation
-        })
-    }
-
-    fn announcements(&self) -> MutexGuard<'_, HashMap<Name, Announcement>> {
-        self.announcements.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn policy(&self) -> MutexGuard<'_, Quarantine> {
         self.policy.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -448,7 +401,7 @@
     peers
         .live(now)
         .map(|peer| &peer.heartbeat)
-        .filter(|heartbeat| shared.quarantine.understands(heartbeat, EVIDENCE_PROTOCOL))
+        .filter(|heartbeat| shared.protocol_versions.understands(heartbeat, EVIDENCE_PROTOCOL))
         .map(|heartbeat| (heartbeat.node.clone(), heartbeat.peer_address))
         .collect()
 }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -46,6 +46,7 @@
 use crate::lifecycle::Phase;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::protocol_versions::ProtocolVersions;
 use crate::quarantine::QuarantineState;
 use crate::settings::GatewaySettings;
 
@@ -68,6 +69,8 @@
     pub pool: Pool,
     /// Store changes received from other nodes and not applied yet.
     pub feed_queue: FeedQueue,
+    /// Protocol versions of the other nodes.
+    pub protocol_versions: ProtocolVersions,
     /// Evidence on prompt parts that crash engines.
     pub quarantine: QuarantineState,
     /// Makes the heartbeat task send before the interval has passed.
@@ -112,6 +115,7 @@
             metrics,
             pool: Pool::default(),
             feed_queue: FeedQueue::default(),
+            protocol_versions: ProtocolVersions::default(),
             quarantine: QuarantineState::default(),
             heartbeat_now: Notify::new(),
             lifecycle: Lifecycle::default(),
@@ -382,7 +386,7 @@
             .map(|peer| &peer.heartbeat)
             .filter(|heartbeat| heartbeat.zone == self.settings.zone)
             .filter(|heartbeat| {
-                !needs_announcement || self.quarantine.understands(heartbeat, ERA_PROTOCOL)
+                !needs_announcement || self.protocol_versions.understands(heartbeat, ERA_PROTOCOL)
             })
             .map(|heartbeat| heartbeat.peer_address)
             .collect();
