--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -3,8 +3,9 @@
 //! One watch covers all keys. It is paced, because upstreams write often and each return of a
 //! watch costs another call; changes still arrive well within the bounds for configuration and
 //! draining. If the store has compacted the history after the known revision, or was restored,
-//! everything is read again. Only some nodes of a zone, its readers, watch the store. They send the changes to the
-//! other nodes of the zone as feeds; those watch the store themselves only while no feed arrives.
+//! everything is read again. Only some nodes of a zone, its readers, watch the store. They send the
+//! changes to the other nodes of the zone as feeds; those watch the store themselves only while no
+//! feed arrives.
 
 use std::collections::HashMap;
 use std::sync::Arc;
