Believe a refusal only if it can't be an earlier one

Cause: an upstream that writes an earlier refusal once more on a kept connection was believed each time. The request had been sent again on that connection, ran, and was then sent to another upstream or rejected as not run. A refusal without a request id was believed for any request, and a status 408, 429 or 503 was passed on as a promise although the upstream had not declared it.

Change: `policy::response` alone decides what a response says about its request, from its head and from what its connection carried before. A connection does not carry a request again that was refused on it. A refusal that names no request counts only as the first response of its connection, which is closed then.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -10,6 +10,8 @@
 use fireflyhead_policy::fleet::UpstreamEntry;
 use fireflyhead_policy::health::Failure;
 use fireflyhead_policy::protocol::NodeSetHeaders;
+use fireflyhead_policy::protocol::ResponseHead;
+use fireflyhead_policy::response::ResponseKind;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -170,7 +172,7 @@
             false => MAX_IDLE_NOT_RETRYABLE,
         };
         let left = self.deadline.since(clock::now());
-        let connect = self.shared.pool.acquire(&upstream.id, upstream.address, max_idle);
+        let connect = self.shared.pool.acquire(&upstream.id, upstream.address, max_idle, &self.id);
         let mut connection = match self.wait_for(left, connect).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(SendError::NotSent(error) | SendError::Unknown(error))) => {
@@ -246,10 +248,12 @@
         upstream: &Arc<UpstreamEntry>,
         response: Response<Incoming>,
         is_resumed: bool,
-        connection: PooledConnection,
+        mut connection: PooledConnection,
         mut in_flight: InFlightAttempt,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
+        let info = self.shared.protocol.parse_response(&head.headers);
+        let kind = connection.history().record_response(&self.id, head.status, &info);
         let content = match self.route.kind.is_stream() && head.status.is_success() {
             false => Content::Opaque,
             true if is_resumed => Content::RemainingEvents,
@@ -257,34 +261,19 @@
         };
         let body = ResponseBody::new(&head, body, content, connection, Arc::clone(upstream));
         in_flight.parts.record_framing(body.framing());
-        let info = self.shared.protocol.parse_response(&head.headers);
         let fail = |in_flight: &mut InFlightAttempt, reason: &str| {
             in_flight.parts.ignore();
             in_flight.finish(SendOutcome::Failed(Failure::Broken));
             AttemptResult::Unknown(reason.to_owned())
         };
-        if info.id.as_ref().is_some_and(|id| *id != self.id) {
-            return fail(&mut in_flight, "the response belongs to another request");
+        if let ResponseKind::Invalid(reason) = kind {
+            return fail(&mut in_flight, reason);
         }
         if let Some(load) = info.load {
             self.shared.dispatcher().record_load_report(clock::now(), upstream.id.as_str(), load);
         }
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
-            let from_other_upstream = info.upstream.as_ref().is_some_and(|id| *id != upstream.id);
-            let (reason, outcome) = match from_other_upstream {
-                true => (NotExecutedReason::Misdirected, SendOutcome::Misdirected),
-                false => (NotExecutedReason::AdapterAbsent, SendOutcome::AdapterAbsent),
-            };
-            in_flight.finish(outcome);
-            return AttemptResult::NotExecuted(reason);
-        }
-        if info.not_run {
-            in_flight.finish(SendOutcome::Full);
-            self.reuse_connection(body).await;
-            return AttemptResult::NotExecuted(NotExecutedReason::Full);
-        }
-        if info.id.is_none() || !info.signed {
-            return fail(&mut in_flight, "the response has no request id or no signature");
+        if kind == ResponseKind::Refusal {
+            return self.handle_refusal(upstream, head.status, &info, body, in_flight).await;
         }
         if head.status.is_success() && head.headers.contains_key(header::CONTENT_ENCODING) {
             return fail(&mut in_flight, "the response has a content encoding");
@@ -296,6 +285,33 @@
         self.read_buffered(head, body, in_flight).await
     }
 
+    /// Reports why `upstream` refused the request, and returns the connection to the pool unless
+    /// the upstream may be another one.
+    async fn handle_refusal(
+        &self,
+        upstream: &UpstreamEntry,
+        status: StatusCode,
+        info: &ResponseHead,
+        body: ResponseBody,
+        mut in_flight: InFlightAttempt,
+    ) -> AttemptResult {
+        let is_other_upstream = info.upstream.as_ref().is_some_and(|id| *id != upstream.id);
+        let (reason, outcome) = match status {
+            StatusCode::MISDIRECTED_REQUEST if is_other_upstream => {
+                (NotExecutedReason::Misdirected, SendOutcome::Misdirected)
+            }
+            StatusCode::MISDIRECTED_REQUEST => {
+                (NotExecutedReason::AdapterAbsent, SendOutcome::AdapterAbsent)
+            }
+            _ => (NotExecutedReason::Full, SendOutcome::Full),
+        };
+        in_flight.finish(outcome);
+        if reason == NotExecutedReason::Full {
+            self.reuse_connection(body).await;
+        }
+        AttemptResult::NotExecuted(reason)
+    }
+
     /// Reads the whole body of a response.
     async fn read_buffered(
         &self,
--- a/crates/fireflyhead-gateway/src/pool.rs
+++ b/crates/fireflyhead-gateway/src/pool.rs
@@ -22,6 +22,7 @@
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::quarantine::ProbeResult;
+use fireflyhead_policy::response::ConnectionHistory;
 use http::Request;
 use http::Response;
 use http::header;
@@ -131,6 +132,7 @@
     read_limit: Arc<AtomicUsize>,
     /// Idle time after which it is closed.
     idle_limit: Duration,
+    history: ConnectionHistory,
 }
 
 impl Connection {
@@ -152,7 +154,8 @@
             }
         })
         .abort_handle();
-        Ok(Connection { sender, driver, read_limit, idle_limit: MAX_IDLE_TIME })
+        let (idle_limit, history) = (MAX_IDLE_TIME, ConnectionHistory::default());
+        Ok(Connection { sender, driver, read_limit, idle_limit, history })
     }
 }
 
@@ -192,8 +195,8 @@
 }
 
 impl Pool {
-    /// Returns an idle connection to `upstream` that has been idle for less than `max_idle`, or
-    /// opens a new one.
+    /// Returns a connection to `upstream` that may carry the request `id` and has been idle for
+    /// less than `max_idle`, or opens a new one.
     ///
     /// # Errors
     /// No connection could be opened in time.
@@ -202,8 +205,9 @@
         upstream: &Name,
         address: SocketAddr,
         max_idle: Duration,
+        id: &Name,
     ) -> Result<PooledConnection, SendError> {
-        if let Some(pooled) = self.take_idle(upstream, max_idle) {
+        if let Some(pooled) = self.take_idle(upstream, max_idle, id) {
             return Ok(pooled);
         }
         let connected = timeout(CONNECT_TIMEOUT, Connection::open(address)).await;
@@ -234,7 +238,8 @@
     /// Returns a connection to the pool after a complete exchange.
     pub fn release(&self, pooled: PooledConnection) {
         let PooledConnection { upstream, connection } = pooled;
-        if connection.sender.is_closed() || connection.idle_limit.is_zero() {
+        let is_reusable = connection.history.is_reusable() && !connection.idle_limit.is_zero();
+        if connection.sender.is_closed() || !is_reusable {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -260,27 +265,34 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    /// Takes the connection to `upstream` that was used last, if it may be reused.
-    fn take_idle(&self, upstream: &Name, max_idle: Duration) -> Option<PooledConnection> {
+    /// Takes the connection to `upstream` that was used last among those that may carry the request
+    /// `id`.
+    fn take_idle(
+        &self,
+        upstream: &Name,
+        max_idle: Duration,
+        id: &Name,
+    ) -> Option<PooledConnection> {
         let now = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(upstream)?;
-        while let Some(IdleConnection { connection, since }) = connections.pop() {
-            let age = now.since(since);
-            if age >= max_idle {
-                // Idle too long for this request, but a retryable one may still use it.
-                connections.push(IdleConnection { connection, since });
-                return None;
-            }
-            if connection.sender.is_ready() && age < connection.idle_limit {
-                return Some(PooledConnection { upstream: upstream.clone(), connection });
-            }
-        }
-        None
+        let position = connections.iter().rposition(|IdleConnection { connection, since }| {
+            let age = now.since(*since);
+            age < max_idle.min(connection.idle_limit)
+                && connection.sender.is_ready()
+                && connection.history.may_carry(id)
+        })?;
+        let IdleConnection { connection, .. } = connections.remove(position);
+        Some(PooledConnection { upstream: upstream.clone(), connection })
     }
 }
 
 impl PooledConnection {
+    /// Returns the responses that the connection has carried.
+    pub fn history(&mut self) -> &mut ConnectionHistory {
+        &mut self.connection.history
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`dispatch`]: which upstream a request is sent to, which requests wait and which are rejected
 //! - [`admission`]: when an engine accepts a prompt, decided by the engine's holder for all nodes
 //! - [`health`]: which upstreams are ejected after failures
+//! - [`response`]: whether a response proves that its request was executed, or was not
 //! - [`quarantine`]: which prompt parts crash engines, so that requests with them are refused
 //! - [`budget`]: how many retries a service may receive
 //! - [`ownership`]: which node, the holder, may send orders to an engine
@@ -38,6 +39,7 @@
 pub mod readers;
 pub mod rendezvous;
 pub mod residency;
+pub mod response;
 pub mod table;
 pub mod types;
 
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -18,5 +18,6 @@
 mod readers;
 mod replay;
 mod residency;
+mod response;
 mod setup;
 mod table;
