Drain an upstream that announces its departure in a response

Cause: `Server-Leaving: 1` was ignored and passed on to callers. Requests went to the upstream until the store listed it as draining, which takes up to the watch interval, or for ever if it doesn't.

Change: the announcement in a response, an engine's report or its reply to an order makes the upstream drain at that node at once, until it starts anew: an entry that still says `ready`, is written again, comes back after a removal or with a restored copy doesn't undo it. The node tells the others that announced protocol version 4 with one datagram. Requests that wait for admission there return to the queue, also when the store lists an upstream as draining. The holder asks for loads of the engine's recently used adapters at engines with a free slot.

--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -303,6 +303,12 @@
                     engine.residency.update_usage(now, &used);
                     let available = engine.residency.available_slots();
                     self.shared.admission().set_available_adapter_slots(&entry.id, available);
+                    if entry.state == UpstreamState::Draining {
+                        let model = engine.residency.model();
+                        let adapters = engine.residency.popular_adapters();
+                        let mut dispatcher = self.shared.dispatcher();
+                        dispatcher.relocate_adapters(now, &entry.id, model, &adapters);
+                    }
                 }
             }
             self.start_next_call(now, entry, listed.len(), actor_ref);
--- a/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
@@ -13,6 +13,7 @@
 use reqwest::Client;
 
 use crate::clock;
+use crate::departures;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
 use crate::state::Shared;
@@ -23,6 +24,9 @@
 /// about 200 ms. An order without a reply is repeated, which its precondition makes safe.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Status with which another engine replies at the address.
+const MISDIRECTED: u16 = 421;
+
 /// Requests a report from an engine and passes it to the controller.
 pub(super) async fn fetch_report(
     shared: Arc<Shared>,
@@ -35,7 +39,9 @@
     let sent = clock::now();
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.report_call();
-    let report = match send_http_call(&http, address, http_call, header, CALL_TIMEOUT).await {
+    let result = send_http_call(&http, address, http_call, header, CALL_TIMEOUT).await;
+    observe_departure(&shared, &upstream, incarnation, &result);
+    let report = match result {
         Ok(HttpResponse { status: 200, body, .. }) => match shared.protocol.parse_report(&body) {
             Ok(report) => Some(report),
             Err(error) => {
@@ -74,11 +80,12 @@
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.order_call(&order);
     let result = send_http_call(&http, address, http_call, header, CALL_TIMEOUT).await;
+    observe_departure(&shared, &upstream, incarnation, &result);
     let reply = match result.as_ref().map(|response| response.status) {
         Ok(202) => OrderReply::Accepted,
         Ok(200) => OrderReply::AlreadyApplied,
         Ok(409) => OrderReply::Conflict,
-        Ok(421) => OrderReply::Misdirected,
+        Ok(MISDIRECTED) => OrderReply::Misdirected,
         Ok(500..) | Err(_) => OrderReply::Unanswered,
         Ok(_) => OrderReply::Rejected,
     };
@@ -105,6 +112,22 @@
     }
 }
 
+/// Handles the announcement of an engine that leaves, unless another engine replied at its address.
+fn observe_departure(
+    shared: &Shared,
+    upstream: &Name,
+    incarnation: u64,
+    result: &reqwest::Result<HttpResponse>,
+) {
+    match result {
+        Ok(response) if response.status != MISDIRECTED => {
+            let head = shared.protocol.parse_response(&response.headers);
+            departures::handle_response(shared, upstream, incarnation, &head);
+        }
+        Ok(_) | Err(_) => {}
+    }
+}
+
 /// Returns the log and metrics code of a reply.
 const fn reply_name(reply: OrderReply) -> &'static str {
     match reply {
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::departures;
 use crate::lifecycle::Phase;
 use crate::pool::MAX_IDLE_NOT_RETRYABLE;
 use crate::pool::PooledConnection;
@@ -100,7 +101,7 @@
         /// Head.
         head: http::response::Parts,
         /// Body.
-        body: ResponseBody,
+        body: Box<ResponseBody>,
         /// Attempt, to be finished at the end of the body.
         in_flight: InFlightAttempt,
     },
@@ -269,6 +270,7 @@
         if let ResponseKind::Invalid(reason) = kind {
             return fail(&mut in_flight, reason);
         }
+        departures::handle_response(&self.shared, &upstream.id, upstream.incarnation, &info);
         if let Some(load) = info.load {
             self.shared.dispatcher().record_load_report(clock::now(), upstream.id.as_str(), load);
         }
@@ -279,6 +281,7 @@
             return fail(&mut in_flight, "the response has a content encoding");
         }
         if content != Content::Opaque {
+            let body = Box::new(body);
             let response = UpstreamResponse::Streaming { head, body, in_flight };
             return AttemptResult::Response(Box::new(response));
         }
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -182,7 +182,7 @@
                         UpstreamResponse::Streaming { head, body, in_flight } => {
                             let request = Arc::new(self);
                             return streaming::stream_response(
-                                request, attempts, head, body, in_flight, guard,
+                                request, attempts, head, *body, in_flight, guard,
                             );
                         }
                         UpstreamResponse::Buffered { head, body, framing } => {
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -356,7 +356,7 @@
                 ok = matches!(response, Some(UpstreamResponse::Streaming { .. }))
             );
             if let Some(UpstreamResponse::Streaming { body, in_flight, .. }) = response {
-                self.body = Some(body);
+                self.body = Some(*body);
                 self.in_flight = in_flight;
                 if self.started {
                     self.in_flight.record_first_output();
--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -24,6 +24,7 @@
 
 use crate::clock;
 use crate::datagram_sender::MAX_DATAGRAM_BYTES;
+use crate::departures;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
 use crate::quarantine;
@@ -138,6 +139,7 @@
                 shared.handle_admission_responses(clock::now(), &holder, responses);
             }
             Ok(Datagram::CrashReports(reports)) => quarantine::handle_reports(&shared, &reports),
+            Ok(Datagram::Departures(departures)) => departures::handle_notice(&shared, &departures),
             Err(error) => tracing::warn!(event = "bad_datagram", error, len),
         }
     }
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! `fireflyhead-policy` and forwards the request there ([`forward`], [`pool`]). It watches the
 //! store for the configuration and the upstreams ([`store_watch`]), exchanges its load with the
 //! other nodes ([`heartbeats`]) and sends orders to the engines that it owns
-//! ([`engine_controller`]). Requests that crash engines are refused ([`quarantine`]). The headers,
+//! ([`engine_controller`]). Requests that crash engines are refused ([`quarantine`]), and upstreams
+//! that announce that they leave are spared at once ([`departures`]). The headers,
 //! paths and bodies of the platform are behind a
 //! [`PlatformProtocol`](fireflyhead_policy::protocol::PlatformProtocol).
 //!
@@ -13,6 +14,7 @@
 pub mod body;
 pub mod clock;
 pub mod datagram_sender;
+pub mod departures;
 pub mod directory;
 pub mod engine_controller;
 pub mod feed_queue;
--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -395,13 +395,7 @@
     }
 }
 
-/// Returns the live nodes that understand evidence. Earlier builds log an error for it.
+/// Returns the live nodes that understand evidence.
 fn exchange_peers(shared: &Shared, now: Time) -> Vec<(Name, SocketAddr)> {
-    let peers = shared.peers();
-    peers
-        .live(now)
-        .map(|peer| &peer.heartbeat)
-        .filter(|heartbeat| shared.protocol_versions.understands(heartbeat, EVIDENCE_PROTOCOL))
-        .map(|heartbeat| (heartbeat.node.clone(), heartbeat.peer_address))
-        .collect()
+    shared.peers_with_protocol(now, EVIDENCE_PROTOCOL)
 }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -376,6 +376,18 @@
         readers::is_reader(&own, others.iter())
     }
 
+    /// Returns the other live nodes that announced at least protocol version `version`. Earlier
+    /// builds log an error for a message that they don't understand.
+    pub(crate) fn peers_with_protocol(&self, now: Time, version: u32) -> Vec<(Name, SocketAddr)> {
+        let peers = self.peers();
+        peers
+            .live(now)
+            .map(|peer| &peer.heartbeat)
+            .filter(|heartbeat| self.protocol_versions.understands(heartbeat, version))
+            .map(|heartbeat| (heartbeat.node.clone(), heartbeat.peer_address))
+            .collect()
+    }
+
     /// Sends store changes to the other live nodes of the zone.
     pub fn forward_feed(&self, now: Time, feed: Feed) {
         let needs_announcement = feed.era != Era::FIRST;
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -354,7 +354,7 @@
 }
 
 /// Applies changes of the upstreams to the dispatcher and the connection pool.
-fn apply_fleet_changes(shared: &Shared, changes: Vec<FleetChange>) {
+pub(crate) fn apply_fleet_changes(shared: &Shared, changes: Vec<FleetChange>) {
     for change in &changes {
         match change {
             FleetChange::Listed(entry) => {
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -20,6 +20,7 @@
 pub(crate) mod load;
 mod pending_admissions;
 pub(crate) mod queue;
+mod relocation;
 mod stop;
 mod upstreams;
 
@@ -33,6 +34,7 @@
 use crate::Name;
 use crate::Time;
 use crate::fleet::UpstreamEntry;
+use crate::fleet::UpstreamState;
 use crate::health::Failure;
 use crate::message::AdapterRequest;
 use crate::message::Placement;
@@ -479,11 +481,15 @@
         }
     }
 
-    /// Adds an upstream or updates its entry. One that restarted is removed and added anew.
+    /// Adds an upstream or updates its entry. One that restarted is removed and added anew. The
+    /// requests that wait for one that drains return to the queue of the node.
     pub fn upsert_upstream(&mut self, entry: &Arc<UpstreamEntry>) {
         match self.upstreams.get_mut(&entry.id) {
             Some(upstream) if upstream.entry.incarnation == entry.incarnation => {
                 upstream.entry = Arc::clone(entry);
+                if entry.state == UpstreamState::Draining {
+                    self.withdraw_admissions(&entry.id);
+                }
             }
             Some(_) | None => {
                 self.remove_upstream(&entry.id);
--- a/crates/fireflyhead-policy/src/dispatch/adapter_requests.rs
+++ b/crates/fireflyhead-policy/src/dispatch/adapter_requests.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Records that `job` needs `key` to be loaded by `target`.
-    pub(super) fn add(&mut self, now: Time, key: &AdapterKey, target: &Name, job: &Job) {
+    /// Records that a job with `priority` needs `key` to be loaded by `target`.
+    pub(super) fn add(&mut self, now: Time, key: &AdapterKey, target: &Name, priority: u8) {
         let failed_target = self.failed_target(now, key);
         let request = self.pending.entry(key.clone()).or_insert(PendingRequest {
             target: target.clone(),
@@ -69,7 +69,7 @@
             last_needed: now,
             last_sent: None,
             waiting: 0,
-            priority: job.priority,
+            priority,
             failed_target: None,
         });
         if request.target != *target {
@@ -80,7 +80,7 @@
         }
         request.last_needed = now;
         request.waiting += 1;
-        request.priority = request.priority.min(job.priority);
+        request.priority = request.priority.min(priority);
     }
 
     /// Counts a further job that waits for an adapter already requested in the same pass.
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -214,7 +214,7 @@
         let Some(target) = target else {
             return !self.services[&job.service].members.is_empty();
         };
-        self.adapter_requests.add(now, key, &target, job);
+        self.adapter_requests.add(now, key, &target, job.priority);
         true
     }
 
@@ -267,7 +267,13 @@
     }
 
     /// Returns whether engine `id` can load the newest version of `key` and does not hold it yet.
-    fn can_load(&self, now: Time, id: &Name, key: &AdapterKey, ignore_ejections: bool) -> bool {
+    pub(super) fn can_load(
+        &self,
+        now: Time,
+        id: &Name,
+        key: &AdapterKey,
+        ignore_ejections: bool,
+    ) -> bool {
         self.upstreams.get(id).is_some_and(|upstream| {
             let newest = self.versions.get(key).map_or(0, |named| named.version);
             let held = upstream.adapters.get(key).is_some_and(|r| r.ready && r.version >= newest);
--- a/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
@@ -85,6 +85,12 @@
             .collect()
     }
 
+    /// Returns the ids of the requests for admission to `upstream`.
+    fn ids(&self, upstream: &Name) -> Vec<JobId> {
+        let requests = self.requests.iter();
+        requests.filter(|(_, pending)| pending.upstream == *upstream).map(|(id, _)| *id).collect()
+    }
+
     /// Moves the requests for admission to `upstream` back to the queue of the node.
     pub(super) fn requeue(&mut self, upstream: &Name, queue: &mut Queue) {
         for (_, pending) in self.requests.extract_if(|_, pending| pending.upstream == *upstream) {
@@ -248,6 +254,15 @@
         decisions
     }
 
+    /// Returns the requests for admission to `upstream` to the queue of the node, and tells the
+    /// holder.
+    pub(super) fn withdraw_admissions(&mut self, upstream: &Name) {
+        for id in self.pending_admissions.ids(upstream) {
+            self.report_progress(upstream, ProgressEvent::Ended(id));
+        }
+        self.pending_admissions.requeue(upstream, &mut self.waiting);
+    }
+
     /// Reports an event to the holder of `upstream`, if it has one.
     pub(super) fn report_progress(&mut self, upstream: &Name, event: ProgressEvent) {
         let holder = self.upstreams.get(upstream).and_then(|upstream| upstream.holder.clone());
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -143,6 +143,11 @@
         self.fresh_holder_load(now).is_some_and(|(_, load)| load.available_adapter_slots == 0)
     }
 
+    /// Returns whether an adapter slot of the engine is known to be free or not in use.
+    pub(super) fn has_free_adapter_slot(&self, now: Time) -> bool {
+        self.fresh_holder_load(now).is_some_and(|(_, load)| load.available_adapter_slots > 0)
+    }
+
     /// Returns the load that the holder reported, with its time, unless it is too old.
     fn fresh_holder_load(&self, now: Time) -> Option<(Time, &UpstreamLoad)> {
         let (at, load) = self.holder_load.as_ref()?;
--- a/crates/fireflyhead-policy/src/fleet.rs
+++ b/crates/fireflyhead-policy/src/fleet.rs
@@ -3,7 +3,8 @@
 //! Survives store outages: an entry that lapses while the store is unavailable stays in use until
 //! [`LAPSE_GRACE`] after the end of the outage, because its upstream still serves requests. Survives
 //! restores of the store from an older copy too: the copy doesn't bring back an upstream that has
-//! left, or make one ready again that drains.
+//! left, or make one ready again that drains. An upstream that announces in a response that it leaves
+//! drains from that moment on, whatever its entry says, until it starts anew.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,11 +23,15 @@
 /// Time after a restore of the store within which upstreams have written their entries again, or
 /// those of the copy have expired.
 const RESTORE_GRACE: Duration = Duration::from_millis(5_000);
-/// Number of removed upstreams from which those are forgotten that were removed earlier than
-/// [`REMOVED_TTL`] ago.
-const MAX_REMOVED: usize = 4_096;
-/// Time for which a removed upstream is remembered at least, longer than any copy is old.
-const REMOVED_TTL: Duration = Duration::from_secs(600);
+/// Number of remembered starts from which those are forgotten that were recorded earlier than
+/// [`REMEMBERED_TTL`] ago.
+const MAX_REMEMBERED: usize = 4_096;
+/// Time for which an upstream that left, or announced that it leaves, is remembered at least. It is
+/// longer than any copy is old.
+const REMEMBERED_TTL: Duration = Duration::from_secs(600);
+
+/// Start time of an upstream that publishes none.
+const UNKNOWN_INCARNATION: u64 = 0;
 
 /// State that an upstream publishes in its entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -79,6 +84,8 @@
     lapsed: HashMap<Name, Time>,
     /// Start times of upstreams that were removed, with the time of the removal.
     removed: HashMap<Name, (u64, Time)>,
+    /// Start times of upstreams that announced that they leave, with the time of the announcement.
+    leaving: HashMap<Name, (u64, Time)>,
     /// Entries of the copy from which the store was restored that seem to be outdated.
     outdated: HashMap<Name, UpstreamEntry>,
     /// Start of the store's era; `None` before the first restore.
@@ -130,6 +137,7 @@
         entry: Option<UpstreamEntry>,
     ) -> Vec<FleetChange> {
         self.outdated.remove(id);
+        let entry = entry.map(|entry| self.with_known_state(entry));
         let outage_ended_recently = self.outage_end.is_some_and(|at| now.since(at) < LAPSE_GRACE);
         match entry {
             Some(entry) => {
@@ -161,6 +169,33 @@
         }
     }
 
+    /// Records that the upstream which started at `incarnation` announced that it leaves. Has no
+    /// effect if that was known or its entry is of another start.
+    pub fn record_departure(&mut self, now: Time, id: &Name, incarnation: u64) -> Vec<FleetChange> {
+        if self.entries.get(id).is_some_and(|entry| entry.incarnation != incarnation) {
+            return Vec::new();
+        }
+        prune(&mut self.leaving, now);
+        self.leaving.insert(id.clone(), (incarnation, now));
+        match self.entries.get(id) {
+            Some(entry) if entry.state == UpstreamState::Ready => {
+                let entry = UpstreamEntry::clone(entry);
+                self.apply(now, id, Some(entry))
+            }
+            Some(_) | None => Vec::new(),
+        }
+    }
+
+    /// Returns `entry` as that of a draining upstream if its upstream announced that it leaves.
+    fn with_known_state(&self, entry: UpstreamEntry) -> UpstreamEntry {
+        match self.leaving.get(&entry.id) {
+            Some((incarnation, _)) if *incarnation == entry.incarnation => {
+                UpstreamEntry { state: UpstreamState::Draining, ..entry }
+            }
+            Some(_) | None => entry,
+        }
+    }
+
     /// Applies a full read of the store: known entries that are missing from it count as removed.
     /// Shortly after a restore, entries that seem to be older than the known state wait until
     /// [`Fleet::end_grace`].
@@ -235,10 +270,19 @@
     fn remove(&mut self, now: Time, id: &Name) -> Vec<FleetChange> {
         self.lapsed.remove(id);
         let Some(entry) = self.entries.remove(id) else { return Vec::new() };
-        if self.removed.len() >= MAX_REMOVED {
-            self.removed.retain(|_, (_, at)| now.since(*at) < REMOVED_TTL);
-        }
+        prune(&mut self.removed, now);
         self.removed.insert(id.clone(), (entry.incarnation, now));
+        if entry.incarnation == UNKNOWN_INCARNATION {
+            // Only its entry can tell a new start.
+            self.leaving.remove(id);
+        }
         vec![FleetChange::Removed(id.clone())]
     }
 }
+
+/// Makes room for a further start time with the time at which it was recorded.
+fn prune(remembered: &mut HashMap<Name, (u64, Time)>, now: Time) {
+    if remembered.len() >= MAX_REMEMBERED {
+        remembered.retain(|_, (_, at)| now.since(*at) < REMEMBERED_TTL);
+    }
+}
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -9,6 +9,8 @@
 //!   to nodes that announced at least [`EVIDENCE_PROTOCOL`].
 //! - [`Feed`]: changes of the store, for nodes that do not follow it themselves. After the store was
 //!   restored, sent only to nodes that announced at least [`ERA_PROTOCOL`].
+//! - [`Departure`]: an upstream that leaves, before the store says so. Sent only to nodes that
+//!   announced at least [`DEPARTURE_PROTOCOL`].
 //!
 //! The holder of an engine is the node that owns it: it alone orders adapter loads there and admits
 //! requests. Module [`wire`] converts the messages to and from the generated wire types, some of
@@ -29,11 +31,13 @@
 
 /// Version of the protocol between nodes, which each node announces in the store. Nodes without an
 /// announcement have version 1.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 /// Lowest version of nodes that understand [`Datagram::CrashReports`].
 pub const EVIDENCE_PROTOCOL: u32 = 2;
 /// Lowest version of nodes that understand a [`Feed`] of a later era than the first one.
 pub const ERA_PROTOCOL: u32 = 3;
+/// Lowest version of nodes that understand [`Datagram::Departures`].
+pub const DEPARTURE_PROTOCOL: u32 = 4;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -290,6 +294,15 @@
     ProgressReport(ProgressReport),
 }
 
+/// Upstream that announced in a response that it leaves.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Departure {
+    /// Id of the upstream.
+    pub upstream: Name,
+    /// Start of the upstream in milliseconds of Unix time.
+    pub incarnation: u64,
+}
+
 /// Content of one datagram between nodes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Datagram {
@@ -315,4 +328,6 @@
     },
     /// Crashes of engines.
     CrashReports(Vec<CrashReport>),
+    /// Upstreams that leave.
+    Departures(Vec<Departure>),
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -12,6 +12,7 @@
 //! | `Reply` | [`AdmissionDecision`] |
 //! | `Progress` | [`ProgressReport`] |
 //! | `Crash`, `Evidence` | [`CrashReport`], [`Datagram::CrashReports`] |
+//! | `Departure`, `Departures` | [`Departure`], [`Datagram::Departures`] |
 //!
 //! Some fields and events differ in name as well; the conversions below pair them.
 
@@ -28,6 +29,7 @@
 use crate::message::AdmissionRequest;
 use crate::message::AdmissionResponse;
 use crate::message::Datagram;
+use crate::message::Departure;
 use crate::message::Heartbeat;
 use crate::message::HolderMessage;
 use crate::message::NodeState;
@@ -91,6 +93,10 @@
                 let crashes = reports.iter().take(MAX_REPORTS).map(wire::Crash::from).collect();
                 wire::datagram::Body::Evidence(wire::Evidence { crashes })
             }
+            Datagram::Departures(departures) => {
+                let departures = departures.iter().map(wire::Departure::from).collect();
+                wire::datagram::Body::Departures(wire::Departures { departures })
+            }
         };
         wire::Datagram { body: Some(body) }
     }
@@ -130,11 +136,26 @@
                 let reports = crashes.into_iter().take(MAX_REPORTS).map(CrashReport::from);
                 Ok(Datagram::CrashReports(reports.collect()))
             }
+            Some(wire::datagram::Body::Departures(wire::Departures { departures })) => {
+                Ok(Datagram::Departures(departures.into_iter().map(Departure::from).collect()))
+            }
             None => Err(WireError::Empty),
         }
     }
 }
 
+impl From<&Departure> for wire::Departure {
+    fn from(departure: &Departure) -> wire::Departure {
+        wire::Departure { upstream: departure.upstream.to_string(), born: departure.incarnation }
+    }
+}
+
+impl From<wire::Departure> for Departure {
+    fn from(departure: wire::Departure) -> Departure {
+        Departure { upstream: Name::from(departure.upstream), incarnation: departure.born }
+    }
+}
+
 impl From<&CrashReport> for wire::Crash {
     fn from(report: &CrashReport) -> wire::Crash {
         let hashes =
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -93,6 +93,8 @@
     pub signed: bool,
     /// Load of the upstream; `None` if it is missing or malformed.
     pub load: Option<LoadReport>,
+    /// Whether the upstream announces that it leaves.
+    pub leaving: bool,
 }
 
 /// Operation of an order to an engine.
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -42,6 +42,9 @@
 const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
 /// Factor by which the popularity of an adapter falls each second.
 const POPULARITY_DECAY_PER_S: f64 = 0.93;
+/// Popularity from which an adapter counts as used recently: a request of a tenth of a second is
+/// forgotten after about ten seconds.
+const MIN_POPULARITY: f64 = 0.05;
 
 /// State of an adapter in an engine, with the time at which it began.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -388,6 +391,16 @@
             .collect()
     }
 
+    /// Returns the loaded adapters that requests have used recently.
+    pub fn popular_adapters(&self) -> Vec<Name> {
+        self.adapters
+            .iter()
+            .filter(|(_, slot)| matches!(slot.state, AdapterState::Resident { .. }))
+            .filter(|(_, slot)| slot.popularity >= MIN_POPULARITY)
+            .map(|(adapter, _)| adapter.clone())
+            .collect()
+    }
+
     /// Returns the number of occupied adapter slots, including loads and unloads in progress.
     pub fn occupied_slots(&self) -> usize {
         self.adapters.len()
--- a/crates/fireflyhead-policy/tests/policy/fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/fleet.rs
@@ -133,3 +133,38 @@
     let changes = fleet.apply(ms(10), &id, Some(restarted));
     assert!(matches!(&changes[..], [FleetChange::Listed(entry)] if entry.incarnation == 2));
 }
+
+/// Guards against requests to an upstream that announced that it leaves, because its entry says
+/// `ready`: the one that is known, one that is written again, or that of a restored copy. A new start
+/// is used, also one without a start time once the old entry was removed.
+#[test]
+fn an_upstream_that_announced_its_departure_drains_until_it_starts_anew() {
+    let (mut fleet, id) = fleet_with_one_upstream();
+    let ready = || entry_with_state(UpstreamState::Ready);
+    let state = |fleet: &Fleet| fleet.get("engine-1").map(|entry| entry.state);
+    let changes = fleet.record_departure(ms(10), &id, 1);
+    assert!(matches!(&changes[..], [FleetChange::Listed(e)] if e.state == UpstreamState::Draining));
+    assert!(fleet.record_departure(ms(20), &id, 1).is_empty(), "known already");
+    let rewritten = UpstreamEntry { slots: 32, ..ready() };
+    fleet.apply(ms(30), &id, Some(rewritten));
+    assert_eq!(state(&fleet), Some(UpstreamState::Draining));
+    fleet.apply(ms(40), &id, None);
+    fleet.apply(ms(50), &id, Some(ready()));
+    assert_eq!(state(&fleet), Some(UpstreamState::Draining));
+    fleet.begin_era(ms(60));
+    fleet.replace(ms(70), &HashMap::from([(id.clone(), ready())]));
+    fleet.end_grace(ms(6_000));
+    assert_eq!(state(&fleet), Some(UpstreamState::Draining));
+    fleet.apply(ms(7_000), &id, Some(UpstreamEntry { incarnation: 2, ..ready() }));
+    assert_eq!(state(&fleet), Some(UpstreamState::Ready));
+    assert!(fleet.record_departure(ms(7_010), &id, 1).is_empty(), "of the earlier start");
+    assert_eq!(state(&fleet), Some(UpstreamState::Ready));
+
+    let unknown_start = || UpstreamEntry { incarnation: 0, ..ready() };
+    fleet.apply(ms(8_000), &id, Some(unknown_start()));
+    fleet.record_departure(ms(8_010), &id, 0);
+    assert_eq!(state(&fleet), Some(UpstreamState::Draining), "a start with an earlier clock");
+    fleet.apply(ms(8_020), &id, None);
+    fleet.apply(ms(8_030), &id, Some(unknown_start()));
+    assert_eq!(state(&fleet), Some(UpstreamState::Ready));
+}
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -10,6 +10,7 @@
 use fireflyhead_policy::message::AdmissionRequest;
 use fireflyhead_policy::message::AdmissionResponse;
 use fireflyhead_policy::message::Datagram;
+use fireflyhead_policy::message::Departure;
 use fireflyhead_policy::message::Heartbeat;
 use fireflyhead_policy::message::HolderMessage;
 use fireflyhead_policy::message::NodeState;
@@ -121,6 +122,7 @@
         Datagram::AdmissionResponses { holder: Name::from("node-2"), responses },
         Datagram::Feed(feed.clone()),
         Datagram::Feed(Feed { era: Era::new(3), ..feed }),
+        Datagram::Departures(vec![Departure { upstream: Name::from("desk-1"), incarnation: 7 }]),
         Datagram::CrashReports(vec![CrashReport {
             crash: CrashId(77),
             age: Duration::from_millis(1_234),
