Spare an upstream for the time that it names in Retry-After

Cause: the header was ignored. An upstream that refused a request got the next one 60 ms later.

Change: 503 or 429 with `Retry-After` keeps this node, and only this one, from sending requests and orders to the upstream for that time, at most 60 s; the longest time named counts until a new start. Requests that wait for it return to the queue, and one that is about to be sent is withdrawn. The predicted wait doesn't count its slots. While no upstream of a service wants requests, a request waits if it can still be on time and is rejected at once otherwise, with the time at which the first one returns, lengthened by up to half so that the callers don't return together. A malformed value is logged and ignored.

--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -345,7 +345,9 @@
         let Some(fencing_token) = self.ownership.order_fencing_token(now, entry.id.as_str()) else {
             return;
         };
-        if entry.state != UpstreamState::Ready {
+        if entry.state != UpstreamState::Ready
+            || self.shared.dispatcher().is_away(now, entry.id.as_str())
+        {
             return;
         }
         let loading = self.adapter_loads_in_progress(now);
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -36,6 +36,9 @@
 use super::response_body::Framing;
 use super::response_body::ResponseBody;
 
+/// Longest time for which an upstream is not sent requests because it wants none. A longer one would
+/// keep an upstream with a malformed header away for good.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Largest body of a response that is not a stream, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
@@ -124,6 +127,9 @@
     Response(Box<UpstreamResponse>),
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent, because the upstream began to leave or wants no requests for
+    /// a time.
+    Withdrawn,
     /// The upstream refused the request without executing it.
     NotExecuted(NotExecutedReason),
     /// The attempt failed, and the upstream may have executed the request.
@@ -189,6 +195,11 @@
         if left.is_zero() {
             return AttemptResult::DeadlineExceeded;
         }
+        if !self.shared.dispatcher().may_send(clock::now(), upstream) {
+            in_flight.finish(SendOutcome::Abandoned);
+            self.shared.pool.release(connection);
+            return AttemptResult::Withdrawn;
+        }
         let node_set = NodeSetHeaders {
             deadline: left,
             upstream: upstream.id.clone(),
@@ -267,6 +278,7 @@
             in_flight.finish(SendOutcome::Failed(Failure::Broken));
             AttemptResult::Unknown(reason.to_owned())
         };
+        self.record_retry_after(upstream, head.status, &info);
         if let ResponseKind::Invalid(reason) = kind {
             return fail(&mut in_flight, reason);
         }
@@ -288,6 +300,34 @@
         self.read_buffered(head, body, in_flight).await
     }
 
+    /// Records the time for which `upstream` wants no requests, if it names one.
+    fn record_retry_after(
+        &self,
+        upstream: &UpstreamEntry,
+        status: StatusCode,
+        info: &ResponseHead,
+    ) {
+        let overloaded =
+            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        let wait = match &info.retry_after {
+            Some(Ok(wait)) if overloaded => (*wait).min(MAX_RETRY_AFTER),
+            Some(Err(error)) if overloaded => {
+                tracing::info!(event = "bad_retry_after", upstream = %upstream.id, %error);
+                return;
+            }
+            Some(_) | None => return,
+        };
+        let now = clock::now();
+        let UpstreamEntry { id, incarnation, .. } = upstream;
+        let is_new = self.shared.dispatcher().record_retry_after(now, id, *incarnation, wait);
+        self.shared.send_holder_messages(now);
+        if is_new {
+            let limited = wait == MAX_RETRY_AFTER;
+            let ms = wait.as_millis() as u64;
+            tracing::info!(event = "upstream_away", upstream = %id, ms, limited);
+        }
+    }
+
     /// Reports why `upstream` refused the request, and returns the connection to the pool unless
     /// the upstream may be another one.
     async fn handle_refusal(
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -209,6 +209,10 @@
                         retry_after: REFUSED_RETRY_AFTER,
                     })
                 }
+                AttemptResult::Withdrawn => {
+                    self.log_failed_attempt(&upstream.id, "withdrawn", "");
+                    None
+                }
                 AttemptResult::NotExecuted(reason) => {
                     attempts.delivered += 1;
                     attempts.refused += 1;
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -343,6 +343,7 @@
             let response = match result {
                 AttemptResult::Response(response) => Some(*response),
                 AttemptResult::NotSent(_)
+                | AttemptResult::Withdrawn
                 | AttemptResult::NotExecuted(_)
                 | AttemptResult::Unknown(_)
                 | AttemptResult::DeadlineExceeded => None,
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -8,6 +8,8 @@
 //! - Hot adapter: further replicas are requested when the best one has a prefill backlog.
 //! - Many rare adapters at once: a request for an absent adapter waits while its preferred engine
 //!   loads the adapter, without holding back the requests behind it.
+//! - Upstreams that want no requests for a time: they get none, and while no upstream of a service
+//!   wants any, requests that would be late are rejected at once.
 //! - Lost, slow or failing upstreams: they cost more in the selection and are ejected for a while,
 //!   never more than a fixed share of a service.
 //!
@@ -16,6 +18,7 @@
 //! based on its own requests alone.
 
 mod adapter_requests;
+mod away;
 mod choice;
 pub(crate) mod load;
 mod pending_admissions;
@@ -151,6 +154,8 @@
     Overload,
     /// The service has no usable upstream.
     NoUpstream,
+    /// No upstream of the service wants requests before a known time.
+    UpstreamsAway,
     /// No engine loaded the adapter in time.
     AdapterUnavailable,
     /// Too many requests wait in the node.
@@ -165,6 +170,7 @@
         match self {
             RejectReason::Overload => "overload",
             RejectReason::NoUpstream => "no_upstream",
+            RejectReason::UpstreamsAway => "upstreams_away",
             RejectReason::AdapterUnavailable => "adapter_unavailable",
             RejectReason::QueueFull => "queue_full",
             RejectReason::Stopping => "stopping",
@@ -239,6 +245,8 @@
     mean_service_time_s: f64,
     /// Members that were ejected recently. A decision checks only these instead of all members.
     ejected: Vec<Name>,
+    /// Members that want no requests for a time.
+    away: Vec<Name>,
     /// Shares of the routes in the requests sent recently.
     route_shares: RouteShares,
 }
@@ -249,6 +257,7 @@
             members: Vec::new(),
             mean_service_time_s: INITIAL_SERVICE_TIME_S,
             ejected: Vec::new(),
+            away: Vec::new(),
             route_shares: RouteShares::default(),
         }
     }
@@ -384,7 +393,8 @@
                 }
                 Choice::AskHolder(upstream) => self.request_admission(now, job, &upstream),
                 Choice::Wait(reason) => {
-                    if !same_needs_blocked && job.tried.is_empty() {
+                    let is_away = matches!(reason, choice::WaitReason::Away { .. });
+                    if !same_needs_blocked && !is_away && job.tried.is_empty() {
                         blocked.push((job.service.clone(), job.model.clone()));
                     }
                     let reason = if same_needs_blocked { self.wait_reason(&job) } else { reason };
@@ -701,7 +711,7 @@
 
     /// Returns a rejection if waiting is pointless for a request that can't be sent now.
     fn reject_if_futile(
-        &self,
+        &mut self,
         now: Time,
         job: &Job,
         reason: choice::WaitReason,
@@ -713,6 +723,9 @@
                 Some(Dispatcher::reject(RejectReason::NoUpstream, UNAVAILABLE_RETRY_AFTER))
             }
             choice::WaitReason::NoUpstream => None,
+            choice::WaitReason::Away { until } => {
+                (until > job.objective).then(|| self.away_rejection(now, until))
+            }
             choice::WaitReason::AdapterAbsent if job.has_waited_too_long(now) => {
                 Some(Dispatcher::reject(RejectReason::AdapterUnavailable, GIVEN_UP_RETRY_AFTER))
             }
@@ -721,24 +734,25 @@
                 Some(Dispatcher::reject(RejectReason::Overload, GIVEN_UP_RETRY_AFTER))
             }
             choice::WaitReason::AllFull => {
-                let wait = self.predicted_wait(job);
+                let wait = self.predicted_wait(now, job);
                 let left = job.first_output_deadline.since(now);
                 (wait > left).then(|| Dispatcher::reject(RejectReason::Overload, wait - left))
             }
         }
     }
 
-    /// Predicts the time until `job` gets a slot, from the number of requests ahead of it and the
-    /// mean service time.
-    fn predicted_wait(&self, job: &Job) -> Duration {
+    /// Predicts the time until `job` gets a slot, from the number of requests ahead of it, the mean
+    /// service time and the slots of the upstreams that want requests.
+    fn predicted_wait(&self, now: Time, job: &Job) -> Duration {
         let Some(service) = self.services.get(&job.service) else { return Duration::ZERO };
-        let slots: u32 = service
+        let slots: f64 = service
             .members
             .iter()
             .filter_map(|id| self.upstreams.get(id))
-            .map(|upstream| upstream.entry.slots)
+            .filter(|upstream| upstream.accepts_requests() && !upstream.is_away(now))
+            .map(|upstream| f64::from(upstream.entry.slots))
             .sum();
-        let slots_per_node = f64::from(slots.max(1)) / self.node_count as f64;
+        let slots_per_node = slots.max(1.0) / self.node_count as f64;
         let mut ahead = 0;
         let mut ahead_of_route = 0;
         for other in self.waiting.ahead_of(job).filter(|other| other.service == job.service) {
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -78,6 +78,11 @@
     AdapterAbsent,
     /// Every upstream has reached its limit.
     AllFull,
+    /// No upstream wants requests before this time.
+    Away {
+        /// Time at which the first one wants requests again.
+        until: Time,
+    },
 }
 
 /// Result of selecting an upstream for a request.
@@ -112,6 +117,9 @@
         if !self.services.contains_key(&job.service) {
             return Choice::Wait(WaitReason::NoUpstream);
         }
+        if let Some(until) = self.all_away_until(now, &job.service) {
+            return Choice::Wait(WaitReason::Away { until });
+        }
         let ignore_ejections = self.should_ignore_ejections(now, &job.service);
         match job.adapter_key() {
             Some(key) => self.choose_replica(now, job, &key, ignore_ejections),
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -61,6 +61,8 @@
     holder_load: Option<(Time, UpstreamLoad)>,
     /// Time before which no request is sent, because the upstream reported being full.
     full_until: Time,
+    /// Time before which the upstream wants no requests.
+    pub(super) away_until: Time,
     /// Adapters that the engine reported absent, with the time until which it is not asked for
     /// them.
     absent_until: HashMap<Name, Time>,
@@ -85,14 +87,25 @@
             holder_retry_at: Time::default(),
             holder_load: None,
             full_until: Time::default(),
+            away_until: Time::default(),
             absent_until: HashMap::new(),
             dropped_at: HashMap::new(),
         }
     }
 
+    /// Returns whether the upstream accepts requests, now or at a later time.
+    pub(super) fn accepts_requests(&self) -> bool {
+        self.entry.state == UpstreamState::Ready && !self.misdirected
+    }
+
+    /// Returns whether the upstream wants no requests of this node now.
+    pub(super) fn is_away(&self, now: Time) -> bool {
+        now < self.away_until
+    }
+
     /// Returns whether requests may be sent to the upstream, apart from its health.
     pub(super) fn is_usable(&self, now: Time) -> bool {
-        self.entry.state == UpstreamState::Ready && !self.misdirected && now >= self.full_until
+        self.accepts_requests() && now >= self.full_until && !self.is_away(now)
     }
 
     /// Returns the holder that admits requests now; without one, the node decides by itself.
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -95,6 +95,9 @@
     pub load: Option<LoadReport>,
     /// Whether the upstream announces that it leaves.
     pub leaving: bool,
+    /// Time for which the upstream wants no requests, or the error if it can't be parsed; `None` if
+    /// the upstream names none.
+    pub retry_after: Option<Result<Duration, ProtocolError>>,
 }
 
 /// Operation of an order to an engine.
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -5,6 +5,7 @@
 //! shared fixtures.
 
 mod admission;
+mod away;
 mod budget;
 mod config;
 mod custody;
