Bound sums of numbers from other parties

Cause: slots, loads, prompt tokens and counts of orders come from upstreams, nodes, callers and other writers of the store, and were added up as they are. A build with checks panicked; one without wrapped around, so that the predicted wait was far too long or a huge prompt passed for a small one.

Measured: the three tests of `extremes` failed before with "attempt to add with overflow" (residency, upstreams, load) and pass now.

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -214,12 +214,8 @@
                     None
                 }
                 AttemptResult::NotExecuted(reason) => {
-                    attempts.delivered += 1;
-                    attempts.refused += 1;
                     self.log_failed_attempt(&upstream.id, "not_run", &format!("{reason:?}"));
-                    (!self.reserve_failover(&attempts, &upstream.id, reason)).then_some(
-                        Outcome::Reject { reason: "refused", retry_after: REFUSED_RETRY_AFTER },
-                    )
+                    self.settle_refusal(&mut attempts, &upstream.id, reason)
                 }
                 AttemptResult::Unknown(error) => {
                     attempts.possibly_executed += 1;
@@ -376,6 +372,20 @@
         self.shared.budget().try_take(now, &self.service, nodes)
     }
 
+    /// Counts a refusal of `upstream`. Returns the outcome unless the request is sent once more.
+    fn settle_refusal(
+        &self,
+        attempts: &mut Attempts,
+        upstream: &Name,
+        reason: NotExecutedReason,
+    ) -> Option<Outcome> {
+        attempts.delivered += 1;
+        attempts.refused += 1;
+        let is_final = !self.reserve_failover(attempts, upstream, reason);
+        let retry_after = REFUSED_RETRY_AFTER;
+        is_final.then_some(Outcome::Reject { reason: "refused", retry_after })
+    }
+
     /// Returns whether a request that `upstream` did not execute is sent once more. If so, counts
     /// the retry against the budget.
     fn reserve_failover(
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -302,12 +302,11 @@
     /// Predicts the time until `job` gets a slot, from the requests ahead of it, the engine's
     /// prefill rate and the mean service time.
     fn predicted_wait(&self, job: &Job) -> Duration {
-        let (ahead, tokens) = self
-            .queue
-            .ahead_of(job)
-            .fold((0, 0), |(count, sum), other| (count + 1, sum + other.prompt_tokens));
+        let (ahead, tokens) = self.queue.ahead_of(job).fold((0, 0_u32), |(count, sum), other| {
+            (count + 1, sum.saturating_add(other.prompt_tokens))
+        });
         let backlog = self.load.pending_prompt_tokens();
-        let prefill_s = f64::from(tokens + backlog) / self.load.prefill_tokens_per_s();
+        let prefill_s = (f64::from(tokens) + f64::from(backlog)) / self.load.prefill_tokens_per_s();
         let max_in_flight = max_in_flight(self.slots);
         let busy = f64::from(self.load.in_flight()) >= max_in_flight;
         let slot_wait_s = match busy {
@@ -452,7 +451,10 @@
             all_nodes: true,
             in_flight: self.load.in_flight(),
             pending_prompt_tokens: self.load.paced_backlog(now),
-            queued_prompt_tokens: self.queue.iter().map(|job| job.prompt_tokens).sum(),
+            queued_prompt_tokens: self
+                .queue
+                .iter()
+                .fold(0, |sum, job| sum.saturating_add(job.prompt_tokens)),
             late_streams_permille: (self.load.late_stream_share() * 1_000.0) as u32,
             available_adapter_slots: self.available_adapter_slots,
             adapters: Vec::new(),
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -45,7 +45,7 @@
 const MAX_EJECTED_SHARE: f64 = 0.34;
 /// Number of requests per replica from which a further one is loaded. With fewer requests, a
 /// replica gains no more than a short wait would, and loads are scarce.
-const REQUESTS_PER_REPLICA: u32 = 5;
+const REQUESTS_PER_REPLICA: u64 = 5;
 /// Cost of an engine whose streams all pause for too long, in ms.
 const LATE_STREAMS_COST_MS: f64 = 80.0;
 /// Cost per running request and per 1,000 tokens of the prompt, in ms: the prefill delays the
@@ -266,12 +266,12 @@
     /// Returns whether the replicas of `key` have enough requests to justify a further one.
     pub(super) fn is_hot(&self, now: Time, key: &AdapterKey) -> bool {
         let Some(replicas) = self.replicas.get(key) else { return false };
-        let requests: u32 = replicas
+        let requests: u64 = replicas
             .iter()
             .filter_map(|id| self.upstreams.get(id))
-            .map(|upstream| upstream.requests_using(now, &key.1))
+            .map(|upstream| u64::from(upstream.requests_using(now, &key.1)))
             .sum();
-        requests as usize >= replicas.len() * REQUESTS_PER_REPLICA as usize
+        requests >= replicas.len() as u64 * REQUESTS_PER_REPLICA
     }
 
     /// Returns whether engine `id` can load the newest version of `key` and does not hold it yet.
@@ -398,7 +398,7 @@
         // used for half a second, at half its value.
         let reported = match self.load_report {
             Some((at, load)) if now.since(at) < Duration::from_millis(500) => {
-                load.running + load.waiting
+                load.running.saturating_add(load.waiting)
             }
             Some(_) | None => 0,
         };
--- a/crates/fireflyhead-policy/src/dispatch/load.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load.rs
@@ -117,7 +117,7 @@
         if self.pending_prompt_tokens == 0 {
             self.prefill_rate.since = now;
         }
-        self.pending_prompt_tokens += tokens;
+        self.pending_prompt_tokens = self.pending_prompt_tokens.saturating_add(tokens);
         self.add_running(adapter);
     }
 
@@ -244,7 +244,9 @@
     unpaced: bool,
 ) -> bool {
     let avoided = !unpaced && avoids_large_prompt(late_stream_share, tokens);
-    !avoided && (backlog < SMALL_BACKLOG_TOKENS || backlog + tokens <= PREFILL_WINDOW_TOKENS)
+    !avoided
+        && (backlog < SMALL_BACKLOG_TOKENS
+            || backlog.saturating_add(tokens) <= PREFILL_WINDOW_TOKENS)
 }
 
 /// Returns whether the prompt is large and the engine has too many late streams for it.
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -121,14 +121,15 @@
     /// Returns the number of requests in flight from all nodes.
     pub(super) fn in_flight(&self, now: Time) -> u32 {
         let from_holder = self.fresh_holder_load(now).map_or(0, |(_, load)| load.in_flight);
-        from_holder.max(self.own_load.in_flight()) + self.peer_in_flight
+        from_holder.max(self.own_load.in_flight()).saturating_add(self.peer_in_flight)
     }
 
     /// Returns the number of prompt tokens from all nodes that the engine has yet to process at its
     /// pace, including those of requests that wait at the holder.
     pub(super) fn backlog(&self, now: Time) -> u32 {
         let from_holder = self.fresh_holder_load(now).map_or(0, |(at, load)| {
-            let tokens = f64::from(load.pending_prompt_tokens + load.queued_prompt_tokens);
+            let tokens =
+                f64::from(load.pending_prompt_tokens) + f64::from(load.queued_prompt_tokens);
             drain(tokens, now.since(at), self.own_load.pace()) as u32
         });
         from_holder.max(self.own_load.paced_backlog(now))
@@ -224,7 +225,7 @@
 
     /// Adds the load that a peer reported for this plain upstream.
     pub(super) fn add_peer_load(&mut self, load: &UpstreamLoad) {
-        self.peer_in_flight += load.in_flight;
+        self.peer_in_flight = self.peer_in_flight.saturating_add(load.in_flight);
     }
 
     /// Removes a load that [`Upstream::add_peer_load`] added.
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -456,7 +456,7 @@
 
     /// Counts an order that the engine accepted.
     fn count_accepted_order(&mut self) {
-        self.accepted_orders = self.accepted_orders.map(|orders| orders + 1);
+        self.accepted_orders = self.accepted_orders.map(|orders| orders.saturating_add(1));
     }
 
     /// Returns the number of adapter loads in progress, including those of adapters that the engine
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod config;
 mod custody;
+mod extremes;
 mod fleet;
 mod health;
 mod limits;
