Believe the first refusal of a request by an upstream only

Cause: the history of a connection knows the refusals that it carried, but an upstream may repeat a refusal on another connection, on which the same request is sent again after the first refusal.

A second refusal of a request by one upstream, on whichever connection, now counts as possibly executed. A request returns to an upstream that refused it only if the adapter was absent there or the upstream named a time; else it goes to another one, or is rejected at once if there is none. The per-connection list of refused requests is no longer needed.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -115,6 +115,8 @@
 pub(super) enum NotExecutedReason {
     /// It is full.
     Full,
+    /// It wants no requests before a time that it named.
+    Away,
     /// The adapter is not loaded.
     AdapterAbsent,
     /// Another upstream now uses the address.
@@ -179,7 +181,7 @@
             false => MAX_IDLE_NOT_RETRYABLE,
         };
         let left = self.deadline.since(clock::now());
-        let connect = self.shared.pool.acquire(&upstream.id, upstream.address, max_idle, &self.id);
+        let connect = self.shared.pool.acquire(&upstream.id, upstream.address, max_idle);
         let mut connection = match self.wait_for(left, connect).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(SendError::NotSent(error) | SendError::Unknown(error))) => {
@@ -346,10 +348,13 @@
             StatusCode::MISDIRECTED_REQUEST => {
                 (NotExecutedReason::AdapterAbsent, SendOutcome::AdapterAbsent)
             }
+            _ if matches!(info.retry_after, Some(Ok(wait)) if !wait.is_zero()) => {
+                (NotExecutedReason::Away, SendOutcome::Full)
+            }
             _ => (NotExecutedReason::Full, SendOutcome::Full),
         };
         in_flight.finish(outcome);
-        if reason == NotExecutedReason::Full {
+        if outcome == SendOutcome::Full {
             self.reuse_connection(body).await;
         }
         AttemptResult::NotExecuted(reason)
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -40,7 +40,7 @@
 /// Number of attempts that sent no byte after which a request is rejected.
 const MAX_UNSENT_ATTEMPTS: u32 = 6;
 /// Number of refusals by upstreams after which a request is rejected.
-const MAX_REFUSED_ATTEMPTS: u32 = 5;
+const MAX_REFUSED_ATTEMPTS: usize = 5;
 /// Multiple of the route's objective for which the response head of a resumable stream is awaited
 /// before the next attempt.
 const STREAM_HEAD_OBJECTIVES: u32 = 3;
@@ -102,7 +102,7 @@
 /// Record of the attempts to serve a request.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
-    /// Upstreams that failed the request and that the next attempt avoids.
+    /// Upstreams that the next attempt avoids, since they failed or refused the request.
     pub(super) tried: Vec<Name>,
     /// Attempts that an upstream may have executed.
     pub(super) possibly_executed: u32,
@@ -110,8 +110,8 @@
     delivered: u32,
     /// Attempts of which no byte was sent.
     not_sent: u32,
-    /// Attempts that an upstream refused without executing the request.
-    refused: u32,
+    /// Upstreams that refused the request without executing it.
+    refused_by: Vec<Name>,
     /// Total time that the request waited for an upstream to be selected.
     pub(super) queued: Duration,
     /// Time from the arrival to the first bytes of a stream.
@@ -213,16 +213,16 @@
                     self.log_failed_attempt(&upstream.id, "withdrawn", "");
                     None
                 }
+                AttemptResult::NotExecuted(_) if attempts.refused_by.contains(&upstream.id) => {
+                    let error = "the refusal may be an earlier one".to_owned();
+                    self.settle_unknown(&mut attempts, &upstream.id, error)
+                }
                 AttemptResult::NotExecuted(reason) => {
                     self.log_failed_attempt(&upstream.id, "not_run", &format!("{reason:?}"));
                     self.settle_refusal(&mut attempts, &upstream.id, reason)
                 }
                 AttemptResult::Unknown(error) => {
-                    attempts.possibly_executed += 1;
-                    attempts.delivered += 1;
-                    self.log_failed_attempt(&upstream.id, "unknown", &error);
-                    let retry = self.reserve_retry(&mut attempts, &upstream.id);
-                    (!retry).then_some(Outcome::Unknown(error))
+                    self.settle_unknown(&mut attempts, &upstream.id, error)
                 }
                 AttemptResult::DeadlineExceeded => {
                     attempts.possibly_executed += 1;
@@ -372,7 +372,26 @@
         self.shared.budget().try_take(now, &self.service, nodes)
     }
 
-    /// Counts a refusal of `upstream`. Returns the outcome unless the request is sent once more.
+    /// Counts an attempt that `upstream` may have executed. Returns the outcome unless the request is
+    /// sent once more.
+    fn settle_unknown(
+        &self,
+        attempts: &mut Attempts,
+        upstream: &Name,
+        error: String,
+    ) -> Option<Outcome> {
+        attempts.possibly_executed += 1;
+        attempts.delivered += 1;
+        self.log_failed_attempt(upstream, "unknown", &error);
+        let retry = self.reserve_retry(attempts, upstream);
+        (!retry).then_some(Outcome::Unknown(error))
+    }
+
+    /// Counts the first refusal of `upstream`. Returns the outcome unless the request is sent once
+    /// more.
+    ///
+    /// Later refusals of the same upstream may be copies of this one. The request returns there only
+    /// if the upstream named a time, or if the adapter was absent and others would have to load it.
     fn settle_refusal(
         &self,
         attempts: &mut Attempts,
@@ -380,26 +399,27 @@
         reason: NotExecutedReason,
     ) -> Option<Outcome> {
         attempts.delivered += 1;
-        attempts.refused += 1;
-        let is_final = !self.reserve_failover(attempts, upstream, reason);
+        attempts.refused_by.push(upstream.clone());
+        match reason {
+            NotExecutedReason::AdapterAbsent | NotExecutedReason::Away => {}
+            NotExecutedReason::Full => attempts.tried.push(upstream.clone()),
+            NotExecutedReason::Misdirected => {
+                self.shared.pool.close_idle(upstream.as_str());
+                attempts.tried.push(upstream.clone());
+            }
+        }
+        let is_final = !self.reserve_failover(attempts);
         let retry_after = REFUSED_RETRY_AFTER;
         is_final.then_some(Outcome::Reject { reason: "refused", retry_after })
     }
 
-    /// Returns whether a request that `upstream` did not execute is sent once more. If so, counts
+    /// Returns whether a request that an upstream did not execute is sent once more. If so, counts
     /// the retry against the budget.
-    fn reserve_failover(
-        &self,
-        attempts: &Attempts,
-        upstream: &Name,
-        reason: NotExecutedReason,
-    ) -> bool {
-        // If the adapter is absent or the upstream is full, the dispatcher avoids the upstream by
-        // itself.
-        if reason == NotExecutedReason::Misdirected {
-            self.shared.pool.close_idle(upstream.as_str());
-        }
-        attempts.refused < MAX_REFUSED_ATTEMPTS && self.spend_retry_budget()
+    fn reserve_failover(&self, attempts: &Attempts) -> bool {
+        let dispatcher = self.shared.dispatcher();
+        let may_succeed = dispatcher.has_untried_upstream(&self.service, &attempts.tried);
+        drop(dispatcher);
+        may_succeed && attempts.refused_by.len() < MAX_REFUSED_ATTEMPTS && self.spend_retry_budget()
     }
 
     /// Returns the time up to which an attempt at `upstream` waits for the head of the response. It
--- a/crates/fireflyhead-gateway/src/pool.rs
+++ b/crates/fireflyhead-gateway/src/pool.rs
@@ -195,8 +195,8 @@
 }
 
 impl Pool {
-    /// Returns a connection to `upstream` that may carry the request `id` and has been idle for
-    /// less than `max_idle`, or opens a new one.
+    /// Returns a connection to `upstream` that has been idle for less than `max_idle`, or opens a
+    /// new one.
     ///
     /// # Errors
     /// No connection could be opened in time.
@@ -205,9 +205,8 @@
         upstream: &Name,
         address: SocketAddr,
         max_idle: Duration,
-        id: &Name,
     ) -> Result<PooledConnection, SendError> {
-        if let Some(pooled) = self.take_idle(upstream, max_idle, id) {
+        if let Some(pooled) = self.take_idle(upstream, max_idle) {
             return Ok(pooled);
         }
         let connected = timeout(CONNECT_TIMEOUT, Connection::open(address)).await;
@@ -265,22 +264,14 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    /// Takes the connection to `upstream` that was used last among those that may carry the request
-    /// `id`.
-    fn take_idle(
-        &self,
-        upstream: &Name,
-        max_idle: Duration,
-        id: &Name,
-    ) -> Option<PooledConnection> {
+    /// Takes the connection to `upstream` that was used last.
+    fn take_idle(&self, upstream: &Name, max_idle: Duration) -> Option<PooledConnection> {
         let now = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(upstream)?;
         let position = connections.iter().rposition(|IdleConnection { connection, since }| {
             let age = now.since(*since);
-            age < max_idle.min(connection.idle_limit)
-                && connection.sender.is_ready()
-                && connection.history.may_carry(id)
+            age < max_idle.min(connection.idle_limit) && connection.sender.is_ready()
         })?;
         let IdleConnection { connection, .. } = connections.remove(position);
         Some(PooledConnection { upstream: upstream.clone(), connection })
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -115,7 +115,7 @@
     pub prompt_tokens: u32,
     /// Largest number of tokens in the output.
     pub output_tokens: u32,
-    /// Upstreams that failed this request; they are not selected again.
+    /// Upstreams that failed or refused this request; they are not selected again.
     pub tried: Vec<Name>,
     /// Whether an upstream may have executed an earlier attempt.
     pub possibly_executed: bool,
--- a/crates/fireflyhead-policy/src/response.rs
+++ b/crates/fireflyhead-policy/src/response.rs
@@ -3,18 +3,16 @@
 //! Handles upstreams that write an earlier response once more on a kept connection, where the
 //! response to the next request is expected. A refusal that is taken for a new one would make the
 //! node send a request again that has run, or tell its caller that it has not. A refusal therefore
-//! counts only if it can't be an earlier one: it names the request, and the connection has carried no
-//! refusal of the same request before. A refusal that names no request counts only as the first
-//! response of its connection, after which the connection is not used again.
+//! counts only if it can't be an earlier one: it names the request, and the upstream has not refused
+//! the same request before, on whichever connection, which is checked where attempts are counted. A
+//! refusal that names no request counts only as the first response of its connection, after which
+//! the connection is not used again.
 
 use http::StatusCode;
 
 use crate::Name;
 use crate::protocol::ResponseHead;
 
-/// Number of refusals after which a connection is not used again, which bounds its history.
-const MAX_REFUSALS: usize = 32;
-
 /// What a response says about its request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponseKind {
@@ -31,8 +29,6 @@
 #[derive(Debug, Default)]
 pub struct ConnectionHistory {
     has_response: bool,
-    /// Requests that were refused on the connection.
-    refused: Vec<Name>,
     /// Whether a refusal that named no request was received.
     has_unnamed_refusal: bool,
 }
@@ -40,13 +36,7 @@
 impl ConnectionHistory {
     /// Returns whether a further request may be sent on the connection.
     pub fn is_reusable(&self) -> bool {
-        !self.has_unnamed_refusal && self.refused.len() < MAX_REFUSALS
-    }
-
-    /// Returns whether the request `id` may be sent on the connection: a refusal would be
-    /// indistinguishable from an earlier one.
-    pub fn may_carry(&self, id: &Name) -> bool {
-        !self.refused.contains(id)
+        !self.has_unnamed_refusal
     }
 
     /// Records the response to the request `id` and returns what it says.
@@ -65,13 +55,7 @@
             _ if head.not_run && status.is_success() => {
                 ResponseKind::Invalid("a success is declared as not executed")
             }
-            Some(_) if is_refusal && !self.may_carry(id) => {
-                ResponseKind::Invalid("the refusal may be an earlier one")
-            }
-            Some(_) if is_refusal => {
-                self.refused.push(id.clone());
-                ResponseKind::Refusal
-            }
+            Some(_) if is_refusal => ResponseKind::Refusal,
             None if is_refusal => {
                 self.has_unnamed_refusal = true;
                 match is_first {
