Direct callers to the hosts that the load needs, and tell the others less

Cause: each node sent its state to each other one, up to 225 datagrams a second, and a full heartbeat to all at each change of a placement.

Change: the directory names the largest hosts, as many as carry the demand, which is measured by the processor time that a request takes (policy/src/serving.rs). Only nodes that serve callers are sent the state of all others often; nodes that don't serve exchange heartbeats each 2 to 5 s (protocol version 5, ActiveBeat; older builds get the heartbeats that they know). Retry budget, rates and predicted waits are divided by the nodes that serve. A node that serves nobody relies on one that does for the number of adapter loads in progress. The heartbeat task sleeps while nothing waits; the controller looks at owned engines only, and less often while they load nothing; a placement that didn't change isn't applied again.

--- a/crates/fireflyhead-gateway/src/directory.rs
+++ b/crates/fireflyhead-gateway/src/directory.rs
@@ -12,11 +12,14 @@
 use fireflyhead_policy::Name;
 use fireflyhead_policy::message::Heartbeat;
 use fireflyhead_policy::message::NodeState;
+use fireflyhead_policy::serving as policy;
+use fireflyhead_policy::serving::Host;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
 
 use crate::clock;
+use crate::serving;
 use crate::state::Shared;
 
 /// Largest number of addresses in a response; the platform's callers use up to 64.
@@ -31,15 +34,7 @@
 struct Candidate {
     zone: Name,
     address: SocketAddr,
-    /// CPU capacity in cores.
-    capacity: f64,
-}
-
-impl From<&Heartbeat> for Candidate {
-    fn from(heartbeat: &Heartbeat) -> Candidate {
-        let capacity = f64::from(heartbeat.capacity) / 1_000.0;
-        Candidate { zone: heartbeat.zone.clone(), address: heartbeat.caller_address, capacity }
-    }
+    host: Host,
 }
 
 /// Endpoints that a listener serves.
@@ -91,31 +86,40 @@
     }
 }
 
-/// Selects the nodes for a caller in `zone`: those of its zone if enough of them are ready, else
-/// all. Callers pick one at random, so a node is included with a probability in proportion to its
-/// capacity.
+/// Selects the nodes for a caller in `zone`: among those of its zone if enough of them are ready,
+/// else among all, the ones that callers are directed to. Callers pick one at random, so a node is
+/// included with a probability in proportion to its capacity.
 fn select_addresses(shared: &Shared, zone: Option<&Name>) -> Vec<SocketAddr> {
     let now = clock::now();
+    let candidate = |heartbeat: &Heartbeat| Candidate {
+        zone: heartbeat.zone.clone(),
+        address: heartbeat.caller_address,
+        host: serving::host(heartbeat),
+    };
     let mut nodes: Vec<Candidate> =
-        shared.peers().ready(now).map(|peer| Candidate::from(&peer.heartbeat)).collect();
+        shared.peers().ready(now).map(|peer| candidate(&peer.heartbeat)).collect();
     if shared.node_state() == NodeState::Ready {
         nodes.push(Candidate {
             zone: shared.settings.zone.clone(),
             address: shared.settings.caller,
-            capacity: shared.settings.capacity,
+            host: serving::own_host(shared),
         });
     }
     let same_zone = nodes.iter().filter(|node| Some(&node.zone) == zone).count();
     if same_zone >= MIN_SAME_ZONE_NODES {
         nodes.retain(|node| Some(&node.zone) == zone);
     }
+    let mut hosts: Vec<Host> = nodes.iter().map(|node| node.host.clone()).collect();
+    let selected = policy::select(&mut hosts);
+    nodes.retain(|node| hosts[..selected].iter().any(|host| host.node == node.host.node));
     let mut rng = rand::rng();
     nodes.shuffle(&mut rng);
-    let largest = nodes.iter().map(|node| node.capacity).fold(f64::MIN_POSITIVE, f64::max);
+    let capacity = |node: &Candidate| f64::from(node.host.capacity);
+    let largest = nodes.iter().map(capacity).fold(f64::MIN_POSITIVE, f64::max);
     let mut kept = Vec::new();
     let mut rest = Vec::new();
     for node in nodes {
-        match rng.random_bool((node.capacity / largest).clamp(0.0, 1.0)) {
+        match rng.random_bool((capacity(&node) / largest).clamp(0.0, 1.0)) {
             true => kept.push(node.address),
             false => rest.push(node.address),
         }
--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -50,6 +50,8 @@
 
 /// Interval at which the next call to each engine is decided.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// The same while no owned engine loads an adapter or is asked to.
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the number of requests per adapter is passed from admission to residency.
 const USAGE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the node checks for engines to claim.
@@ -163,6 +165,8 @@
     lease: Option<u64>,
     /// Whether a transaction with claims is in progress.
     claim_in_progress: bool,
+    /// Number of listed engines at the last check for engines to claim.
+    engine_count: usize,
     /// Time of the last check for engines to claim.
     last_claim_check: Time,
     /// Time at which the adapter usage was last passed on.
@@ -192,6 +196,7 @@
             engines: HashMap::new(),
             lease: None,
             claim_in_progress: false,
+            engine_count: 0,
             last_claim_check: Time::default(),
             last_usage_update: Time::default(),
             last_model_load: Time::default(),
@@ -278,23 +283,35 @@
             .collect()
     }
 
+    /// Returns the entries of the listed upstreams that are engines and owned by this node.
+    fn owned_engines(&self) -> Vec<Arc<UpstreamEntry>> {
+        let Some(config) = self.shared.config() else { return Vec::new() };
+        let fleet = self.shared.fleet();
+        self.ownership
+            .owned()
+            .filter_map(|id| fleet.get(id.as_str()))
+            .filter(|entry| {
+                config.service(entry.service.as_str()).is_some_and(|s| s.engine.is_some())
+            })
+            .cloned()
+            .collect()
+    }
+
     /// Claims engines, decides on the next call to each owned engine and publishes the placements.
     fn tick(&mut self, now: Time, actor_ref: &ActorRef<EngineController>) {
-        let listed = self.listed_engines();
-        self.engines.retain(|id, _| listed.iter().any(|entry| entry.id == *id));
         if now.since(self.last_claim_check) >= CLAIM_INTERVAL {
             self.last_claim_check = now;
+            let listed = self.listed_engines();
+            self.engine_count = listed.len();
             self.start_claims(now, &listed, actor_ref);
         }
+        let owned = self.owned_engines();
+        self.engines.retain(|id, _| owned.iter().any(|entry| entry.id == *id));
         let usage_due = now.since(self.last_usage_update) >= USAGE_INTERVAL;
         if usage_due {
             self.last_usage_update = now;
         }
-        for entry in &listed {
-            if self.ownership.fencing_token(entry.id.as_str()).is_none() {
-                self.engines.remove(&entry.id);
-                continue;
-            }
+        for entry in &owned {
             self.ensure_engine(entry);
             self.shared.admission().upsert_engine(&entry.id, entry.slots, entry.incarnation);
             if usage_due {
@@ -311,8 +328,13 @@
                     }
                 }
             }
-            self.start_next_call(now, entry, listed.len(), actor_ref);
+            self.start_next_call(now, entry, actor_ref);
         }
+        let has_work = self.engines.values().any(|engine| engine.residency.has_pending_loads());
+        self.shared.set_controller_interval(match has_work {
+            true => TICK_INTERVAL,
+            false => IDLE_TICK_INTERVAL,
+        });
         let engines = &self.engines;
         self.shared.admission().retain_engines(|upstream| engines.contains_key(upstream));
         self.publish_placements(now);
@@ -333,13 +355,11 @@
         self.engines.insert(entry.id.clone(), EngineState { residency, busy: false, failures: 0 });
     }
 
-    /// Starts the next call to an engine, if one is due and no other is in progress. `engine_count`
-    /// is the number of listed engines.
+    /// Starts the next call to an engine, if one is due and no other is in progress.
     fn start_next_call(
         &mut self,
         now: Time,
         entry: &UpstreamEntry,
-        engine_count: usize,
         actor_ref: &ActorRef<EngineController>,
     ) {
         let Some(fencing_token) = self.ownership.order_fencing_token(now, entry.id.as_str()) else {
@@ -351,8 +371,8 @@
             return;
         }
         let loading = self.adapter_loads_in_progress(now);
-        let max_loads =
-            MIN_CONCURRENT_LOADS.max((engine_count as f64 * CONCURRENT_LOADS_PER_ENGINE) as u32);
+        let max_loads = MIN_CONCURRENT_LOADS
+            .max((self.engine_count as f64 * CONCURRENT_LOADS_PER_ENGINE) as u32);
         let model_load_interval = self.model_load_interval();
         let Some(engine) = self.engines.get_mut(&entry.id) else { return };
         if engine.busy {
@@ -411,17 +431,16 @@
         }
     }
 
-    /// Returns the number of loads from the adapter store in progress over all nodes.
+    /// Returns the number of loads from the adapter store in progress over all nodes. A node that
+    /// doesn't serve callers hears of most peers too seldom and relies on one that does.
     fn adapter_loads_in_progress(&self, now: Time) -> u32 {
         let own: u32 =
             self.engines.values().map(|engine| engine.residency.loads_in_progress()).sum();
-        let peers: u32 = self
-            .shared
-            .peers()
-            .live(now)
-            .map(|peer| peer.heartbeat.adapter_loads_in_progress)
-            .sum();
-        own + peers
+        let peers = self.shared.peers();
+        match peers.fleet_adapter_loads(now) {
+            Some(loads) if !self.shared.serving.is_serving() => loads.max(own),
+            Some(_) | None => own.saturating_add(peers.adapter_loads_in_progress(now)),
+        }
     }
 
     /// Returns the interval between two base model loads of this node that keeps all nodes
@@ -488,7 +507,7 @@
         }
         drop(dispatcher);
         self.shared.dispatch_waiting(now);
-        self.shared.heartbeat_now.notify_one();
+        self.shared.send_placements();
     }
 
     /// Starts a transaction that claims the engines due to this node and removes orphaned records.
@@ -619,8 +638,8 @@
 }
 
 /// Sends [`ControllerMsg::Tick`] at an interval until the controller stops.
-pub async fn send_ticks(controller: ActorRef<EngineController>) {
+pub async fn send_ticks(shared: Arc<Shared>, controller: ActorRef<EngineController>) {
     while controller.tell(ControllerMsg::Tick).await.is_ok() {
-        sleep(TICK_INTERVAL).await;
+        sleep(shared.controller_interval()).await;
     }
 }
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -34,6 +34,7 @@
 use crate::clock;
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
+use crate::serving;
 use crate::state::Shared;
 
 use self::inbound_request::InboundRequest;
@@ -57,6 +58,7 @@
 impl RequestGuard {
     fn new(shared: &Arc<Shared>) -> RequestGuard {
         shared.open_requests().fetch_add(1, Ordering::Relaxed);
+        serving::record_request(shared);
         RequestGuard { shared: Arc::clone(shared), route: None }
     }
 
--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -1,26 +1,37 @@
 //! Heartbeats and other datagrams between nodes.
 //!
-//! Every node sends its whole state to every other node: often within its zone, and less often to
-//! other zones, because traffic between zones is charged. The intervals grow with the number of
-//! nodes, which bounds the number of datagrams that a node sends. When the placement of adapters
-//! changes, a heartbeat is sent to all nodes immediately. Slots at engines are requested from the
-//! holders of the engines, so that admission doesn't depend on the age of a heartbeat.
+//! A node that serves callers has to know the load and the adapters of all engines, and all nodes
+//! have to know the nodes that serve, to which the directory sends callers. Other nodes only have to
+//! know of each other. Heartbeats are therefore sent
+//!
+//! - between a node that serves and one that serves or owns engines: often within the zone, and less
+//!   often to other zones, because traffic between zones is charged; at once when the placement of
+//!   adapters changes,
+//! - from a node that serves to any other one: often enough to notice its loss,
+//! - between other nodes: seldom,
+//! - to all nodes at once when a node begins or stops to serve or to accept callers.
+//!
+//! The intervals grow with the number of nodes, which bounds the number of datagrams that a node
+//! sends. Slots at engines are requested from the holders of the engines, so that admission doesn't
+//! depend on the age of a heartbeat.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
+use fireflyhead_policy::message::ACTIVITY_PROTOCOL;
+use fireflyhead_policy::message::Activity;
 use fireflyhead_policy::message::AdapterRequest;
 use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::message::Heartbeat;
+use fireflyhead_policy::peers::HeartbeatIntervals;
 use fireflyhead_schema::codec;
 use fireflyhead_schema::messages as wire;
 use kameo::actor::ActorRef;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::clock;
 use crate::datagram_sender::MAX_DATAGRAM_BYTES;
@@ -42,17 +53,48 @@
 /// One heartbeat in this many repeats the placements, in case the one with their last change was
 /// lost.
 const FULL_HEARTBEAT_EVERY: u64 = 4;
-/// Interval at which due adapter requests are sent.
+/// Interval of heartbeats from a node that serves callers to one that doesn't.
+const SERVING_TO_IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest and longest interval of heartbeats between nodes that don't serve callers.
+const IDLE_INTERVAL_RANGE: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(5));
+/// Interval per such node, which limits a node to 34 datagrams per second while the interval is
+/// below the longest one.
+const IDLE_INTERVAL_PER_NODE: Duration = Duration::from_millis(30);
+/// Time for which a node that stopped to serve callers still sends heartbeats like one that serves,
+/// in case the one that tells it was lost.
+const SERVING_LINGER: Duration = Duration::from_secs(2);
+/// Interval at which due adapter requests are sent, while requests wait.
 const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(15);
+/// Longest pause of the task that sends heartbeats.
+const MAX_SENDER_PAUSE: Duration = Duration::from_millis(100);
 
-/// Sends heartbeats and adapter requests until the process ends.
+/// Times at which the next heartbeats are due.
+#[derive(Clone, Copy, Debug)]
+struct Schedule {
+    /// Within the zone, to nodes that need the state often.
+    same_zone: Time,
+    /// To such nodes of other zones.
+    other_zones: Time,
+    /// To the other nodes.
+    idle: Time,
+}
+
+impl Schedule {
+    /// Returns the time at which the next heartbeat is due.
+    fn next(&self) -> Time {
+        self.same_zone.min(self.other_zones).min(self.idle)
+    }
+}
+
+/// Sends heartbeats and adapter requests, and decides on waiting requests, until the process ends.
 pub async fn run_sender(shared: Arc<Shared>, controller: ActorRef<EngineController>) {
-    let datagrams = shared.datagrams();
     let mut seq = 0;
     let mut force_full = true;
-    // Numbers of heartbeats sent within the zone and to other zones.
-    let (mut same_zone_sent, mut other_zones_sent) = (0_u64, 0_u64);
-    let (mut next_same_zone, mut next_other_zones) = (clock::now(), clock::now());
+    // Numbers of heartbeats sent within the zone, to other zones and to nodes that need few.
+    let mut sent = (0_u64, 0_u64, 0_u64);
+    let start = clock::now();
+    let mut schedule = Schedule { same_zone: start, other_zones: start, idle: start };
+    let mut served_at: Option<Time> = None;
     loop {
         let now = clock::now();
         shared.dispatch_waiting(now);
@@ -60,44 +102,91 @@
         if !requests.is_empty() {
             send_adapter_requests(&shared, &controller, requests).await;
         }
-        if now >= next_same_zone.min(next_other_zones) {
-            let PeerTargets { same_zone, other_zones } = peer_targets(&shared);
+        if shared.take_announcement_due() {
+            force_full = true;
+            schedule = Schedule { same_zone: now, other_zones: now, idle: now };
+        }
+        if shared.take_placements_changed() {
+            force_full = true;
+            (schedule.same_zone, schedule.other_zones) = (now, now);
+        }
+        if now >= schedule.next() {
+            if shared.serving.is_serving() {
+                served_at = Some(now);
+            }
+            let sends_often = served_at.is_some_and(|at| now.since(at) < SERVING_LINGER);
             seq += 1;
             let heartbeat = build_heartbeat(&shared, seq);
-            if now >= next_same_zone {
-                let full = force_full || same_zone_sent % FULL_HEARTBEAT_EVERY == 0;
-                same_zone_sent += 1;
-                datagrams.send_all_waiting(&same_zone, &heartbeat_datagram(&heartbeat, full)).await;
-                next_same_zone = now
-                    + interval(SAME_ZONE_INTERVAL, SAME_ZONE_INTERVAL_PER_NODE, same_zone.len());
-            }
-            if now >= next_other_zones {
-                let full = force_full || other_zones_sent % FULL_HEARTBEAT_EVERY == 0;
-                other_zones_sent += 1;
-                datagrams
-                    .send_all_waiting(&other_zones, &heartbeat_datagram(&heartbeat, full))
-                    .await;
-                let interval = interval(
+            let PeerTargets { same_zone, other_zones, idle } =
+                peer_targets(&shared, sends_often || has_content(&heartbeat));
+            let full = |sent: &mut u64| {
+                *sent += 1;
+                force_full || (*sent - 1).is_multiple_of(FULL_HEARTBEAT_EVERY)
+            };
+            let intervals = HeartbeatIntervals {
+                regular: interval(
                     OTHER_ZONES_INTERVAL,
                     OTHER_ZONES_INTERVAL_PER_NODE,
-                    other_zones.len(),
-                );
-                shared.peers().set_heartbeat_interval(interval);
-                next_other_zones = now + interval;
+                    shared.peers().count_other_zones(&shared.settings.zone),
+                ),
+                idle: interval(IDLE_INTERVAL_RANGE.0, IDLE_INTERVAL_PER_NODE, idle.len())
+                    .min(IDLE_INTERVAL_RANGE.1),
+            };
+            shared.peers().set_heartbeat_intervals(intervals);
+            if now >= schedule.same_zone {
+                let same_zone_nodes = shared.peers().count_same_zone(&shared.settings.zone);
+                schedule.same_zone = now
+                    + interval(SAME_ZONE_INTERVAL, SAME_ZONE_INTERVAL_PER_NODE, same_zone_nodes);
+                send_heartbeat(&shared, &heartbeat, full(&mut sent.0), &same_zone).await;
+            }
+            if now >= schedule.other_zones {
+                schedule.other_zones = now + intervals.regular;
+                send_heartbeat(&shared, &heartbeat, full(&mut sent.1), &other_zones).await;
+            }
+            if now >= schedule.idle {
+                let full = full(&mut sent.2) || !sends_often;
+                schedule.idle =
+                    now + if sends_often { SERVING_TO_IDLE_INTERVAL } else { intervals.idle };
+                send_heartbeat(&shared, &heartbeat, full, &idle).await;
             }
             force_full = false;
         }
-        if timeout(ADAPTER_REQUEST_INTERVAL, shared.heartbeat_now.notified()).await.is_ok() {
-            force_full = true;
-            (next_same_zone, next_other_zones) = (clock::now(), clock::now());
+        let has_waiting = shared.dispatcher().has_waiting();
+        let pause = match has_waiting {
+            true => ADAPTER_REQUEST_INTERVAL,
+            false => MAX_SENDER_PAUSE.min(schedule.next().since(clock::now())),
+        };
+        tokio::select! {
+            () = shared.heartbeat_now.notified() => {}
+            () = shared.dispatch_now.notified() => {}
+            () = sleep(pause) => {}
         }
     }
 }
 
+/// Returns whether other nodes need more of a heartbeat than that its node lives.
+fn has_content(heartbeat: &Heartbeat) -> bool {
+    !heartbeat.upstream_loads.is_empty()
+        || heartbeat.placements.as_ref().is_some_and(|placements| !placements.is_empty())
+}
+
+/// Sends a heartbeat, without the activity to nodes of earlier builds.
+async fn send_heartbeat(shared: &Shared, heartbeat: &Heartbeat, full: bool, targets: &Targets) {
+    let datagrams = shared.datagrams();
+    if !targets.current.is_empty() {
+        let datagram = heartbeat_datagram(heartbeat, full, heartbeat.activity);
+        datagrams.send_all_waiting(&targets.current, &datagram).await;
+    }
+    if !targets.earlier.is_empty() {
+        let datagram = heartbeat_datagram(heartbeat, full, None);
+        datagrams.send_all_waiting(&targets.earlier, &datagram).await;
+    }
+}
+
 /// Returns the datagram of a heartbeat. Unless `full`, it omits the placements and the load per
 /// adapter, which seldom change.
-fn heartbeat_datagram(heartbeat: &Heartbeat, full: bool) -> Datagram {
-    let mut heartbeat = heartbeat.clone();
+fn heartbeat_datagram(heartbeat: &Heartbeat, full: bool, activity: Option<Activity>) -> Datagram {
+    let mut heartbeat = Heartbeat { activity, ..heartbeat.clone() };
     if !full {
         heartbeat.placements = None;
         heartbeat.upstream_loads.iter_mut().for_each(|load| load.adapters.clear());
@@ -201,8 +290,9 @@
         dispatcher.apply_placement(now, &heartbeat.node, placement);
     }
     dispatcher.set_peer_loads(now, &heartbeat.node, heartbeat.upstream_loads);
-    drop(dispatcher);
-    shared.dispatch_waiting(now);
+    if heartbeat.placements.is_some() && dispatcher.has_waiting() {
+        shared.dispatch_now.notify_one();
+    }
 }
 
 /// Builds the node's own heartbeat.
@@ -215,6 +305,8 @@
     let mut loads = dispatcher.plain_upstream_loads();
     drop(dispatcher);
     loads.extend(engine_loads);
+    let load = shared.serving.load();
+    let own_adapter_loads = u32::try_from(shared.adapter_loads_in_progress()).unwrap_or(u32::MAX);
     Heartbeat {
         node: settings.node.clone(),
         incarnation: shared.incarnation,
@@ -224,34 +316,71 @@
         peer_address: settings.peer,
         state: shared.node_state(),
         capacity: (settings.capacity * 1_000.0) as u32,
-        adapter_loads_in_progress: u32::try_from(shared.adapter_loads_in_progress())
-            .unwrap_or(u32::MAX),
+        adapter_loads_in_progress: own_adapter_loads,
         upstream_loads: loads,
         placements: Some(shared.placements().clone()),
+        activity: Some(Activity {
+            serving: shared.serving.is_serving(),
+            utilisation_permille: load.utilisation_permille,
+            requests_per_s: load.requests_per_s,
+            fleet_adapter_loads: shared
+                .peers()
+                .adapter_loads_in_progress(now)
+                .saturating_add(own_adapter_loads),
+        }),
     }
 }
 
-/// Addresses of the other nodes.
+/// Addresses of nodes.
+#[derive(Default)]
+struct Targets {
+    /// Nodes that understand an [`Activity`].
+    current: Vec<SocketAddr>,
+    /// Nodes of earlier builds, and those of which only the store tells.
+    earlier: Vec<SocketAddr>,
+}
+
+/// Addresses of the other nodes, by how often they are sent heartbeats.
+#[derive(Default)]
 struct PeerTargets {
-    /// Nodes of the same zone, and those whose zone is not known yet.
-    same_zone: Vec<SocketAddr>,
-    /// Nodes of other zones.
-    other_zones: Vec<SocketAddr>,
+    /// Nodes of the same zone that need the state often, and those whose zone is not known yet.
+    same_zone: Targets,
+    /// Nodes of other zones that need the state often.
+    other_zones: Targets,
+    /// Other nodes.
+    idle: Targets,
+}
+
+impl Targets {
+    fn len(&self) -> usize {
+        self.current.len() + self.earlier.len()
+    }
 }
 
 /// Returns the addresses of all nodes that the store lists or that have sent a heartbeat.
-fn peer_targets(shared: &Shared) -> PeerTargets {
-    let mut nodes: HashMap<Name, (SocketAddr, bool)> =
-        shared.members().iter().map(|(node, address)| (node.clone(), (*address, false))).collect();
-    for peer in shared.peers().all() {
-        let is_other_zone = peer.heartbeat.zone != shared.settings.zone;
-        nodes.insert(peer.heartbeat.node.clone(), (peer.heartbeat.peer_address, is_other_zone));
+/// `is_needed` tells whether nodes that serve callers need the state of this node often.
+fn peer_targets(shared: &Shared, is_needed: bool) -> PeerTargets {
+    let mut targets = PeerTargets::default();
+    let peers = shared.peers();
+    for peer in peers.all() {
+        let heartbeat = &peer.heartbeat;
+        let group = match is_needed && heartbeat.is_serving() || heartbeat.activity.is_none() {
+            false => &mut targets.idle,
+            true if heartbeat.zone == shared.settings.zone => &mut targets.same_zone,
+            true => &mut targets.other_zones,
+        };
+        let group = match shared.protocol_versions.understands(heartbeat, ACTIVITY_PROTOCOL) {
+            true => &mut group.current,
+            false => &mut group.earlier,
+        };
+        group.push(heartbeat.peer_address);
+    }
+    for (node, address) in shared.members().iter() {
+        if *node != shared.settings.node && !peers.contains(node.as_str()) {
+            targets.same_zone.earlier.push(*address);
+        }
     }
-    nodes.remove(&shared.settings.node);
-    let (other_zones, same_zone): (Vec<_>, Vec<_>) =
-        nodes.into_values().partition(|(_, is_other_zone)| *is_other_zone);
-    let addresses = |nodes: Vec<(SocketAddr, bool)>| nodes.into_iter().map(|(a, _)| a).collect();
-    PeerTargets { same_zone: addresses(same_zone), other_zones: addresses(other_zones) }
+    targets
 }
 
 /// Sends each adapter request to the holder of its engine: another node, or the controller of this
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -35,6 +35,7 @@
 use crate::lifecycle::Phase;
 use crate::metrics::Metrics;
 use crate::quarantine;
+use crate::serving;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::store;
@@ -118,7 +119,7 @@
             mailbox::bounded(CONTROLLER_MAILBOX_CAPACITY),
         );
         let mut tasks = JoinSet::new();
-        tasks.spawn(engine_controller::send_ticks(controller.clone()));
+        tasks.spawn(engine_controller::send_ticks(Arc::clone(&shared), controller.clone()));
         tasks.spawn(membership::maintain(
             Arc::clone(&shared),
             Arc::clone(&store),
@@ -167,7 +168,7 @@
         let linger = DRAIN_LINGER.min(grace / 2);
         let lifecycle = &self.shared.lifecycle;
         lifecycle.enter(Phase::Draining);
-        self.shared.heartbeat_now.notify_one();
+        self.shared.announce();
         sleep(linger).await;
         lifecycle.enter(Phase::Closing);
         let mut ended = timeout(grace / 2 - linger, self.ingress.join_next()).await.is_ok();
@@ -189,6 +190,7 @@
 async fn run_periodic_checks(shared: Arc<Shared>) {
     loop {
         heartbeats::drop_unreachable_nodes(&shared);
+        serving::check(&shared);
         store_watch::end_grace(&shared);
         shared.pool.close_expired(clock::now());
         sleep(PERIODIC_CHECK_INTERVAL).await;
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -6,9 +6,11 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
@@ -36,6 +38,7 @@
 use fireflyhead_policy::readers;
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_policy::readers::ReaderCandidate;
+use fireflyhead_policy::serving;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -48,6 +51,7 @@
 use crate::pool::Pool;
 use crate::protocol_versions::ProtocolVersions;
 use crate::quarantine::QuarantineState;
+use crate::serving::ServingState;
 use crate::settings::GatewaySettings;
 
 /// Number of low bits of a job id that count requests; the bits above hold the start time of the
@@ -73,8 +77,16 @@
     pub protocol_versions: ProtocolVersions,
     /// Evidence on prompt parts that crash engines.
     pub quarantine: QuarantineState,
-    /// Makes the heartbeat task send before the interval has passed.
+    /// Whether this node serves callers.
+    pub serving: ServingState,
+    /// Wakes the heartbeat task: it sends the heartbeats that are due.
     pub heartbeat_now: Notify,
+    /// Wakes the heartbeat task, which also decides on the waiting requests.
+    pub dispatch_now: Notify,
+    /// Whether placements have changed since the last heartbeat.
+    placements_changed: AtomicBool,
+    /// Whether all nodes are to be sent a heartbeat.
+    announcement_due: AtomicBool,
     /// Phase of the node.
     pub lifecycle: Lifecycle,
     config: Mutex<Option<Arc<Config>>>,
@@ -89,6 +101,8 @@
     members: Mutex<HashMap<Name, SocketAddr>>,
     pending_decisions: Mutex<HashMap<JobId, oneshot::Sender<DispatchDecision>>>,
     adapter_loads_in_progress: AtomicUsize,
+    /// Interval of the engine controller's ticks, in milliseconds.
+    controller_interval_ms: AtomicU64,
     next_job_id: AtomicU64,
     open_requests: AtomicUsize,
     open_connections: AtomicUsize,
@@ -117,7 +131,11 @@
             feed_queue: FeedQueue::default(),
             protocol_versions: ProtocolVersions::default(),
             quarantine: QuarantineState::default(),
+            serving: ServingState::default(),
             heartbeat_now: Notify::new(),
+            dispatch_now: Notify::new(),
+            placements_changed: AtomicBool::new(false),
+            announcement_due: AtomicBool::new(true),
             lifecycle: Lifecycle::default(),
             config: Mutex::new(None),
             fleet: Mutex::new(Fleet::default()),
@@ -131,6 +149,7 @@
             members: Mutex::new(HashMap::new()),
             pending_decisions: Mutex::new(HashMap::new()),
             adapter_loads_in_progress: AtomicUsize::new(0),
+            controller_interval_ms: AtomicU64::new(0),
             // Holders identify a request by node and job id, so an id must not recur after a
             // restart.
             next_job_id: AtomicU64::new(clock::unix_millis() << JOB_ID_SEQUENCE_BITS),
@@ -210,6 +229,17 @@
         self.adapter_loads_in_progress.load(Ordering::Relaxed)
     }
 
+    /// Sets the interval of the engine controller's ticks.
+    pub(crate) fn set_controller_interval(&self, interval: Duration) {
+        let ms = u64::try_from(interval.as_millis()).unwrap_or(u64::MAX);
+        self.controller_interval_ms.store(ms, Ordering::Relaxed);
+    }
+
+    /// Returns the interval of the engine controller's ticks.
+    pub(crate) fn controller_interval(&self) -> Duration {
+        Duration::from_millis(self.controller_interval_ms.load(Ordering::Relaxed).max(1))
+    }
+
     /// Returns an unused job id.
     pub fn new_job_id(&self) -> JobId {
         JobId(self.next_job_id.fetch_add(1, Ordering::Relaxed))
@@ -243,9 +273,41 @@
         &self.open_connections
     }
 
-    /// Returns the number of live nodes that share the upstreams, including this one.
+    /// Returns how many nodes like this one share upstreams, rates and the retry budget: the live
+    /// nodes, this one included, weighted by whether they serve callers.
     pub fn node_count(&self, now: Time) -> usize {
-        self.peers().live(now).count() + 1
+        let own_serving = self.serving.is_serving();
+        let peers = self.peers();
+        let (mut serving, mut idle) = (usize::from(own_serving), usize::from(!own_serving));
+        for peer in peers.live(now) {
+            match peer.heartbeat.is_serving() {
+                true => serving += 1,
+                false => idle += 1,
+            }
+        }
+        serving::equivalent_nodes(own_serving, serving, idle)
+    }
+
+    /// Makes the heartbeat task send the placements to the nodes that serve callers.
+    pub(crate) fn send_placements(&self) {
+        self.placements_changed.store(true, Ordering::Relaxed);
+        self.heartbeat_now.notify_one();
+    }
+
+    /// Makes the heartbeat task send the state of this node to all nodes.
+    pub(crate) fn announce(&self) {
+        self.announcement_due.store(true, Ordering::Relaxed);
+        self.heartbeat_now.notify_one();
+    }
+
+    /// Returns whether placements have changed since the last call.
+    pub(crate) fn take_placements_changed(&self) -> bool {
+        self.placements_changed.swap(false, Ordering::Relaxed)
+    }
+
+    /// Returns whether all nodes are to be sent a heartbeat, and resets that.
+    pub(crate) fn take_announcement_due(&self) -> bool {
+        self.announcement_due.swap(false, Ordering::Relaxed)
     }
 
     /// Submits a request to the dispatcher. The result resolves to the decision.
@@ -260,6 +322,7 @@
             }
             None => {
                 lock(&self.pending_decisions).insert(id, tx);
+                self.dispatch_now.notify_one();
             }
         }
         self.send_holder_messages(now);
--- a/crates/fireflyhead-policy/benches/dispatch.rs
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -156,6 +156,7 @@
         adapter_loads_in_progress: 1,
         upstream_loads: (0..loads).map(load).collect(),
         placements: Some((0..engines).map(placement).collect()),
+        activity: None,
     }))
 }
 
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -544,6 +544,11 @@
         {
             return;
         }
+        if upstream.placement.as_ref().is_some_and(|(from, old)| from == holder && old == placement)
+        {
+            return;
+        }
+        upstream.placement = Some((holder.clone(), placement.clone()));
         upstream.fencing_token = placement.fencing_token;
         upstream.holder_active = placement.holder_active;
         match placement.holder_active {
@@ -645,6 +650,11 @@
         self.waiting.len() + self.pending_admissions.len()
     }
 
+    /// Returns whether requests wait, or adapters that they need are not loaded yet.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting() > 0 || !self.adapter_requests.is_empty()
+    }
+
     /// Returns the number of sends in progress.
     pub fn in_flight(&self) -> usize {
         self.active_sends.len()
--- a/crates/fireflyhead-policy/src/dispatch/adapter_requests.rs
+++ b/crates/fireflyhead-policy/src/dispatch/adapter_requests.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Returns whether no adapter is requested.
+    pub(super) fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Drops the request for `key`.
     pub(super) fn remove(&mut self, key: &AdapterKey) {
         self.pending.remove(key);
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -9,6 +9,7 @@
 use crate::fleet::UpstreamEntry;
 use crate::fleet::UpstreamState;
 use crate::health::UpstreamHealth;
+use crate::message::Placement;
 use crate::message::UpstreamLoad;
 use crate::protocol::LoadReport;
 
@@ -41,6 +42,8 @@
     pub(super) health: UpstreamHealth,
     /// Adapters that the engine holds or is loading.
     pub(super) adapters: HashMap<AdapterKey, Replica>,
+    /// Placement that was applied last, with the node that reported it.
+    pub(super) placement: Option<(Name, Placement)>,
     /// Fencing token of the newest placement.
     pub(super) fencing_token: u64,
     /// Whether the holder may send orders now.
@@ -77,6 +80,7 @@
             entry,
             health: UpstreamHealth::default(),
             adapters: HashMap::new(),
+            placement: None,
             fencing_token: 0,
             holder_active: false,
             misdirected: false,
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`residency`]: which adapters an engine holds
 //! - [`peers`]: which nodes are reachable and what they reported
 //! - [`readers`]: which nodes read the store on behalf of their zone
+//! - [`serving`]: which nodes callers are directed to
 //!
 //! The other modules hold shared types: [`protocol`] translates to and from the HTTP protocol of a
 //! platform, [`message`] defines the datagrams between nodes, [`rendezvous`] ranks nodes and
@@ -40,6 +41,7 @@
 pub mod rendezvous;
 pub mod residency;
 pub mod response;
+pub mod serving;
 pub mod table;
 pub mod types;
 
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -11,6 +11,8 @@
 //!   restored, sent only to nodes that announced at least [`ERA_PROTOCOL`].
 //! - [`Departure`]: an upstream that leaves, before the store says so. Sent only to nodes that
 //!   announced at least [`DEPARTURE_PROTOCOL`].
+//! - [`Activity`]: part of a heartbeat, sent only to nodes that announced at least
+//!   [`ACTIVITY_PROTOCOL`].
 //!
 //! The holder of an engine is the node that owns it: it alone orders adapter loads there and admits
 //! requests. Module [`wire`] converts the messages to and from the generated wire types, some of
@@ -31,13 +33,15 @@
 
 /// Version of the protocol between nodes, which each node announces in the store. Nodes without an
 /// announcement have version 1.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 /// Lowest version of nodes that understand [`Datagram::CrashReports`].
 pub const EVIDENCE_PROTOCOL: u32 = 2;
 /// Lowest version of nodes that understand a [`Feed`] of a later era than the first one.
 pub const ERA_PROTOCOL: u32 = 3;
 /// Lowest version of nodes that understand [`Datagram::Departures`].
 pub const DEPARTURE_PROTOCOL: u32 = 4;
+/// Lowest version of nodes that understand a [`Heartbeat`] with an [`Activity`].
+pub const ACTIVITY_PROTOCOL: u32 = 5;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -101,6 +105,19 @@
     pub adapters: Vec<PlacedAdapter>,
 }
 
+/// How much a node has to do.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Activity {
+    /// Whether the node serves callers and needs the state of all nodes often.
+    pub serving: bool,
+    /// Share of its capacity that the node used recently, in thousandths.
+    pub utilisation_permille: u32,
+    /// Number of requests of callers in a second.
+    pub requests_per_s: u32,
+    /// Number of loads from the adapter store in progress over all nodes, as the sender knows it.
+    pub fleet_adapter_loads: u32,
+}
+
 /// State of a node, sent at regular intervals.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Heartbeat {
@@ -127,6 +144,15 @@
     /// Adapters of the engines that the node owns; `None` if they are the same as in the previous
     /// heartbeat. In that case, the loads list no adapters either.
     pub placements: Option<Vec<Placement>>,
+    /// How much the node has to do; `None` in a heartbeat from or for a node of an earlier build.
+    pub activity: Option<Activity>,
+}
+
+impl Heartbeat {
+    /// Returns whether the node serves callers, as one that doesn't say may.
+    pub fn is_serving(&self) -> bool {
+        self.activity.is_none_or(|activity| activity.serving)
+    }
 }
 
 /// Asks the holder of an engine to load an adapter.
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -5,6 +5,7 @@
 //! | wire type | message |
 //! |---|---|
 //! | `Beat` | [`Heartbeat`] |
+//! | `ActiveBeat` | [`Heartbeat`] with an [`Activity`] |
 //! | `Placed` | [`PlacedAdapter`] |
 //! | `Want`, `Wants` | [`AdapterRequest`], [`Datagram::AdapterRequests`] |
 //! | `Ask` | [`AdmissionRequest`] |
@@ -24,6 +25,7 @@
 use crate::Name;
 use crate::dispatch::JobId;
 use crate::era::Era;
+use crate::message::Activity;
 use crate::message::AdapterRequest;
 use crate::message::AdmissionDecision;
 use crate::message::AdmissionRequest;
@@ -67,7 +69,19 @@
 impl From<&Datagram> for wire::Datagram {
     fn from(datagram: &Datagram) -> wire::Datagram {
         let body = match datagram {
-            Datagram::Heartbeat(heartbeat) => wire::datagram::Body::Beat(heartbeat.as_ref().into()),
+            Datagram::Heartbeat(heartbeat) => {
+                let beat = wire::Beat::from(heartbeat.as_ref());
+                match heartbeat.activity {
+                    None => wire::datagram::Body::Beat(beat),
+                    Some(activity) => wire::datagram::Body::ActiveBeat(wire::ActiveBeat {
+                        beat: Some(beat),
+                        serving: activity.serving,
+                        utilisation_permille: activity.utilisation_permille,
+                        requests_per_s: activity.requests_per_s,
+                        fleet_loading: activity.fleet_adapter_loads,
+                    }),
+                }
+            }
             Datagram::AdapterRequests(requests) => {
                 let wants = requests.iter().map(wire::Want::from).collect();
                 wire::datagram::Body::Wants(wire::Wants { wants })
@@ -110,6 +124,17 @@
             Some(wire::datagram::Body::Beat(beat)) => {
                 Ok(Datagram::Heartbeat(Box::new(beat.try_into()?)))
             }
+            Some(wire::datagram::Body::ActiveBeat(active)) => {
+                let activity = Activity {
+                    serving: active.serving,
+                    utilisation_permille: active.utilisation_permille,
+                    requests_per_s: active.requests_per_s,
+                    fleet_adapter_loads: active.fleet_loading,
+                };
+                let heartbeat = Heartbeat::try_from(active.beat.ok_or(WireError::Empty)?)?;
+                let heartbeat = Heartbeat { activity: Some(activity), ..heartbeat };
+                Ok(Datagram::Heartbeat(Box::new(heartbeat)))
+            }
             Some(wire::datagram::Body::Wants(wants)) => Ok(Datagram::AdapterRequests(
                 wants.wants.into_iter().map(AdapterRequest::from).collect(),
             )),
@@ -410,6 +435,7 @@
             upstream_loads: beat.loads.into_iter().map(UpstreamLoad::from).collect(),
             placements: (!beat.unchanged)
                 .then(|| beat.placements.into_iter().map(Placement::from).collect()),
+            activity: None,
         })
     }
 }
--- a/crates/fireflyhead-policy/src/ownership.rs
+++ b/crates/fireflyhead-policy/src/ownership.rs
@@ -255,6 +255,11 @@
         (may_act && now >= owned_engine.active_from).then_some(owned_engine.fencing_token)
     }
 
+    /// Returns the engines that this node owns.
+    pub fn owned(&self) -> impl Iterator<Item = &Name> {
+        self.owned.keys()
+    }
+
     /// Returns the fencing token of `upstream` if this node is its holder, even if it may not send
     /// orders now.
     pub fn fencing_token(&self, upstream: &str) -> Option<u64> {
--- a/crates/fireflyhead-policy/src/peers.rs
+++ b/crates/fireflyhead-policy/src/peers.rs
@@ -24,6 +24,16 @@
 /// Time without heartbeats after which a node is removed.
 const REMOVE_AFTER: Duration = Duration::from_secs(30);
 
+/// Intervals at which nodes send heartbeats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeartbeatIntervals {
+    /// Longest interval between nodes of which one serves callers and the other has something to
+    /// tell. It grows with the number of nodes.
+    pub regular: Duration,
+    /// Longest interval between other nodes.
+    pub idle: Duration,
+}
+
 /// Other node with its newest heartbeat.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -39,18 +49,65 @@
     peers: HashMap<Name, Peer>,
     /// Time without heartbeats after which a peer counts as unreachable.
     silence_timeout: Duration,
+    /// The same for a peer that sends heartbeats at the idle interval.
+    idle_silence_timeout: Duration,
+    /// Time from which all peers with something to tell send heartbeats at the regular interval,
+    /// because this node serves callers; `None` if it doesn't.
+    regular_from: Option<Time>,
 }
 
 impl Default for Peers {
     fn default() -> Peers {
-        Peers { peers: HashMap::new(), silence_timeout: MIN_SILENCE_TIMEOUT }
+        Peers {
+            peers: HashMap::new(),
+            silence_timeout: MIN_SILENCE_TIMEOUT,
+            idle_silence_timeout: MIN_SILENCE_TIMEOUT,
+            regular_from: None,
+        }
     }
 }
 
 impl Peers {
-    /// Sets the longest interval at which peers send heartbeats, which grows with their number.
-    pub fn set_heartbeat_interval(&mut self, interval: Duration) {
-        self.silence_timeout = MIN_SILENCE_TIMEOUT.max(interval.mul_f64(SILENCE_TIMEOUT_INTERVALS));
+    /// Sets the intervals at which peers send heartbeats.
+    pub fn set_heartbeat_intervals(&mut self, intervals: HeartbeatIntervals) {
+        let timeout = |interval: Duration| interval.mul_f64(SILENCE_TIMEOUT_INTERVALS);
+        self.silence_timeout = MIN_SILENCE_TIMEOUT.max(timeout(intervals.regular));
+        self.idle_silence_timeout = self.silence_timeout.max(timeout(intervals.idle));
+    }
+
+    /// Sets whether this node serves callers. If it begins to, peers change to the regular interval
+    /// only when they learn of it.
+    pub fn set_serving(&mut self, now: Time, serving: bool) {
+        self.regular_from = match (serving, self.regular_from) {
+            (true, None) => Some(now + self.idle_silence_timeout),
+            (true, from) => from,
+            (false, _) => None,
+        };
+    }
+
+    /// Returns whether `peer` is reachable.
+    fn is_live(&self, now: Time, peer: &Peer) -> bool {
+        let heartbeat = &peer.heartbeat;
+        let has_content = !heartbeat.upstream_loads.is_empty()
+            || heartbeat.placements.as_ref().is_some_and(|placements| !placements.is_empty());
+        let is_regular = heartbeat.is_serving()
+            || has_content && self.regular_from.is_some_and(|from| now >= from);
+        let timeout = if is_regular { self.silence_timeout } else { self.idle_silence_timeout };
+        now.since(peer.last_heard) < timeout
+    }
+
+    /// Returns the number of adapter loads in progress that the reachable peers ordered.
+    pub fn adapter_loads_in_progress(&self, now: Time) -> u32 {
+        let loads = self.live(now).map(|peer| peer.heartbeat.adapter_loads_in_progress);
+        loads.fold(0, u32::saturating_add)
+    }
+
+    /// Returns the number of adapter loads in progress over all nodes that the serving peer heard
+    /// last has reported; `None` if no peer serves callers.
+    pub fn fleet_adapter_loads(&self, now: Time) -> Option<u32> {
+        let serving = self.live(now).filter(|peer| peer.heartbeat.is_serving());
+        let newest = serving.max_by_key(|peer| peer.last_heard)?;
+        newest.heartbeat.activity.map(|activity| activity.fleet_adapter_loads)
     }
 
     /// Records a heartbeat; returns `false` and ignores it if it is not newer than the last one of
@@ -66,13 +123,12 @@
                 false
             }
             Some(_) | None => {
-                let placements = heartbeat.placements.clone().or_else(|| {
-                    let old = self.peers.get(&heartbeat.node)?;
-                    old.heartbeat
-                        .placements
-                        .clone()
-                        .filter(|_| old.heartbeat.incarnation == heartbeat.incarnation)
-                });
+                let old = self.peers.remove(&heartbeat.node).map(|peer| peer.heartbeat);
+                let kept = || {
+                    old.filter(|old| old.incarnation == heartbeat.incarnation)
+                        .and_then(|old| old.placements)
+                };
+                let placements = heartbeat.placements.or_else(kept);
                 let heartbeat = Heartbeat { placements, ..heartbeat };
                 self.peers.insert(heartbeat.node.clone(), Peer { heartbeat, last_heard: now });
                 true
@@ -86,20 +142,19 @@
         self.peers.retain(|_, peer| now.since(peer.last_heard) < REMOVE_AFTER);
         self.peers
             .iter()
-            .filter(|(_, peer)| now.since(peer.last_heard) >= self.silence_timeout)
+            .filter(|(_, peer)| !self.is_live(now, peer))
             .map(|(node, _)| node.clone())
             .collect()
     }
 
     /// Returns whether `node` is reachable: it sent a heartbeat recently.
     pub fn is_alive(&self, now: Time, node: &str) -> bool {
-        self.peers.get(node).is_some_and(|peer| now.since(peer.last_heard) < self.silence_timeout)
+        self.peers.get(node).is_some_and(|peer| self.is_live(now, peer))
     }
 
     /// Returns the reachable peers.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
-        let timeout = self.silence_timeout;
-        self.peers.values().filter(move |peer| now.since(peer.last_heard) < timeout)
+        self.peers.values().filter(move |peer| self.is_live(now, peer))
     }
 
     /// Returns the reachable peers of `zone` that are not leaving, as candidates for store readers.
@@ -125,6 +180,21 @@
         self.peers.get(node).map(|peer| peer.heartbeat.peer_address)
     }
 
+    /// Returns the number of known peers in `zone`.
+    pub fn count_same_zone(&self, zone: &Name) -> usize {
+        self.peers.values().filter(|peer| peer.heartbeat.zone == *zone).count()
+    }
+
+    /// Returns the number of known peers outside `zone`.
+    pub fn count_other_zones(&self, zone: &Name) -> usize {
+        self.peers.len() - self.count_same_zone(zone)
+    }
+
+    /// Returns whether `node` is known.
+    pub fn contains(&self, node: &str) -> bool {
+        self.peers.contains_key(node)
+    }
+
     /// Returns all known peers, unreachable ones included.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -419,6 +419,14 @@
         u32::try_from(self.slots.saturating_sub(taken)).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether the engine loads something, or is asked to or unsure whether it does.
+    pub fn has_pending_loads(&self) -> bool {
+        self.loads_in_progress() > 0
+            || !self.requested_adapters.is_empty()
+            || self.unanswered_order.is_some()
+            || !self.is_known()
+    }
+
     /// Returns the number of loads from the adapter store in progress; loads of adapters that the
     /// engine held before don't count.
     pub fn loads_in_progress(&self) -> u32 {
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -21,5 +21,6 @@
 mod replay;
 mod residency;
 mod response;
+mod serving;
 mod setup;
 mod table;
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -6,6 +6,7 @@
 use fireflyhead_policy::Name;
 use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::era::Era;
+use fireflyhead_policy::message::Activity;
 use fireflyhead_policy::message::AdmissionDecision;
 use fireflyhead_policy::message::AdmissionRequest;
 use fireflyhead_policy::message::AdmissionResponse;
@@ -53,7 +54,8 @@
     }
 }
 
-/// Returns a heartbeat with placements, or without, which means that they did not change.
+/// Returns a heartbeat with placements, or without, which means that they did not change. The first
+/// one is of an earlier build.
 fn heartbeat(placements: bool) -> Datagram {
     let address = "127.0.0.1:7380".parse().expect("an address");
     Datagram::Heartbeat(Box::new(Heartbeat {
@@ -68,6 +70,12 @@
         adapter_loads_in_progress: 1,
         upstream_loads: vec![upstream_load()],
         placements: placements.then(|| vec![placement("engine-1", &["a1", "a2"], 3)]),
+        activity: (!placements).then_some(Activity {
+            serving: true,
+            utilisation_permille: 420,
+            requests_per_s: 35,
+            fleet_adapter_loads: 12,
+        }),
     }))
 }
 
