Admit requests that wait at a holder on time, and bound the heartbeats of a node that starts

Cause, found by reading the change before: a holder paces prompts by time, but its heartbeat task slept for up to 100 ms unless requests waited in the node itself; and a node that knew no peer yet sent heartbeats to all members each 100 ms, whatever their number. Both fixed; no test of their own.

--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -134,9 +134,11 @@
             };
             shared.peers().set_heartbeat_intervals(intervals);
             if now >= schedule.same_zone {
-                let same_zone_nodes = shared.peers().count_same_zone(&shared.settings.zone);
-                schedule.same_zone = now
-                    + interval(SAME_ZONE_INTERVAL, SAME_ZONE_INTERVAL_PER_NODE, same_zone_nodes);
+                let known = shared.peers().count_same_zone(&shared.settings.zone);
+                // Includes nodes whose zone is not known yet.
+                let nodes = known.max(same_zone.len());
+                schedule.same_zone =
+                    now + interval(SAME_ZONE_INTERVAL, SAME_ZONE_INTERVAL_PER_NODE, nodes);
                 send_heartbeat(&shared, &heartbeat, full(&mut sent.0), &same_zone).await;
             }
             if now >= schedule.other_zones {
@@ -151,7 +153,7 @@
             }
             force_full = false;
         }
-        let has_waiting = shared.dispatcher().has_waiting();
+        let has_waiting = shared.has_waiting();
         let pause = match has_waiting {
             true => ADAPTER_REQUEST_INTERVAL,
             false => MAX_SENDER_PAUSE.min(schedule.next().since(clock::now())),
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -345,6 +345,11 @@
         self.send_holder_messages(now);
     }
 
+    /// Returns whether requests wait in this node, or at the engines that it owns.
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.dispatcher().has_waiting() || self.admission().waiting() > 0
+    }
+
     /// Rejects the requests that wait in this node and were not sent before, and from now on each
     /// new one.
     pub fn stop_dispatching(&self, now: Time) {
@@ -368,6 +373,9 @@
             }
         }
         responses.extend(admission.admit_waiting(now));
+        if admission.waiting() > 0 {
+            self.dispatch_now.notify_one();
+        }
         drop(admission);
         self.send_admission_responses(now, responses);
     }
