--- a/crates/fireflyhead-gateway/src/directory.rs
+++ b/crates/fireflyhead-gateway/src/directory.rs
@@ -12,8 +12,8 @@
 use fireflyhead_policy::Name;
 use fireflyhead_policy::message::Heartbeat;
 use fireflyhead_policy::message::NodeState;
-use fireflyhead_policy::serving as policy;
 use fireflyhead_policy::serving::Host;
+use fireflyhead_policy::serving::select;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
@@ -110,7 +110,7 @@
         nodes.retain(|node| Some(&node.zone) == zone);
     }
     let mut hosts: Vec<Host> = nodes.iter().map(|node| node.host.clone()).collect();
-    let selected = policy::select(&mut hosts);
+    let selected = select(&mut hosts);
     nodes.retain(|node| hosts[..selected].iter().any(|host| host.node == node.host.node));
     let mut rng = rand::rng();
     nodes.shuffle(&mut rng);
--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -118,20 +118,12 @@
             seq += 1;
             let heartbeat = build_heartbeat(&shared, seq);
             let PeerTargets { same_zone, other_zones, idle } =
-                peer_targets(&shared, sends_often || has_content(&heartbeat));
+                peer_targets(&shared, sends_often || heartbeat.has_content());
             let full = |sent: &mut u64| {
                 *sent += 1;
                 force_full || (*sent - 1).is_multiple_of(FULL_HEARTBEAT_EVERY)
             };
-            let intervals = HeartbeatIntervals {
-                regular: interval(
-                    OTHER_ZONES_INTERVAL,
-                    OTHER_ZONES_INTERVAL_PER_NODE,
-                    shared.peers().count_other_zones(&shared.settings.zone),
-                ),
-                idle: interval(IDLE_INTERVAL_RANGE.0, IDLE_INTERVAL_PER_NODE, idle.len())
-                    .min(IDLE_INTERVAL_RANGE.1),
-            };
+            let intervals = peer_intervals(&shared, idle.len());
             shared.peers().set_heartbeat_intervals(intervals);
             if now >= schedule.same_zone {
                 let known = shared.peers().count_same_zone(&shared.settings.zone);
@@ -153,8 +145,7 @@
             }
             force_full = false;
         }
-        let has_waiting = shared.has_waiting();
-        let pause = match has_waiting {
+        let pause = match shared.has_waiting() {
             true => ADAPTER_REQUEST_INTERVAL,
             false => MAX_SENDER_PAUSE.min(schedule.next().since(clock::now())),
         };
@@ -166,10 +157,14 @@
     }
 }
 
-/// Returns whether other nodes need more of a heartbeat than that its node lives.
-fn has_content(heartbeat: &Heartbeat) -> bool {
-    !heartbeat.upstream_loads.is_empty()
-        || heartbeat.placements.as_ref().is_some_and(|placements| !placements.is_empty())
+/// Returns the longest intervals of heartbeats, given the number of nodes that need few.
+fn peer_intervals(shared: &Shared, idle_nodes: usize) -> HeartbeatIntervals {
+    let other_zones = shared.peers().count_other_zones(&shared.settings.zone);
+    let (shortest, longest) = IDLE_INTERVAL_RANGE;
+    HeartbeatIntervals {
+        regular: interval(OTHER_ZONES_INTERVAL, OTHER_ZONES_INTERVAL_PER_NODE, other_zones),
+        idle: interval(shortest, IDLE_INTERVAL_PER_NODE, idle_nodes).min(longest),
+    }
 }
 
 /// Sends a heartbeat, without the activity to nodes of earlier builds.
--- a/crates/fireflyhead-gateway/src/serving.rs
+++ b/crates/fireflyhead-gateway/src/serving.rs
@@ -74,6 +74,7 @@
     /// Returns the recent load of the node.
     pub fn load(&self) -> HostLoad {
         let state = self.lock();
+        // Rounded up, so that a node with any request reports a rate.
         HostLoad {
             utilisation_permille: (state.utilisation * 1_000.0) as u32,
             requests_per_s: state.requests_per_s.ceil() as u32,
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -149,6 +149,12 @@
 }
 
 impl Heartbeat {
+    /// Returns whether nodes that serve callers need more of the heartbeat than that its node lives.
+    pub fn has_content(&self) -> bool {
+        !self.upstream_loads.is_empty()
+            || self.placements.as_ref().is_some_and(|placements| !placements.is_empty())
+    }
+
     /// Returns whether the node serves callers, as one that doesn't say may.
     pub fn is_serving(&self) -> bool {
         self.activity.is_none_or(|activity| activity.serving)
--- a/crates/fireflyhead-policy/src/peers.rs
+++ b/crates/fireflyhead-policy/src/peers.rs
@@ -88,10 +88,8 @@
     /// Returns whether `peer` is reachable.
     fn is_live(&self, now: Time, peer: &Peer) -> bool {
         let heartbeat = &peer.heartbeat;
-        let has_content = !heartbeat.upstream_loads.is_empty()
-            || heartbeat.placements.as_ref().is_some_and(|placements| !placements.is_empty());
         let is_regular = heartbeat.is_serving()
-            || has_content && self.regular_from.is_some_and(|from| now >= from);
+            || heartbeat.has_content() && self.regular_from.is_some_and(|from| now >= from);
         let timeout = if is_regular { self.silence_timeout } else { self.idle_silence_timeout };
         now.since(peer.last_heard) < timeout
     }
