Send a request no more to an engine that lacked its adapter

The engine is now avoided, and the adapter is requested at another one: the pending request for it may name the engine that refused. The test of that failed before.

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -391,7 +391,7 @@
     /// more.
     ///
     /// Later refusals of the same upstream may be copies of this one. The request returns there only
-    /// if the upstream named a time, or if the adapter was absent and others would have to load it.
+    /// if the upstream named a time.
     fn settle_refusal(
         &self,
         attempts: &mut Attempts,
@@ -401,8 +401,10 @@
         attempts.delivered += 1;
         attempts.refused_by.push(upstream.clone());
         match reason {
-            NotExecutedReason::AdapterAbsent | NotExecutedReason::Away => {}
-            NotExecutedReason::Full => attempts.tried.push(upstream.clone()),
+            NotExecutedReason::Away => {}
+            NotExecutedReason::AdapterAbsent | NotExecutedReason::Full => {
+                attempts.tried.push(upstream.clone());
+            }
             NotExecutedReason::Misdirected => {
                 self.shared.pool.close_idle(upstream.as_str());
                 attempts.tried.push(upstream.clone());
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -223,7 +223,12 @@
         ignore_ejections: bool,
     ) -> bool {
         let target = match self.adapter_requests.target(now, key) {
-            Some(target) if self.can_load(now, &target, key, ignore_ejections) => Some(target),
+            Some(target)
+                if !job.tried.contains(&target)
+                    && self.can_load(now, &target, key, ignore_ejections) =>
+            {
+                Some(target)
+            }
             Some(_) | None => self.preferred_engine(now, job, key, ignore_ejections),
         };
         let Some(target) = target else {
--- a/crates/fireflyhead-policy/tests/policy/loads.rs
+++ b/crates/fireflyhead-policy/tests/policy/loads.rs
@@ -53,6 +53,19 @@
     assert_eq!(target_upstream(Some(&decided[0].1)), Some(preferred));
 }
 
+/// Guards against a request that waits for its adapter at an engine that refused it, to which it is not
+/// sent again: another engine must load the adapter.
+#[test]
+fn an_adapter_is_loaded_for_a_request_where_it_was_not_refused() {
+    let mut node = test_node(3, 0);
+    node.submit(ms(0), adapter_job(1, ms(0), "rare", 500));
+    let first = node.due_adapter_requests(ms(0), &Name::from("node-1"))[0].upstream.clone();
+    let refused = Job { tried: vec![first.clone()], ..adapter_job(2, ms(0), "rare", 500) };
+    assert_eq!(node.submit(ms(1), refused), None);
+    let requests = node.due_adapter_requests(ms(1), &Name::from("node-1"));
+    assert!(requests.iter().any(|request| request.upstream != first), "{requests:?}");
+}
+
 /// Guards against a rare adapter that is loaded at several engines because nodes prefer different
 /// engines for it, and against a few engines that are preferred for most adapters.
 #[test]
