--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -391,7 +391,7 @@
     /// more.
     ///
     /// Later refusals of the same upstream may be copies of this one. The request returns there only
-    /// if the upstream named a time.
+    /// if the upstream named a time, or if no other one could load the adapter that was absent.
     fn settle_refusal(
         &self,
         attempts: &mut Attempts,
@@ -402,6 +402,7 @@
         attempts.refused_by.push(upstream.clone());
         match reason {
             NotExecutedReason::Away => {}
+            NotExecutedReason::AdapterAbsent if !self.has_other_upstream(attempts, upstream) => {}
             NotExecutedReason::AdapterAbsent | NotExecutedReason::Full => {
                 attempts.tried.push(upstream.clone());
             }
@@ -415,6 +416,11 @@
         is_final.then_some(Outcome::Reject { reason: "refused", retry_after })
     }
 
+    fn has_other_upstream(&self, attempts: &Attempts, upstream: &Name) -> bool {
+        let dispatcher = self.shared.dispatcher();
+        dispatcher.has_other_upstream(&self.service, upstream, &attempts.tried)
+    }
+
     /// Returns whether a request that an upstream did not execute is sent once more. If so, counts
     /// the retry against the budget.
     fn reserve_failover(&self, attempts: &Attempts) -> bool {
