--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -400,34 +400,25 @@
     ) -> Option<Outcome> {
         attempts.delivered += 1;
         attempts.refused_by.push(upstream.clone());
-        match reason {
-            NotExecutedReason::Away => {}
-            NotExecutedReason::AdapterAbsent if !self.has_other_upstream(attempts, upstream) => {}
-            NotExecutedReason::AdapterAbsent | NotExecutedReason::Full => {
-                attempts.tried.push(upstream.clone());
-            }
-            NotExecutedReason::Misdirected => {
-                self.shared.pool.close_idle(upstream.as_str());
-                attempts.tried.push(upstream.clone());
-            }
-        }
-        let is_final = !self.reserve_failover(attempts);
-        let retry_after = REFUSED_RETRY_AFTER;
-        is_final.then_some(Outcome::Reject { reason: "refused", retry_after })
-    }
-
-    fn has_other_upstream(&self, attempts: &Attempts, upstream: &Name) -> bool {
         let dispatcher = self.shared.dispatcher();
-        dispatcher.has_other_upstream(&self.service, upstream, &attempts.tried)
-    }
-
-    /// Returns whether a request that an upstream did not execute is sent once more. If so, counts
-    /// the retry against the budget.
-    fn reserve_failover(&self, attempts: &Attempts) -> bool {
-        let dispatcher = self.shared.dispatcher();
-        let may_succeed = dispatcher.has_untried_upstream(&self.service, &attempts.tried);
+        let has_other = dispatcher.has_other_upstream(&self.service, upstream, &attempts.tried);
         drop(dispatcher);
-        may_succeed && attempts.refused_by.len() < MAX_REFUSED_ATTEMPTS && self.spend_retry_budget()
+        let may_return = match reason {
+            NotExecutedReason::Away => true,
+            NotExecutedReason::AdapterAbsent => !has_other,
+            NotExecutedReason::Full | NotExecutedReason::Misdirected => false,
+        };
+        if reason == NotExecutedReason::Misdirected {
+            self.shared.pool.close_idle(upstream.as_str());
+        }
+        if !may_return {
+            attempts.tried.push(upstream.clone());
+        }
+        let retry = (has_other || may_return)
+            && attempts.refused_by.len() < MAX_REFUSED_ATTEMPTS
+            && self.spend_retry_budget();
+        let retry_after = REFUSED_RETRY_AFTER;
+        (!retry).then_some(Outcome::Reject { reason: "refused", retry_after })
     }
 
     /// Returns the time up to which an attempt at `upstream` waits for the head of the response. It
--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -157,7 +157,8 @@
     }
 }
 
-/// Returns the longest intervals of heartbeats, given the number of nodes that need few.
+/// Returns the longest intervals of heartbeats, given the number of nodes that need few
+/// of them.
 fn peer_intervals(shared: &Shared, idle_nodes: usize) -> HeartbeatIntervals {
     let other_zones = shared.peers().count_other_zones(&shared.settings.zone);
     let (shortest, longest) = IDLE_INTERVAL_RANGE;
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -112,13 +112,6 @@
         })
     }
 
-    /// Returns whether `service` has an upstream besides those in `tried`.
-    pub fn has_untried_upstream(&self, service: &Name, tried: &[Name]) -> bool {
-        self.services
-            .get(service)
-            .is_some_and(|service| service.members.iter().any(|member| !tried.contains(member)))
-    }
-
     /// Selects the upstream for `job`, and requests a load of its adapter where that helps.
     pub(super) fn choose_upstream(&mut self, now: Time, job: &Job) -> Choice {
         if !self.services.contains_key(&job.service) {
