review: a restarted node never learns that a worker drains (DRAIN)

Readers of the store leave the draining entry out of their feeds once they know the departure from an answer.

--- /dev/null
+++ b/review/harness/src/lib.rs
@@ -0,0 +1,11 @@
+#![recursion_limit = "256"]
+//! Stand-ins, clients and checks that the cases of the review share.
+
+pub mod callers;
+pub mod node;
+pub mod proxy;
+pub mod record;
+pub mod workers;
+
+/// Host that all routes match.
+pub const HOST: &str = "cards.example";
