--- a/review/harness/src/bin/forgotten_part.rs
+++ b/review/harness/src/bin/forgotten_part.rs
@@ -94,7 +94,8 @@
                 let (name, front) = targets[n % targets.len()].clone();
                 let id = format!("sound-{n}");
                 let parts = format!("{FIRST_PART}:210,ca{:x}:140,ab{n:x}:350", n % 7);
-                let request = callers::verse(&client, front, &id, &parts);
+                let request =
+                    callers::verse(&client, front, &id, &parts).header("fireflyhead-model", "base");
                 let lines = record.clone();
                 calls.spawn(async move { callers::send(&lines, &name, &id, request).await });
                 while calls.try_join_next().is_some() {}
@@ -144,7 +145,8 @@
             let id = format!("deadly-{phase}-{burst}-{n}");
             let own = format!("{phase}{burst}{n}");
             let parts = format!("{FIRST_PART}:210,{DEADLY_PART}:140,cc{own}:100,dd{own}:250");
-            let request = callers::verse(client, front, &id, &parts);
+            let request =
+                callers::verse(client, front, &id, &parts).header("fireflyhead-model", "base");
             let lines = record.clone();
             calls.spawn(async move { callers::send(&lines, &name, &id, request).await });
         }
--- a/review/harness/src/callers.rs
+++ b/review/harness/src/callers.rs
@@ -42,14 +42,14 @@
         .body("two boxes")
 }
 
-/// Returns a request for a verse to the node at `front`, with the given prompt parts.
+/// Returns a request for a verse to the node at `front`, with the given prompt parts and without a
+/// model.
 pub fn verse(client: &Client, front: SocketAddr, id: &str, parts: &str) -> RequestBuilder {
     client
         .post(format!("http://{front}/verse-draft/new"))
         .header("host", HOST)
         .header("fireflyhead-request-id", id)
         .header("fireflyhead-deadline-ms", "15000")
-        .header("fireflyhead-model", "base")
         .header("fireflyhead-token-count", "700,120")
         .header("fireflyhead-prompt-prefix", parts)
         .body("a verse")
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -2,6 +2,7 @@
 //! Stand-ins, clients and checks that the cases of the review share.
 
 pub mod callers;
+pub mod held;
 pub mod node;
 pub mod proxy;
 pub mod record;
--- a/review/harness/src/workers.rs
+++ b/review/harness/src/workers.rs
@@ -50,21 +50,36 @@
     /// # Errors
     /// No port can be bound.
     pub async fn start(store: &Store, cfg: UpstreamConfig) -> Result<Worker> {
-        let id = cfg.id.clone();
-        let upstream = Upstream::start(cfg).await?;
+        let upstream = Upstream::start(cfg.clone()).await?;
+        Ok(Worker::register(store, cfg.id, upstream))
+    }
+
+    /// Writes the entry of a worker from now on.
+    fn register(store: &Store, id: String, upstream: Upstream) -> Worker {
         let entry = Arc::new(Mutex::new(Entry::Ready));
         let (writer, current, server) = (store.clone(), Arc::clone(&entry), upstream.clone());
+        write(store, &upstream, Entry::Ready);
         let heartbeat = tokio::spawn(async move {
             loop {
+                sleep(HEARTBEAT).await;
                 if !is_down(&server) {
                     let entry = current.lock().unwrap_or_else(PoisonError::into_inner);
                     write(&writer, &server, *entry);
                 }
-                sleep(HEARTBEAT).await;
             }
         })
         .abort_handle();
-        Ok(Worker { id, upstream, store: store.clone(), entry, heartbeat })
+        Worker { id, upstream, store: store.clone(), entry, heartbeat }
+    }
+
+    /// Starts a worker again under the id that it had, and writes its entry.
+    ///
+    /// # Errors
+    /// No port can be bound.
+    pub async fn restart(store: &Store, cfg: UpstreamConfig) -> Result<Worker> {
+        let upstream = Upstream::start(cfg.clone()).await?;
+        upstream.restart();
+        Ok(Worker::register(store, cfg.id, upstream))
     }
 
     /// Reports that the worker drains, in the store and in all its answers. Returns the time at
