--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,6 +2,6 @@
 # Runs the case; TROUBLE=0 leaves out its disruption. Exits with 1 if the rule was broken, 0 if it
 # held and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review/release/forgotten_part
+program=target/review/release/split_first_event
 [ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
 exec "$program" review/4/record.txt
--- a/review/harness/src/lib.rs
+++ b/review/harness/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod held;
 pub mod node;
 pub mod proxy;
+pub mod raw_engine;
 pub mod record;
 pub mod workers;
 
