--- a/review/harness/src/bin/forgotten_part.rs
+++ b/review/harness/src/bin/forgotten_part.rs
@@ -36,7 +36,7 @@
 const ENGINES: usize = 8;
 const HEARTBEAT_OFFSET: Duration = Duration::from_millis(130);
 /// Number of requests with the part that come together.
-const BURST: usize = 9;
+const BURST: usize = 15;
 /// Number of such groups, and the time between two of them.
 const BURSTS: usize = 3;
 const BURST_INTERVAL: Duration = Duration::from_millis(1_500);
