Forward each change of an upstream's published state to the zone

Callers saw 502 for requests that may not be repeated: a node that had just been restarted sent them to an upstream that drained, until it exited.

Cause: a reader left an entry out of its feeds if applying it changed nothing in the reader's own view. A reader that had learned of the departure from a response had the upstream as draining already, and dropped the draining entry. A node that had started since was not sent the notice of the departure, and took the feed as complete.

Change: FeedFilter compares an entry with the one that the store listed before. The return of an entry that had lapsed at the reader is forwarded too.

--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -23,6 +23,7 @@
 use fireflyhead_policy::protocol::StoreRecord;
 use fireflyhead_policy::protocol::StoreReply;
 use fireflyhead_policy::readers::Feed;
+use fireflyhead_policy::readers::FeedFilter;
 use fireflyhead_policy::readers::FeedOutcome;
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
@@ -70,6 +71,7 @@
         controller,
         connected: false,
         era: Era::FIRST,
+        feed_filter: FeedFilter::default(),
     };
     let mut eras = watcher.store.subscribe();
     loop {
@@ -92,6 +94,7 @@
     connected: bool,
     /// Era of the last full read.
     era: Era,
+    feed_filter: FeedFilter,
 }
 
 impl StoreWatcher {
@@ -266,14 +269,14 @@
                 record => self.apply_record(item, record),
             }
         }
+        self.feed_filter.replace(&listed);
         let changes = self.shared.fleet().replace(now, &listed);
         apply_fleet_changes(&self.shared, changes);
         self.send_internal_items(items, era, true).await;
     }
 
-    /// Applies changed items. Returns those that other nodes need: all except updates of upstreams
-    /// that stay listed.
-    async fn apply_changes(&self, items: &[Item], era: Era) -> Vec<Item> {
+    /// Applies changed items. Returns those that other nodes need, see [`FeedFilter`].
+    async fn apply_changes(&mut self, items: &[Item], era: Era) -> Vec<Item> {
         let now = clock::now();
         let mut changes = Vec::new();
         let mut relevant = Vec::new();
@@ -283,12 +286,10 @@
                     if entry.is_none() && item.value.is_some() {
                         tracing::debug!(event = "entry_ignored", key = %item.key);
                     }
-                    let gone = entry.is_none();
-                    let fleet_changes = self.shared.fleet().apply(now, &id, entry);
-                    if gone || fleet_changes.iter().any(|c| !matches!(c, FleetChange::Updated(_))) {
+                    if self.feed_filter.apply(&id, entry.as_ref()) {
                         relevant.push(item.clone());
                     }
-                    changes.extend(fleet_changes);
+                    changes.extend(self.shared.fleet().apply(now, &id, entry));
                 }
                 record => {
                     relevant.push(item.clone());
--- a/crates/fireflyhead-policy/src/readers.rs
+++ b/crates/fireflyhead-policy/src/readers.rs
@@ -6,11 +6,15 @@
 //! a reader that is killed, paused or partitioned costs the other nodes one timeout.
 
 use std::cmp::Ordering;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::Name;
 use crate::era::Era;
 use crate::era::Position;
+use crate::fleet::UpstreamEntry;
+use crate::fleet::UpstreamState;
 use crate::protocol::Item;
 
 /// Number of readers in one zone; the second one covers the loss of the first.
@@ -80,3 +84,48 @@
         }
     }
 }
+
+/// Fields of an upstream entry whose changes the other nodes of a zone need.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct PublishedEntry {
+    state: UpstreamState,
+    incarnation: u64,
+    address: SocketAddr,
+}
+
+impl From<&UpstreamEntry> for PublishedEntry {
+    fn from(entry: &UpstreamEntry) -> PublishedEntry {
+        let UpstreamEntry { state, incarnation, address, .. } = *entry;
+        PublishedEntry { state, incarnation, address }
+    }
+}
+
+/// Selects the changes of upstream entries that a reader forwards.
+///
+/// Compares an entry with the one that the store listed before. What the reader itself knows of the
+/// upstream is no measure: it may have learned of a departure from a response, or keep an upstream
+/// whose entry has lapsed, of which the other nodes know nothing.
+#[derive(Debug, Default)]
+pub struct FeedFilter {
+    published: HashMap<Name, PublishedEntry>,
+}
+
+impl FeedFilter {
+    /// Applies a full read of the store.
+    pub fn replace(&mut self, listed: &HashMap<Name, UpstreamEntry>) {
+        self.published =
+            listed.iter().map(|(id, entry)| (id.clone(), PublishedEntry::from(entry))).collect();
+    }
+
+    /// Applies the entry of upstream `id`, or its removal if `entry` is `None`; returns whether the
+    /// other nodes need the change.
+    pub fn apply(&mut self, id: &Name, entry: Option<&UpstreamEntry>) -> bool {
+        match entry.map(PublishedEntry::from) {
+            Some(entry) => self.published.insert(id.clone(), entry) != Some(entry),
+            None => {
+                self.published.remove(id);
+                true
+            }
+        }
+    }
+}
--- a/crates/fireflyhead-policy/tests/policy/readers.rs
+++ b/crates/fireflyhead-policy/tests/policy/readers.rs
@@ -1,16 +1,23 @@
 //! Nodes that read the store for the others of their zone, and the feeds of changes that they send.
 
+use std::collections::HashMap;
+
 use fireflyhead_policy::Name;
 use fireflyhead_policy::era::Era;
 use fireflyhead_policy::era::Position;
+use fireflyhead_policy::fleet::UpstreamEntry;
+use fireflyhead_policy::fleet::UpstreamState;
 use fireflyhead_policy::protocol::Item;
 use fireflyhead_policy::readers::Feed;
+use fireflyhead_policy::readers::FeedFilter;
 use fireflyhead_policy::readers::FeedOutcome;
 use fireflyhead_policy::readers::READERS_PER_ZONE;
 use fireflyhead_policy::readers::ReaderCandidate;
 use fireflyhead_policy::readers::is_reader;
 use proptest::prelude::*;
 
+use crate::setup::upstream_entry;
+
 fn reader_candidate(name: &str, capacity: u32) -> ReaderCandidate {
     ReaderCandidate { node: Name::from(name), capacity }
 }
@@ -84,6 +91,28 @@
     assert_eq!(applied, FeedOutcome::Apply(items, 7));
 }
 
+/// Guards against a node of the zone that never learns that an upstream drains, returns or starts
+/// anew, and against feeds with each periodic write of an upstream.
+#[test]
+fn a_feed_holds_each_change_of_a_published_state() {
+    let id = Name::from("engine-1");
+    let ready = || upstream_entry("engine-1", "models", 64);
+    let draining = UpstreamEntry { state: UpstreamState::Draining, ..ready() };
+    let mut filter = FeedFilter::default();
+    filter.replace(&HashMap::from([(id.clone(), ready())]));
+    let mut rewritten = ready();
+    rewritten.models.clear();
+    assert!(!filter.apply(&id, Some(&rewritten)), "nothing that others need has changed");
+    assert!(filter.apply(&id, Some(&draining)));
+    assert!(!filter.apply(&id, Some(&draining)));
+    assert!(filter.apply(&id, None));
+    assert!(filter.apply(&id, Some(&draining)), "listed again");
+    let restarted = UpstreamEntry { incarnation: 2, ..draining };
+    assert!(filter.apply(&id, Some(&restarted)));
+    filter.replace(&HashMap::new());
+    assert!(filter.apply(&id, Some(&restarted)));
+}
+
 proptest! {
     /// Guards against changes that are lost, repeated or out of order when the feeds of two readers
     /// interleave: a node that reads the store itself at each gap applies every change once and in
