Take a pause in all replies of the store for an outage, not a failed call of one node

Callers saw 502: requests reached an upstream for seconds after its entry had been removed, and were lost when it exited.

Cause: one failed call of a reader counted as an outage of the store, and its feeds told the zone so. For 2.2 s after each such end all nodes of the zone kept entries that were removed, longer than drainMs, and each further failure began the time anew. A watch that the store cuts and a refused call did the same.

Change: an outage is a pause of two heartbeat intervals of the upstreams in the replies of the store to the node itself and to the readers it hears from. The claim in feeds is ignored; it is still sent to earlier builds.

--- a/crates/fireflyhead-gateway/src/engine_controller/membership.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/membership.rs
@@ -132,6 +132,7 @@
         match store.call_in(lease.era, &StoreCall::Renew { lease: lease.id }).await {
             Ok(StoreReply::Lease { .. }) => {
                 backoff.reset();
+                shared.record_store_reply(clock::now());
                 let Lease { id, era } = lease;
                 let renewed = ControllerMsg::LeaseRenewed { lease: id, era, sent };
                 if controller.tell(renewed).await.is_err() {
--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -218,7 +218,10 @@
             Ok(Datagram::AdapterRequests(requests)) => {
                 send_to_controller(&controller, ControllerMsg::AdapterRequests(requests)).await
             }
-            Ok(Datagram::Feed(feed)) => shared.feed_queue.push(feed),
+            Ok(Datagram::Feed(feed)) => {
+                shared.record_store_reply(clock::now());
+                shared.feed_queue.push(feed);
+            }
             Ok(Datagram::HolderMessages { node, messages }) => {
                 shared.handle_holder_messages(clock::now(), &node, messages);
             }
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fireflyhead_policy::Name;
+use fireflyhead_policy::fleet::UPSTREAM_HEARTBEAT;
 use fireflyhead_schema::NodeSettings;
 
 /// Settings with which a node is started.
@@ -36,6 +37,8 @@
     pub turn: Duration,
     /// Time within which a change in the store must be in effect.
     pub apply_bound: Duration,
+    /// Interval at which upstreams renew their entries in the store.
+    pub upstream_heartbeat: Duration,
     /// CPU capacity of the node, in cores.
     pub capacity: f64,
     /// Largest number of file descriptors that the process may open.
@@ -70,6 +73,7 @@
             lease_ttl: Duration::from_secs(5),
             turn: Duration::from_secs(3),
             apply_bound: Duration::from_secs(2),
+            upstream_heartbeat: UPSTREAM_HEARTBEAT,
             capacity: 1.0,
             max_descriptors: 1_024,
             grace: Duration::from_secs(7),
@@ -104,6 +108,7 @@
             retry_window: settings.retry_window,
             version_bound: settings.version_bound,
             resolve_ttl: settings.resolve_ttl,
+            ..GatewaySettings::default()
         }
     }
 }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -122,6 +122,7 @@
         dispatcher: Dispatcher,
         budget: RetryBudget,
     ) -> Shared {
+        let fleet = Fleet::new(settings.upstream_heartbeat);
         Shared {
             settings,
             incarnation: clock::unix_millis(),
@@ -138,7 +139,7 @@
             announcement_due: AtomicBool::new(true),
             lifecycle: Lifecycle::default(),
             config: Mutex::new(None),
-            fleet: Mutex::new(Fleet::default()),
+            fleet: Mutex::new(fleet),
             dispatcher: Mutex::new(dispatcher),
             admission: Mutex::new(AdmissionController::default()),
             datagrams: DatagramSender::default(),
@@ -179,6 +180,13 @@
         lock(&self.fleet)
     }
 
+    /// Records that the store has replied to this node, or to one that forwards its changes.
+    pub(crate) fn record_store_reply(&self, now: Time) {
+        if let Some(pause) = self.fleet().record_store_reply(now) {
+            tracing::warn!(event = "store_outage_ended", ms = pause.as_millis() as u64);
+        }
+    }
+
     /// Locks the dispatcher, which selects the upstreams of this node's requests.
     pub fn dispatcher(&self) -> MutexGuard<'_, Dispatcher> {
         lock(&self.dispatcher)
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -104,6 +104,7 @@
         loop {
             match self.read_pages().await {
                 Ok((items, position)) => {
+                    self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
                     self.apply_snapshot(&items, position.era).await;
                     let Position { era, revision } = position;
@@ -154,6 +155,7 @@
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call_in(era, &call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
+                    self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
                     let relevant = self.apply_changes(&items, era).await;
                     if self.shared.is_reader(clock::now()) {
@@ -193,14 +195,11 @@
                 self.shared.feed_queue.clear();
                 return after;
             }
-            let (since_outage, feed_era) = (feed.since_outage, feed.era);
+            let feed_era = feed.era;
             match feed.changes_after(Position { era, revision: after }) {
                 FeedOutcome::Apply(items, to) => {
                     last_feed = now;
                     self.mark_store_reachable();
-                    if let Some(since_outage) = since_outage {
-                        self.shared.fleet().record_outage_end(now - since_outage);
-                    }
                     self.apply_changes(&items, era).await;
                     after = to;
                 }
@@ -232,21 +231,19 @@
         self.shared.forward_feed(now, feed);
     }
 
-    /// Marks the store as reachable, directly or through a feed, which ends an outage.
+    /// Marks the store as reachable, directly or through a feed.
     fn mark_store_reachable(&mut self) {
         self.backoff.reset();
         if !self.connected {
             self.connected = true;
-            self.shared.fleet().end_outage(clock::now());
             tracing::info!(event = "store_reached");
         }
     }
 
-    /// Marks the store as unreachable, which starts an outage, and waits before the next call.
+    /// Marks the store as unreachable from this node, and waits before the next call.
     async fn handle_store_failure(&mut self, reason: &str) {
         if self.connected {
             self.connected = false;
-            self.shared.fleet().start_outage();
             tracing::warn!(event = "store_lost", reason);
         }
         sleep(self.backoff.next_delay()).await;
--- a/crates/fireflyhead-policy/src/fleet.rs
+++ b/crates/fireflyhead-policy/src/fleet.rs
@@ -1,7 +1,9 @@
 //! Upstreams that are registered in the store.
 //!
 //! Survives store outages: an entry that lapses while the store is unavailable stays in use until
-//! [`LAPSE_GRACE`] after the end of the outage, because its upstream still serves requests. Survives
+//! [`LAPSE_GRACE`] after the end of the outage, because its upstream still serves requests. An outage
+//! is a pause in the store's replies to all nodes that this one hears from, in which upstreams miss
+//! several heartbeats: calls of a single node also fail while only its own link is cut. Survives
 //! restores of the store from an older copy too: the copy doesn't bring back an upstream that has
 //! left, or make one ready again that drains. An upstream that announces in a response that it leaves
 //! drains from that moment on, whatever its entry says, until it starts anew.
@@ -20,6 +22,12 @@
 /// The platform documents that live upstreams register again within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Number of heartbeats that an upstream misses at least in an outage after which its entry may have
+/// lapsed. The store removes an entry after three intervals without a heartbeat.
+const MIN_MISSED_HEARTBEATS: u32 = 2;
+/// Default interval of the upstreams' heartbeats.
+pub const UPSTREAM_HEARTBEAT: Duration = Duration::from_millis(1_200);
+
 /// Time after a restore of the store within which upstreams have written their entries again, or
 /// those of the copy have expired.
 const RESTORE_GRACE: Duration = Duration::from_millis(5_000);
@@ -77,7 +85,7 @@
 }
 
 /// Known upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     entries: HashMap<Name, Arc<UpstreamEntry>>,
     /// Entries that lapsed during or shortly after an outage, with the time of the lapse.
@@ -90,35 +98,57 @@
     outdated: HashMap<Name, UpstreamEntry>,
     /// Start of the store's era; `None` before the first restore.
     era_began: Option<Time>,
-    store_unavailable: bool,
+    /// Shortest pause between two replies of the store that is an outage.
+    min_outage: Duration,
+    /// Time of the last reply of the store.
+    last_reply: Option<Time>,
     /// End of the last store outage.
     outage_end: Option<Time>,
 }
 
+impl Default for Fleet {
+    fn default() -> Fleet {
+        Fleet::new(UPSTREAM_HEARTBEAT)
+    }
+}
+
 impl Fleet {
-    /// Records that the store became unavailable.
-    pub fn start_outage(&mut self) {
-        self.store_unavailable = true;
+    /// Creates a fleet without upstreams. `heartbeat` is the interval at which upstreams renew their
+    /// entries.
+    pub fn new(heartbeat: Duration) -> Fleet {
+        Fleet {
+            entries: HashMap::new(),
+            lapsed: HashMap::new(),
+            removed: HashMap::new(),
+            leaving: HashMap::new(),
+            outdated: HashMap::new(),
+            era_began: None,
+            min_outage: heartbeat * MIN_MISSED_HEARTBEATS,
+            last_reply: None,
+            outage_end: None,
+        }
     }
 
-    /// Records that the store is available again; has no effect without an outage.
-    pub fn end_outage(&mut self, now: Time) {
-        if self.store_unavailable {
-            self.store_unavailable = false;
+    /// Records that the store has replied to this node, or to a node that forwards its changes.
+    /// Returns the time since the last reply if that was an outage.
+    pub fn record_store_reply(&mut self, now: Time) -> Option<Duration> {
+        let pause = self.store_pause(now);
+        self.last_reply = self.last_reply.max(Some(now));
+        if pause.is_some() {
             self.outage_end = Some(now);
         }
+        pause
     }
 
     /// Records that the store was restored from a copy, after an outage.
     pub fn begin_era(&mut self, now: Time) {
-        self.start_outage();
-        self.end_outage(now);
+        self.outage_end = Some(now);
         self.era_began = Some(now);
     }
 
-    /// Records that another node observed a store outage that ended at `at`.
-    pub fn record_outage_end(&mut self, at: Time) {
-        self.outage_end = self.outage_end.max(Some(at));
+    /// Returns the time since the last reply of the store if that is an outage.
+    fn store_pause(&self, now: Time) -> Option<Duration> {
+        self.last_reply.map(|at| now.since(at)).filter(|pause| *pause >= self.min_outage)
     }
 
     /// Returns the end of the last store outage; `None` if there was none.
@@ -159,7 +189,7 @@
                     }
                 }
             }
-            None if (self.store_unavailable || outage_ended_recently)
+            None if (self.store_pause(now).is_some() || outage_ended_recently)
                 && self.entries.contains_key(id) =>
             {
                 self.lapsed.entry(id.clone()).or_insert(now);
@@ -235,7 +265,7 @@
 
     fn remove_lapsed(&mut self, now: Time) -> Vec<FleetChange> {
         let grace_over = match self.outage_end {
-            Some(at) if !self.store_unavailable => now.since(at) >= LAPSE_GRACE,
+            Some(at) if self.store_pause(now).is_none() => now.since(at) >= LAPSE_GRACE,
             Some(_) | None => false,
         };
         if !grace_over || self.lapsed.is_empty() {
--- a/crates/fireflyhead-policy/src/readers.rs
+++ b/crates/fireflyhead-policy/src/readers.rs
@@ -51,7 +51,8 @@
     pub from: u64,
     /// Last revision that the feed covers.
     pub to: u64,
-    /// Time since the end of the store's last outage; `None` if there was none recently.
+    /// Time since the end of the store's last outage; `None` if there was none recently. For nodes of
+    /// earlier builds, which don't find out by themselves.
     pub since_outage: Option<Duration>,
     /// Changes, without the repeated writes of upstream entries that changed nothing.
     pub items: Vec<Item>,
--- a/crates/fireflyhead-policy/tests/policy/fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/fleet.rs
@@ -1,6 +1,7 @@
 //! Upstreams as the store lists them, also during and after an outage of the store.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::fleet::Fleet;
@@ -40,8 +41,8 @@
 #[test]
 fn entries_that_lapse_in_an_outage_are_kept_for_the_grace_period() {
     let (mut fleet, id) = fleet_with_one_upstream();
-    fleet.start_outage();
-    fleet.end_outage(ms(5_000));
+    fleet.record_store_reply(ms(1_000));
+    assert_eq!(fleet.record_store_reply(ms(5_000)), Some(Duration::from_secs(4)));
     assert!(fleet.replace(ms(5_010), &HashMap::new()).is_empty());
     assert!(fleet.end_grace(ms(7_000)).is_empty());
     assert!(fleet.get("engine-1").is_some());
@@ -53,14 +54,39 @@
 #[test]
 fn an_entry_that_is_listed_again_within_the_grace_period_is_kept() {
     let (mut fleet, id) = fleet_with_one_upstream();
-    fleet.start_outage();
-    fleet.end_outage(ms(5_000));
+    fleet.record_store_reply(ms(1_000));
+    assert_eq!(fleet.record_store_reply(ms(5_000)), Some(Duration::from_secs(4)));
     fleet.apply(ms(5_010), &id, None);
     fleet.apply(ms(6_000), &id, Some(upstream_entry("engine-1", "models", 64)));
     assert!(fleet.end_grace(ms(8_000)).is_empty());
     assert!(fleet.get("engine-1").is_some());
 }
 
+/// Guards against an upstream that stays in use after its entry was removed, because calls to the
+/// store failed for a time in which no entry lapses, or failed only at one node.
+#[test]
+fn a_short_pause_in_the_replies_of_the_store_is_no_outage() {
+    let (mut fleet, id) = fleet_with_one_upstream();
+    for at in [0, 1_250, 3_600, 5_900] {
+        assert_eq!(fleet.record_store_reply(ms(at)), None);
+    }
+    assert_eq!(fleet.apply(ms(5_910), &id, None), vec![FleetChange::Removed(id)]);
+}
+
+/// Guards against a live upstream that is dropped because a second outage begins before it could
+/// write its entry again.
+#[test]
+fn lapsed_entries_are_kept_through_a_second_outage() {
+    let (mut fleet, id) = fleet_with_one_upstream();
+    fleet.record_store_reply(ms(0));
+    fleet.record_store_reply(ms(5_000));
+    fleet.apply(ms(5_010), &id, None);
+    assert!(fleet.end_grace(ms(7_500)).is_empty());
+    fleet.record_store_reply(ms(9_000));
+    assert!(fleet.end_grace(ms(11_000)).is_empty());
+    assert_eq!(fleet.end_grace(ms(11_300)), vec![FleetChange::Removed(id)]);
+}
+
 /// Returns the entry of the fleet's upstream with this state.
 fn entry_with_state(state: UpstreamState) -> UpstreamEntry {
     UpstreamEntry { state, ..upstream_entry("engine-1", "models", 64) }
