Count the first event of a stream, not its pieces, as the begin of a response

Callers saw their streams cut off: a prompt part crashed engine after engine and was never refused.

Cause: the second piece of data that the connection delivered counted as output of the request and cleared its parts, and the break that followed was no evidence. An engine that writes its first event in several pieces, or an event that arrives in two packets, cleared a deadly part each time.

Change: the response has begun once bytes follow its first event.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -56,9 +56,9 @@
         InFlightAttempt { shared: Arc::clone(shared), id, parts, ended: false }
     }
 
-    /// Records a chunk of a stream, for evidence on the parts of the prompt.
-    pub(super) fn record_chunk(&mut self) {
-        self.parts.record_chunk(&self.shared);
+    /// Records data of a stream, for evidence on the parts of the prompt.
+    pub(super) fn record_data(&mut self, data: &[u8]) {
+        self.parts.record_data(&self.shared, data);
     }
 
     /// Reports the first output to the dispatcher and to the engine's holder.
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -147,7 +147,7 @@
         while !self.ended {
             match self.receive().await {
                 StreamStep::Data(data) => {
-                    self.record_output();
+                    self.record_output(&data);
                     return Some(Ok(data));
                 }
                 StreamStep::Skip => {}
@@ -249,8 +249,8 @@
     }
 
     /// Records the time of the first data for the caller, or the pause since the last data.
-    fn record_output(&mut self) {
-        self.in_flight.record_chunk();
+    fn record_output(&mut self, data: &[u8]) {
+        self.in_flight.record_data(data);
         let now = clock::now();
         let pause = now.since(self.last_data);
         self.last_data = now;
--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -38,6 +38,7 @@
 use crate::clock;
 use crate::forward::Framing;
 use crate::pool::PROBE_DELAY;
+use crate::sse::FirstEvent;
 use crate::state::Shared;
 
 /// Interval at which all evidence is sent to some other nodes, in case a message was lost or a node
@@ -49,9 +50,6 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of connection attempts until one gets a reply.
 const PROBE_ATTEMPTS: u32 = 3;
-/// Number of chunks of a stream after which its response counts as begun. A crash may cut off the
-/// first one.
-const CHUNKS_BEGUN: u32 = 2;
 /// Code of the refusals in logs and metrics.
 pub(crate) const QUARANTINED: &str = "quarantined";
 
@@ -195,8 +193,13 @@
     incarnation: u64,
     ids: Arc<[PartId]>,
     names: Arc<[Name]>,
-    /// Number of chunks of data.
-    chunks: u32,
+    /// Whether data was received.
+    has_data: bool,
+    /// Progress of the stream. An engine may crash while it sends the first event, in any number of
+    /// pieces, so that the response counts as begun only after it.
+    first_event: FirstEvent,
+    /// Whether the response has begun or is complete.
+    begun: bool,
     /// Whether the response has a length or chunks, so that its regular end is no crash.
     framed: bool,
 }
@@ -210,15 +213,19 @@
             incarnation: upstream.incarnation,
             ids: Arc::clone(&parts.ids),
             names: Arc::clone(&parts.names),
-            chunks: 0,
+            has_data: false,
+            first_event: FirstEvent::default(),
+            begun: false,
             framed: false,
         }
     }
 
-    /// Records a chunk of a stream.
-    pub(crate) fn record_chunk(&mut self, shared: &Shared) {
-        self.chunks = self.chunks.saturating_add(1);
-        if self.chunks == CHUNKS_BEGUN {
+    /// Records data of a stream.
+    pub(crate) fn record_data(&mut self, shared: &Shared, data: &[u8]) {
+        self.has_data |= !data.is_empty();
+        self.first_event.push(data);
+        if self.first_event.is_passed() && !self.begun {
+            self.begun = true;
             self.record_output(shared);
         }
     }
@@ -231,7 +238,7 @@
     /// Records a complete response. Without a length or chunks, its end may be a crash.
     pub(crate) fn record_complete(&mut self, shared: &Shared) {
         if self.framed {
-            self.chunks = CHUNKS_BEGUN;
+            self.begun = true;
             self.record_output(shared);
         }
     }
@@ -244,11 +251,11 @@
 
     /// Records the end of the attempt.
     pub(crate) fn record_end(&mut self, shared: &Arc<Shared>, outcome: SendOutcome) {
-        if self.ids.is_empty() || self.chunks >= CHUNKS_BEGUN {
+        if self.ids.is_empty() || self.begun {
             return;
         }
         match outcome {
-            SendOutcome::Served if self.chunks > 0 && self.framed => self.record_output(shared),
+            SendOutcome::Served if self.has_data && self.framed => self.record_output(shared),
             // A response without a length or chunks ends like this if the upstream crashes.
             SendOutcome::Served | SendOutcome::Failed(Failure::Broken) => self.record_break(shared),
             SendOutcome::Failed(_)
--- a/crates/fireflyhead-gateway/src/sse.rs
+++ b/crates/fireflyhead-gateway/src/sse.rs
@@ -122,3 +122,57 @@
         }
     }
 }
+
+/// Tracks whether a stream has gone on after its first event, however its data is split.
+///
+/// An event is a block of lines with a `data` field that ends with a blank line; comments and blank
+/// lines before it don't count.
+#[derive(Debug, Default)]
+pub struct FirstEvent {
+    /// Number of bytes of the current line.
+    line_len: usize,
+    /// Whether the current line may be, or is, a `data` field.
+    is_data_line: bool,
+    /// Whether the current block has a `data` field.
+    has_data: bool,
+    /// Whether the last byte was a CR, so that an LF belongs to the same line end.
+    after_cr: bool,
+    ended: bool,
+    passed: bool,
+}
+
+impl FirstEvent {
+    /// Adds received bytes.
+    pub fn push(&mut self, data: &[u8]) {
+        for &byte in data {
+            if self.passed {
+                return;
+            }
+            self.push_byte(byte);
+        }
+    }
+
+    /// Returns whether data has followed the first event.
+    pub fn is_passed(&self) -> bool {
+        self.passed
+    }
+
+    fn push_byte(&mut self, byte: u8) {
+        const FIELD: &[u8] = b"data:";
+        let after_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        match byte {
+            b'\n' if after_cr => {}
+            b'\n' | b'\r' if self.line_len > 0 => {
+                self.has_data |= self.is_data_line && self.line_len >= FIELD.len();
+                self.line_len = 0;
+            }
+            b'\n' | b'\r' => self.ended |= std::mem::take(&mut self.has_data),
+            _ if self.ended => self.passed = true,
+            _ => {
+                let matches = FIELD.get(self.line_len).is_none_or(|expected| *expected == byte);
+                self.is_data_line = matches && (self.is_data_line || self.line_len == 0);
+                self.line_len = self.line_len.saturating_add(1);
+            }
+        }
+    }
+}
