Check that a resumed response goes on where its stream broke off

Cause: any success of another upstream was passed on as the rest of a stream. Events that the caller had were dropped silently, text without an event's fields was passed on, and each regular end was taken for the end of the stream.

Change: the first event must follow the last one, blocks that are no events break a resumable stream, an event that was cut off must arrive before the end, and status, content type and the proof of an empty end are checked. What fails this is a failed attempt; if none is left, the stream is cut off.

--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -239,8 +239,7 @@
                 return AttemptResult::Unknown("no response head in time".to_owned());
             }
         };
-        let is_resumed = resume_after.or(self.head.last_event_id).is_some();
-        self.check_response(upstream, response, is_resumed, connection, in_flight).await
+        self.check_response(upstream, response, connection, in_flight).await
     }
 
     /// Builds the request to the upstream; `None` if the request target is not valid.
@@ -261,7 +260,6 @@
         &self,
         upstream: &Arc<UpstreamEntry>,
         response: Response<Incoming>,
-        is_resumed: bool,
         mut connection: PooledConnection,
         mut in_flight: InFlightAttempt,
     ) -> AttemptResult {
@@ -270,7 +268,6 @@
         let kind = connection.history().record_response(&self.id, head.status, &info);
         let content = match self.route.kind.is_stream() && head.status.is_success() {
             false => Content::Opaque,
-            true if is_resumed => Content::RemainingEvents,
             true => Content::Events,
         };
         let body = ResponseBody::new(&head, body, content, connection, Arc::clone(upstream));
--- a/crates/fireflyhead-gateway/src/forward/response_body.rs
+++ b/crates/fireflyhead-gateway/src/forward/response_body.rs
@@ -4,7 +4,8 @@
 //! upstream has sent all of it: the connections of a process that crashes end in the regular way. A
 //! body that ends with its connection is whole if its upstream still accepts connections. A stream
 //! of events is whole if it also doesn't end within an event or, unless its end is proved, before
-//! the first one.
+//! the first one. That holds for the rest of a stream too, which may be empty only if its end is
+//! proved.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,10 +75,8 @@
 pub(super) enum Content {
     /// Nothing.
     Opaque,
-    /// A stream of events from the first one on.
+    /// A stream of events, or the rest of one.
     Events,
-    /// The rest of a stream of events, which may be empty.
-    RemainingEvents,
 }
 
 /// Reason why a body can't be read to its end, or isn't whole.
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -16,7 +16,10 @@
 use fireflyhead_policy::fleet::UpstreamEntry;
 use fireflyhead_policy::health::Failure;
 use futures::stream;
+use http::HeaderValue;
 use http::Response;
+use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -27,6 +30,7 @@
 use crate::body::SendDeadline;
 use crate::clock;
 use crate::lifecycle::Phase;
+use crate::sse::EventFault;
 use crate::sse::EventScanner;
 
 use super::RequestGuard;
@@ -49,6 +53,10 @@
 const MAX_TURN_BYTES: usize = 16 * 1024;
 /// Reason for resuming a stream whose upstream is silent, for the log.
 const SILENT: &str = "no data in time";
+/// Reason for not ending a stream at the end of a response, for the log.
+const CUT_EVENT_MISSING: &str = "the response ended without the event that was cut off";
+/// Content type of a stream of events.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
 /// Time after the deadline for which an upstream may still end its stream by itself.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Time after the deadline for which the rest of a stream may still be sent to the caller. Longer than
@@ -225,8 +233,13 @@
                 self.turn_bytes += data.len();
                 self.split_events(data)
             }
-            Ok(None) => match self.scanner.as_mut().map(EventScanner::take_rest) {
-                Some(rest) if !rest.is_empty() => StreamStep::Data(rest),
+            Ok(None) => match &mut self.scanner {
+                Some(scanner) if scanner.misses_event() => {
+                    StreamStep::Broken(CUT_EVENT_MISSING.to_owned(), Failure::Broken)
+                }
+                Some(scanner) if scanner.has_partial_event() => {
+                    StreamStep::Data(scanner.take_rest())
+                }
                 Some(_) | None => StreamStep::End,
             },
             Err(e) => StreamStep::Broken(e.to_string(), Failure::Broken),
@@ -235,16 +248,22 @@
 
     /// Keeps back incomplete and repeated events of a resumable stream.
     fn split_events(&mut self, data: Bytes) -> StreamStep {
-        let data = match &mut self.scanner {
-            Some(scanner) => scanner.push(&data),
-            None => data,
+        let Some(scanner) = &mut self.scanner else { return StreamStep::Data(data) };
+        let events = scanner.push(&data);
+        let broken = match scanner.fault() {
+            Some(fault) => Some(fault.to_string()),
+            None if scanner.is_oversized() => Some("an event is too large".to_owned()),
+            None => None,
         };
-        match &self.scanner {
-            _ if !data.is_empty() => StreamStep::Data(data),
-            Some(scanner) if scanner.is_oversized() => {
-                StreamStep::Broken("an event is too large".to_owned(), Failure::Broken)
+        let broken = broken.map(|reason| StreamStep::Broken(reason, Failure::Broken));
+        match (scanner.fault(), broken) {
+            (Some(EventFault::NotContinued), Some(broken)) => broken,
+            (_, Some(broken)) if events.is_empty() => broken,
+            (_, None) if events.is_empty() => StreamStep::Skip,
+            (_, broken) => {
+                self.received = broken;
+                StreamStep::Data(events)
             }
-            Some(_) | None => StreamStep::Skip,
         }
     }
 
@@ -317,7 +336,7 @@
         mut next: Option<NextUpstream>,
     ) -> bool {
         let Some(scanner) = &mut self.scanner else { return false };
-        scanner.discard_partial_event();
+        scanner.begin_resume();
         let last_id = scanner.last_id();
         let since = if self.started { self.last_data } else { self.request.arrived };
         self.in_flight.finish(SendOutcome::Failed(failure));
@@ -348,6 +367,7 @@
                 | AttemptResult::Unknown(_)
                 | AttemptResult::DeadlineExceeded => None,
             };
+            let response = response.filter(may_continue);
             tracing::info!(
                 event = "stream_resumed",
                 id = %self.request.id,
@@ -415,6 +435,16 @@
     }
 }
 
+/// Returns whether a response may be the rest of a stream that has begun: an error or a document of
+/// another type is not.
+fn may_continue(response: &UpstreamResponse) -> bool {
+    let UpstreamResponse::Streaming { head, .. } = response else { return false };
+    let content_type = head.headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let is_events = content_type
+        .is_none_or(|value| value.to_ascii_lowercase().starts_with(EVENT_STREAM_TYPE.as_bytes()));
+    head.status == StatusCode::OK && is_events
+}
+
 fn is_past(time: Time) -> bool {
     clock::now() >= time
 }
--- a/crates/fireflyhead-gateway/src/sse.rs
+++ b/crates/fireflyhead-gateway/src/sse.rs
@@ -9,18 +9,38 @@
 /// Largest size of an event that an [`EventScanner`] keeps back until it is complete, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Reason why a stream can't be passed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(displaydoc::Display)]
+pub enum EventFault {
+    /// the response doesn't go on after the last event
+    NotContinued,
+    /// the stream holds text that is no event
+    NoEvent,
+}
+
 /// Splits a stream into complete events and keeps the id of the last one.
+///
+/// A response that resumes the stream must go on where it was interrupted: a run that begins again,
+/// or the text of an error, must not be joined to what the caller has.
 #[derive(Debug, Default)]
 pub struct EventScanner {
     buf: BytesMut,
     last_id: Option<u64>,
+    /// Number of successive ids, up to the last one, that each rose by one.
+    consecutive: u64,
+    /// Whether the next event must follow the last one, because the stream is being resumed.
+    is_resuming: bool,
+    /// Whether an event was cut off and has not been received whole since.
+    misses_event: bool,
+    fault: Option<EventFault>,
 }
 
 impl EventScanner {
     /// Creates a scanner. `last_id` is the id of the last event that the caller has already received,
     /// if the stream is resumed; `None` for a stream from its first event on.
     pub fn new(last_id: Option<u64>) -> EventScanner {
-        EventScanner { buf: BytesMut::new(), last_id }
+        EventScanner { last_id, is_resuming: last_id.is_some(), ..EventScanner::default() }
     }
 
     /// Adds received bytes and returns the complete events that the caller doesn't have yet.
@@ -32,17 +52,55 @@
         while let Some(end) = event_end(&self.buf, searched) {
             let event = self.buf.split_to(end);
             searched = 0;
-            match (event_id(&event), self.last_id) {
-                // An upstream that resumes a stream may repeat events that the caller has.
-                (Some(id), Some(last)) if id <= last => continue,
-                (Some(id), _) => self.last_id = Some(id),
-                (None, _) => {}
+            match Block::parse(&event) {
+                Block::Blank => {}
+                Block::NoEvent => {
+                    self.fault = self.fault.or(Some(EventFault::NoEvent));
+                    break;
+                }
+                Block::Event { id } => {
+                    if !self.accept(id) {
+                        continue;
+                    }
+                }
             }
             events.extend_from_slice(&event);
         }
         events.freeze()
     }
 
+    /// Records an event; returns whether the caller doesn't have it yet.
+    fn accept(&mut self, id: Option<u64>) -> bool {
+        let follows = match (id, self.last_id) {
+            (Some(id), Some(last)) => last.checked_add(1) == Some(id),
+            (Some(_) | None, None) => true,
+            (None, Some(_)) => false,
+        };
+        let is_new = id.is_none() || id > self.last_id;
+        if self.is_resuming && !(follows || is_new && id.is_some() && self.consecutive == 0) {
+            self.fault = self.fault.or(Some(EventFault::NotContinued));
+        }
+        self.is_resuming = false;
+        if !is_new {
+            // An upstream that resumes a stream may repeat events that the caller has.
+            return false;
+        }
+        self.misses_event = false;
+        if id.is_some() {
+            self.consecutive = match self.last_id {
+                Some(_) if follows => self.consecutive.saturating_add(1),
+                Some(_) | None => 0,
+            };
+            self.last_id = id;
+        }
+        true
+    }
+
+    /// Returns why the stream can't be passed on; `None` if it can.
+    pub fn fault(&self) -> Option<EventFault> {
+        self.fault
+    }
+
     /// Returns whether the incomplete event is larger than the limit of 1 MiB.
     pub fn is_oversized(&self) -> bool {
         self.buf.len() > MAX_EVENT_BYTES
@@ -54,9 +112,18 @@
         self.last_id
     }
 
-    /// Discards the bytes of an incomplete event.
-    pub fn discard_partial_event(&mut self) {
+    /// Discards the bytes of an incomplete event and expects the response of another upstream.
+    pub fn begin_resume(&mut self) {
+        self.misses_event |= self.has_partial_event();
         self.buf.clear();
+        self.is_resuming = self.last_id.is_some();
+        self.fault = None;
+    }
+
+    /// Returns whether an event was cut off and no response has brought a further one since, so that
+    /// the stream can't be at its end.
+    pub fn misses_event(&self) -> bool {
+        self.misses_event
     }
 
     /// Returns the bytes after the last blank line, at the end of a whole stream.
@@ -70,6 +137,44 @@
     }
 }
 
+/// Lines up to a blank one, and what they are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Block {
+    /// Comments or nothing.
+    Blank,
+    /// Event with the numeric value of its `id` field.
+    Event { id: Option<u64> },
+    /// Text without a field that an event may have.
+    NoEvent,
+}
+
+impl Block {
+    fn parse(block: &[u8]) -> Block {
+        let lines = block.split(|byte| matches!(byte, b'\n' | b'\r'));
+        let mut result = Block::Blank;
+        for line in lines.filter(|line| !line.is_empty() && !line.starts_with(b":")) {
+            let name_len = line.iter().position(|byte| *byte == b':').unwrap_or(line.len());
+            result = match (result, &line[..name_len]) {
+                (Block::Event { id: None }, b"id") | (Block::Blank | Block::NoEvent, b"id") => {
+                    Block::Event { id: numeric(&line[name_len..]) }
+                }
+                (Block::Blank | Block::NoEvent, b"data" | b"event" | b"retry") => {
+                    Block::Event { id: None }
+                }
+                (Block::Blank, _) => Block::NoEvent,
+                (result, _) => result,
+            };
+        }
+        result
+    }
+}
+
+/// Parses the value of a field, with the colon before it.
+fn numeric(value: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(value).ok()?;
+    text.strip_prefix(':')?.trim().parse().ok()
+}
+
 /// Returns the position after the blank line that ends the first event; none ends within the first
 /// `searched` bytes.
 fn event_end(buf: &[u8], searched: usize) -> Option<usize> {
@@ -84,12 +189,6 @@
     None
 }
 
-/// Parses the numeric `id:` field of an event.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(event).ok()?;
-    text.lines().find_map(|line| line.strip_prefix("id:"))?.trim().parse().ok()
-}
-
 /// Tracks whether a stream that is passed on unchanged ends between two events.
 #[derive(Debug)]
 pub struct EventEnd {
