Reject requests that would outlast the grace period of a stopping node

Cause: a stopping node accepts requests for 2.6 s, and dispatches those that wait until half of the grace period is over, without regard to the time left.

Change: a node remembers the longest recent service time of each route. During a stop, it sends a request that has not run only if that time or the deadline fits in the grace period, and otherwise rejects it at once with 503.

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -13,6 +13,7 @@
 use fireflyhead_policy::dispatch::DispatchDecision;
 use fireflyhead_policy::dispatch::Job;
 use fireflyhead_policy::dispatch::JobId;
+use fireflyhead_policy::dispatch::SendOutcome;
 use fireflyhead_policy::fleet::UpstreamEntry;
 use fireflyhead_policy::protocol::RequestHead;
 use http::Response;
@@ -51,6 +52,10 @@
 /// refused it, or the node stopped.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Selection for a request that would outlast the grace period of a stopping node. Another node can
+/// serve it at once.
+const STOPPING: Selection = Selection::Reject { reason: "stopping", retry_after: Duration::ZERO };
+
 /// Validated request of a caller, with its route and its deadline.
 pub(super) struct InboundRequest {
     pub(super) shared: Arc<Shared>,
@@ -289,6 +294,9 @@
         if self.shared.lifecycle.phase() >= Phase::Ended {
             return Selection::Reject { reason: "stopped", retry_after: REFUSED_RETRY_AFTER };
         }
+        if !self.ends_before_process(attempts) {
+            return STOPPING;
+        }
         self.set_stage(Stage::Waiting);
         // Created first, so that a verdict between the check and the decision is not missed.
         let mut verdicts = self.shared.quarantine.subscribe();
@@ -321,10 +329,19 @@
         };
         let mut pending = self.shared.submit(now, job);
         let decided = self.wait_for(left, pending.decision());
-        tokio::pin!(decided);
+        let stopping = self.shared.lifecycle.reached(Phase::Draining);
+        tokio::pin!(decided, stopping);
+        let mut is_stopping = false;
         let decision = loop {
             tokio::select! {
                 decision = &mut decided => break decision,
+                () = &mut stopping, if !is_stopping => {
+                    is_stopping = true;
+                    if !self.ends_before_process(attempts) {
+                        attempts.queued += clock::now().since(now);
+                        return STOPPING;
+                    }
+                }
                 Ok(()) = verdicts.changed() => {
                     if let Some(retry_after) = self.prompt_parts.check(&self.shared, &self.id) {
                         attempts.queued += clock::now().since(now);
@@ -335,6 +352,12 @@
         };
         attempts.queued += clock::now().since(now);
         match decision {
+            Ok(Some(DispatchDecision::Send { .. })) if !self.ends_before_process(attempts) => {
+                let now = clock::now();
+                self.shared.dispatcher().record_outcome(now, id, SendOutcome::Abandoned);
+                self.shared.dispatch_waiting(now);
+                STOPPING
+            }
             Ok(Some(DispatchDecision::Send { upstream, version })) => {
                 Selection::Send { job: id, upstream, version }
             }
@@ -348,6 +371,15 @@
         }
     }
 
+    /// Returns whether the request, if no upstream may have executed it yet, is expected to end before
+    /// a stopping node does. Another node can serve it only as long as it was not sent.
+    fn ends_before_process(&self, attempts: &Attempts) -> bool {
+        let Some(process_end) = self.shared.lifecycle.process_end() else { return true };
+        let times = self.shared.service_times();
+        attempts.possibly_executed > 0
+            || times.ends_before(clock::now(), &self.route, self.deadline, process_end)
+    }
+
     /// Returns whether a request that `upstream` may have executed is sent once more. If so, counts
     /// the retry against the budget and excludes `upstream` from the retry.
     pub(super) fn reserve_retry(&self, attempts: &mut Attempts, upstream: &Name) -> bool {
@@ -481,7 +513,12 @@
         reason: &str,
     ) {
         self.set_stage(Stage::Logged);
-        let total = clock::now().since(self.arrived);
+        let now = clock::now();
+        let total = now.since(self.arrived);
+        if matches!(outcome, "answered" | "deadline" | "interrupted") {
+            let time = total.saturating_sub(attempts.queued);
+            self.shared.service_times().record(now, &self.route.name, time);
+        }
         self.shared.metrics.record_request(self.route.name.as_str(), outcome, total);
         self.shared.metrics.record_queue_time(attempts.queued);
         tracing::info!(
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -159,15 +159,15 @@
         self.shared.config().map(|config| config.version)
     }
 
-    /// Stops the node gracefully: directs callers to other nodes, rejects requests that still wait
-    /// when half of the grace period is over, and waits until all connections have ended. A request
+    /// Stops the node gracefully: directs callers to other nodes, rejects requests that are expected to
+    /// outlast the grace period or still wait when half of it is over, and waits until all connections have ended. A request
     /// without a response at the end of the grace period gets an error response, and a stream is
     /// cut off.
     pub async fn stop(mut self) -> StopReport {
         let grace = self.shared.settings.grace;
         let linger = DRAIN_LINGER.min(grace / 2);
         let lifecycle = &self.shared.lifecycle;
-        lifecycle.enter(Phase::Draining);
+        lifecycle.begin_stop(clock::now() + grace);
         self.shared.announce();
         sleep(linger).await;
         lifecycle.enter(Phase::Closing);
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -38,6 +38,7 @@
 use fireflyhead_policy::readers;
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_policy::readers::ReaderCandidate;
+use fireflyhead_policy::service_times::ServiceTimes;
 use fireflyhead_policy::serving;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -96,6 +97,7 @@
     datagrams: DatagramSender,
     budget: Mutex<RetryBudget>,
     limits: Mutex<RouteLimits>,
+    service_times: Mutex<ServiceTimes>,
     peers: Mutex<Peers>,
     placements: Mutex<Vec<Placement>>,
     members: Mutex<HashMap<Name, SocketAddr>>,
@@ -145,6 +147,7 @@
             datagrams: DatagramSender::default(),
             budget: Mutex::new(budget),
             limits: Mutex::new(RouteLimits::default()),
+            service_times: Mutex::new(ServiceTimes::default()),
             peers: Mutex::new(Peers::default()),
             placements: Mutex::new(Vec::new()),
             members: Mutex::new(HashMap::new()),
@@ -212,6 +215,11 @@
         lock(&self.limits)
     }
 
+    /// Locks the recent service times of the routes.
+    pub(crate) fn service_times(&self) -> MutexGuard<'_, ServiceTimes> {
+        lock(&self.service_times)
+    }
+
     /// Locks the state of the other nodes, as received in their heartbeats.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         lock(&self.peers)
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod rendezvous;
 pub mod residency;
 pub mod response;
+pub mod service_times;
 pub mod serving;
 pub mod table;
 pub mod types;
--- a/crates/fireflyhead-policy/tests/policy/config.rs
+++ b/crates/fireflyhead-policy/tests/policy/config.rs
@@ -11,7 +11,7 @@
 use fireflyhead_policy::config::TrafficShare;
 use proptest::prelude::*;
 
-fn route(host: &str, prefix: &str) -> Route {
+pub(crate) fn route(host: &str, prefix: &str) -> Route {
     Route {
         name: Name::from(format!("{host}{prefix}")),
         host: Name::from(host),
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -21,6 +21,7 @@
 mod replay;
 mod residency;
 mod response;
+mod service_times;
 mod serving;
 mod setup;
 mod table;
