Bound the memory of all responses that are held back

Callers lose all requests of a host whose node is killed for its memory: 150 responses without end at once, each within its own bound, took a node to 600 MB (bodies) and 191 MB (events), where the smallest hosts have 160 MB.

Cause: bodies and events that are held back had bounds one by one only.

Change: ResponseMemory bounds their sum to an eighth of the granted memory and gives up the largest response that isn't whole.

--- a/crates/fireflyhead-gateway/src/body.rs
+++ b/crates/fireflyhead-gateway/src/body.rs
@@ -1,5 +1,10 @@
 //! Request and response bodies.
 
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use fireflyhead_policy::Time;
@@ -7,7 +12,11 @@
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Body as _;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
+
+use crate::response_memory::HeldResponse;
 
 /// Body of a response to a caller.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
@@ -45,6 +54,38 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Body that keeps its memory until it has been sent.
+struct HeldBody {
+    body: Full<Bytes>,
+    _held: HeldResponse,
+}
+
+impl hyper::body::Body for HeldBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Creates a response body from `bytes`, whose memory is free once it has been sent.
+pub fn held(bytes: Bytes, held: HeldResponse) -> Body {
+    let body = HeldBody { body: Full::new(bytes), _held: held };
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
 /// Reads a whole body of at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -28,6 +28,7 @@
 use crate::pool::SendError;
 use crate::quarantine::PartObserver;
 use crate::quarantine::QUARANTINED;
+use crate::response_memory::HeldResponse;
 use crate::state::Shared;
 
 use super::inbound_request::InboundRequest;
@@ -96,6 +97,8 @@
         head: http::response::Parts,
         /// Body.
         body: Bytes,
+        /// Memory of the body, to be kept until it has been sent.
+        held: HeldResponse,
         /// How the end of the body was marked.
         framing: Framing,
     },
@@ -371,7 +374,7 @@
         };
         let read = body.read_whole(&self.shared, MAX_BUFFERED_BYTES);
         match self.wait_for(left, read).await {
-            Ok(Ok(data)) => {
+            Ok(Ok((data, held))) => {
                 match head.status.is_success() {
                     true => in_flight.parts.record_complete(&self.shared),
                     false => in_flight.parts.ignore(),
@@ -379,7 +382,7 @@
                 in_flight.finish(outcome);
                 let framing = body.framing();
                 body.release(&self.shared);
-                let response = UpstreamResponse::Buffered { head, body: data, framing };
+                let response = UpstreamResponse::Buffered { head, body: data, held, framing };
                 AttemptResult::Response(Box::new(response))
             }
             Ok(Err(error)) => {
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -190,10 +190,10 @@
                                 request, attempts, head, *body, in_flight, guard,
                             );
                         }
-                        UpstreamResponse::Buffered { head, body, framing } => {
+                        UpstreamResponse::Buffered { head, body, held, framing } => {
                             attempts.record_body(framing, body.len());
                             let failed = head.status.is_server_error();
-                            let response = self.build_response(head, body::full(body));
+                            let response = self.build_response(head, body::held(body, held));
                             match failed && self.reserve_retry(&mut attempts, &upstream.id) {
                                 true => {
                                     self.log_failed_attempt(&upstream.id, "error", "server error");
--- a/crates/fireflyhead-gateway/src/forward/response_body.rs
+++ b/crates/fireflyhead-gateway/src/forward/response_body.rs
@@ -24,6 +24,8 @@
 
 use crate::pool::PROBE_DELAY;
 use crate::pool::PooledConnection;
+use crate::response_memory::HeldResponse;
+use crate::response_memory::MemoryError;
 use crate::sse::EventEnd;
 use crate::state::Shared;
 
@@ -93,6 +95,8 @@
     UpstreamCrashed,
     /// the body is larger than the limit
     TooLarge,
+    /// {0}
+    Memory(MemoryError),
 }
 
 impl std::error::Error for ReadError {}
@@ -169,26 +173,37 @@
         self.check_whole(shared).await.map(|()| None)
     }
 
-    /// Reads the whole body of at most `limit` bytes.
+    /// Reads the whole body of at most `limit` bytes. Returns it with its share of the memory for
+    /// responses.
     ///
     /// # Errors
-    /// The body is larger than `limit`, its connection failed, or it isn't whole.
+    /// The body is larger than `limit`, its connection failed, it isn't whole, or the memory for
+    /// responses is exhausted.
     pub(super) async fn read_whole(
         &mut self,
         shared: &Shared,
         limit: usize,
-    ) -> Result<Bytes, ReadError> {
+    ) -> Result<(Bytes, HeldResponse), ReadError> {
         if self.body.size_hint().lower() > limit as u64 {
             return Err(ReadError::TooLarge);
         }
         let mut buf = BytesMut::new();
-        while let Some(data) = self.next(shared).await? {
+        let mut held = HeldResponse::new(&shared.response_memory);
+        loop {
+            let data = tokio::select! {
+                biased;
+                () = held.given_up() => return Err(ReadError::Memory(MemoryError::Exceeded)),
+                data = self.next(shared) => data?,
+            };
+            let Some(data) = data else { break };
             if buf.len() + data.len() > limit {
                 return Err(ReadError::TooLarge);
             }
             buf.extend_from_slice(&data);
+            held.set(buf.capacity()).map_err(ReadError::Memory)?;
         }
-        Ok(buf.freeze())
+        held.complete().map_err(ReadError::Memory)?;
+        Ok((buf.freeze(), held))
     }
 
     /// Returns the connection to the pool after a whole body.
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -30,6 +30,8 @@
 use crate::body::SendDeadline;
 use crate::clock;
 use crate::lifecycle::Phase;
+use crate::response_memory::HeldResponse;
+use crate::response_memory::MemoryError;
 use crate::sse::EventFault;
 use crate::sse::EventScanner;
 
@@ -73,6 +75,8 @@
     in_flight: InFlightAttempt,
     /// Splits the data into events; `None` if the stream is not resumable and passed on unchanged.
     scanner: Option<EventScanner>,
+    /// Memory of the event that is kept back until it is complete.
+    held: HeldResponse,
     /// Whether the caller has received data.
     started: bool,
     ended: bool,
@@ -131,6 +135,7 @@
         body: Some(body),
         in_flight,
         scanner,
+        held: HeldResponse::new(&request.shared.response_memory),
         started: false,
         ended: false,
         may_move: true,
@@ -218,7 +223,14 @@
         let Some(body) = &mut self.body else {
             return StreamStep::Broken("the connection is closed".to_owned(), Failure::Broken);
         };
-        match self.request.wait_for(wait, body.next(&self.request.shared)).await {
+        let data = async {
+            tokio::select! {
+                biased;
+                () = self.held.given_up() => Err(ReadError::Memory(MemoryError::Exceeded)),
+                data = body.next(&self.request.shared) => data,
+            }
+        };
+        match self.request.wait_for(wait, data).await {
             Ok(data) => self.handle_data(data),
             Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
             Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
@@ -253,7 +265,7 @@
         let broken = match scanner.fault() {
             Some(fault) => Some(fault.to_string()),
             None if scanner.is_oversized() => Some("an event is too large".to_owned()),
-            None => None,
+            None => self.held.set(scanner.memory()).err().map(|e| e.to_string()),
         };
         let broken = broken.map(|reason| StreamStep::Broken(reason, Failure::Broken));
         match (scanner.fault(), broken) {
@@ -337,6 +349,7 @@
     ) -> bool {
         let Some(scanner) = &mut self.scanner else { return false };
         scanner.begin_resume();
+        self.held = HeldResponse::new(&self.request.shared.response_memory);
         let last_id = scanner.last_id();
         let since = if self.started { self.last_data } else { self.request.arrived };
         self.in_flight.finish(SendOutcome::Failed(failure));
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pool;
 pub mod protocol_versions;
 pub mod quarantine;
+pub mod response_memory;
 pub mod serving;
 pub mod settings;
 pub mod sse;
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -41,6 +41,8 @@
     pub upstream_heartbeat: Duration,
     /// CPU capacity of the node, in cores.
     pub capacity: f64,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// Largest number of file descriptors that the process may open.
     pub max_descriptors: u64,
     /// Longest time from the stop signal to the end of the process.
@@ -75,6 +77,7 @@
             apply_bound: Duration::from_secs(2),
             upstream_heartbeat: UPSTREAM_HEARTBEAT,
             capacity: 1.0,
+            memory: 256 * 1024 * 1024,
             max_descriptors: 1_024,
             grace: Duration::from_secs(7),
             retry_ratio: 0.2,
--- a/crates/fireflyhead-gateway/src/sse.rs
+++ b/crates/fireflyhead-gateway/src/sse.rs
@@ -66,6 +66,10 @@
             }
             events.extend_from_slice(&event);
         }
+        if self.buf.is_empty() {
+            // Frees the memory of the last event.
+            self.buf = BytesMut::new();
+        }
         events.freeze()
     }
 
@@ -106,6 +110,11 @@
         self.buf.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the memory of the incomplete event, in bytes.
+    pub fn memory(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Returns the id of the last complete event that has one; before the first such event, the id
     /// that was passed to [`EventScanner::new`].
     pub fn last_id(&self) -> Option<u64> {
@@ -115,7 +124,7 @@
     /// Discards the bytes of an incomplete event and expects the response of another upstream.
     pub fn begin_resume(&mut self) {
         self.misses_event |= self.has_partial_event();
-        self.buf.clear();
+        self.buf = BytesMut::new();
         self.is_resuming = self.last_id.is_some();
         self.fault = None;
     }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -52,6 +52,7 @@
 use crate::pool::Pool;
 use crate::protocol_versions::ProtocolVersions;
 use crate::quarantine::QuarantineState;
+use crate::response_memory::ResponseMemory;
 use crate::serving::ServingState;
 use crate::settings::GatewaySettings;
 
@@ -60,6 +61,9 @@
 /// than 2^16 requests per millisecond on average.
 const JOB_ID_SEQUENCE_BITS: u32 = 16;
 
+/// Part of the memory of the process, as its divisor, that responses may take which are held back.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
+
 /// Shared state of a node. A lock is held for a single decision and never across an `await`.
 pub struct Shared {
     /// Settings with which the node was started, with the addresses that were bound.
@@ -78,6 +82,8 @@
     pub protocol_versions: ProtocolVersions,
     /// Evidence on prompt parts that crash engines.
     pub quarantine: QuarantineState,
+    /// Memory of the responses that are held back.
+    pub response_memory: Arc<ResponseMemory>,
     /// Whether this node serves callers.
     pub serving: ServingState,
     /// Wakes the heartbeat task: it sends the heartbeats that are due.
@@ -125,6 +131,8 @@
         budget: RetryBudget,
     ) -> Shared {
         let fleet = Fleet::new(settings.upstream_heartbeat);
+        let response_memory =
+            Arc::new(ResponseMemory::new(settings.memory / RESPONSE_MEMORY_DIVISOR));
         Shared {
             settings,
             incarnation: clock::unix_millis(),
@@ -134,6 +142,7 @@
             feed_queue: FeedQueue::default(),
             protocol_versions: ProtocolVersions::default(),
             quarantine: QuarantineState::default(),
+            response_memory,
             serving: ServingState::default(),
             heartbeat_now: Notify::new(),
             dispatch_now: Notify::new(),
