Bound the replies of engines and of the store

A node collected a reply to one of its own calls for as long as the timeout of the call lasted: reports of six engines without end took it to 480 MB, a store that replies without end to 1,035 MB. A node that is killed for its memory loses the requests of all its callers.

Cause: send_http_call read bodies without a bound on their size.

Change: a reply of an engine holds at most 256 KiB and counts as a response that is held back; one of the store holds at most 8 MiB, 16 MiB in sum.

--- a/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
@@ -17,12 +17,16 @@
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
 use crate::state::Shared;
+use crate::store::CallError;
+use crate::store::CallLimits;
 use crate::store::HttpResponse;
 use crate::store::send_http_call;
 
 /// Timeout of a call. Engines reply within milliseconds, and a lost packet is retransmitted after
 /// about 200 ms. An order without a reply is repeated, which its precondition makes safe.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Limits of a call. A report has some ten bytes for each request and adapter of the engine.
+const CALL_LIMITS: CallLimits = CallLimits { timeout: CALL_TIMEOUT, max_body: 256 * 1024 };
 
 /// Status with which another engine replies at the address.
 const MISDIRECTED: u16 = 421;
@@ -39,7 +43,8 @@
     let sent = clock::now();
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.report_call();
-    let result = send_http_call(&http, address, http_call, header, CALL_TIMEOUT).await;
+    let memory = &shared.response_memory;
+    let result = send_http_call(&http, memory, address, http_call, header, CALL_LIMITS).await;
     observe_departure(&shared, &upstream, incarnation, &result);
     let report = match result {
         Ok(HttpResponse { status: 200, body, .. }) => match shared.protocol.parse_report(&body) {
@@ -79,7 +84,8 @@
     let sent = clock::now();
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.order_call(&order);
-    let result = send_http_call(&http, address, http_call, header, CALL_TIMEOUT).await;
+    let memory = &shared.response_memory;
+    let result = send_http_call(&http, memory, address, http_call, header, CALL_LIMITS).await;
     observe_departure(&shared, &upstream, incarnation, &result);
     let reply = match result.as_ref().map(|response| response.status) {
         Ok(202) => OrderReply::Accepted,
@@ -117,7 +123,7 @@
     shared: &Shared,
     upstream: &Name,
     incarnation: u64,
-    result: &reqwest::Result<HttpResponse>,
+    result: &Result<HttpResponse, CallError>,
 ) {
     match result {
         Ok(response) if response.status != MISDIRECTED => {
--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use fireflyhead_policy::era::Era;
 use fireflyhead_policy::protocol::HttpCall;
 use fireflyhead_policy::protocol::PlatformProtocol;
@@ -17,6 +18,9 @@
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
+use crate::response_memory::HeldResponse;
+use crate::response_memory::MemoryError;
+use crate::response_memory::ResponseMemory;
 
 /// Timeout for opening a connection. Hosts in the same region accept within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,12 +31,16 @@
 /// Time for the round trip of a watch, added to the time for which the store holds the call.
 const WATCH_ROUND_TRIP: Duration = Duration::from_millis(1_000);
 
+/// Largest body of a reply of the store, in bytes. A page holds about 1 MB, and a value, which is
+/// encoded as Base64, up to 1 MiB.
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
+
 /// Reason why a call has no usable reply.
 #[derive(Debug)]
 #[derive(displaydoc::Display)]
 pub enum StoreError {
     /// no reply from the store: {0}
-    Transport(reqwest::Error),
+    Transport(CallError),
     /// invalid reply from the store: {0}
     Reply(ProtocolError),
     /// the reply is of era {0} of the store, which has been restored since
@@ -56,6 +64,8 @@
 /// executed later.
 pub struct StoreClient {
     http: Client,
+    /// Memory that replies may take.
+    memory: Arc<ResponseMemory>,
     address: SocketAddr,
     protocol: Arc<dyn PlatformProtocol>,
     metrics: Arc<Metrics>,
@@ -74,7 +84,9 @@
         metrics: Arc<Metrics>,
     ) -> reqwest::Result<StoreClient> {
         let era = watch::Sender::new(Era::FIRST);
-        Ok(StoreClient { http: http_client()?, address, protocol, metrics, era })
+        // Apart from those of upstreams, so that these can't keep the node from reading the store.
+        let memory = Arc::new(ResponseMemory::new(2 * MAX_REPLY_BYTES));
+        Ok(StoreClient { http: http_client()?, memory, address, protocol, metrics, era })
     }
 
     /// Makes a call and counts its outcome.
@@ -87,7 +99,10 @@
             _ => CALL_TIMEOUT,
         };
         let encoded = self.protocol.store_call(call);
-        let result = match send_http_call(&self.http, self.address, encoded, None, timeout).await {
+        let limits = CallLimits { timeout, max_body: MAX_REPLY_BYTES };
+        let sent =
+            send_http_call(&self.http, &self.memory, self.address, encoded, None, limits).await;
+        let result = match sent {
             Ok(response) => {
                 let reply = self
                     .protocol
@@ -161,26 +176,72 @@
     pub(crate) body: Bytes,
 }
 
-/// Makes an HTTP call and reads the whole response.
+/// Reason why an HTTP call has no response.
+#[derive(Debug)]
+#[derive(displaydoc::Display)]
+pub enum CallError {
+    /// {0}
+    Transport(reqwest::Error),
+    /// the body is larger than {0} bytes
+    TooLarge(usize),
+    /// {0}
+    Memory(MemoryError),
+}
+
+impl std::error::Error for CallError {}
+
+impl From<reqwest::Error> for CallError {
+    fn from(error: reqwest::Error) -> CallError {
+        CallError::Transport(error)
+    }
+}
+
+/// Bounds of an HTTP call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallLimits {
+    /// Time from the sending of the call to the end of the response.
+    pub(crate) timeout: Duration,
+    /// Largest size of the response's body, in bytes.
+    pub(crate) max_body: usize,
+}
+
+/// Makes an HTTP call and reads the whole response, whose body counts as a response that is held
+/// back.
 pub(crate) async fn send_http_call(
     http: &Client,
+    memory: &Arc<ResponseMemory>,
     address: SocketAddr,
     call: HttpCall,
     header: Option<(&'static str, &str)>,
-    timeout: Duration,
-) -> reqwest::Result<HttpResponse> {
+    limits: CallLimits,
+) -> Result<HttpResponse, CallError> {
     let url = format!("http://{address}{}", call.target);
-    let mut request = http.request(call.method, url).timeout(timeout);
+    let mut request = http.request(call.method, url).timeout(limits.timeout);
     if let Some((name, value)) = header {
         request = request.header(name, value);
     }
     if let Some(body) = call.body {
         request = request.header("content-type", "application/json").body(body);
     }
-    let response = request.send().await?;
+    let mut response = request.send().await?;
     let status = response.status().as_u16();
     let headers = response.headers().clone();
-    Ok(HttpResponse { status, headers, body: response.bytes().await? })
+    let mut body = BytesMut::new();
+    let mut held = HeldResponse::new(memory);
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            () = held.given_up() => return Err(CallError::Memory(MemoryError::Exceeded)),
+            chunk = response.chunk() => chunk?,
+        };
+        let Some(chunk) = chunk else { break };
+        if body.len() + chunk.len() > limits.max_body {
+            return Err(CallError::TooLarge(limits.max_body));
+        }
+        body.extend_from_slice(&chunk);
+        held.set(body.capacity()).map_err(CallError::Memory)?;
+    }
+    Ok(HttpResponse { status, headers, body: body.freeze() })
 }
 
 /// Exponential backoff between retries of a failed call, with jitter.
