Report a fault of a resumable stream at its next receive, and split the wait for a decision

A fault that was found beside whole events was kept as the next step of the stream, which a selection of another upstream could replace. It is read from the scanner now. InboundRequest::decision holds the wait that select_upstream had grown around.

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -19,6 +19,7 @@
 use http::Response;
 use http::StatusCode;
 use http::request::Parts;
+use tokio::sync::watch;
 
 use crate::body;
 use crate::body::Body;
@@ -26,6 +27,7 @@
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
 use crate::quarantine::QUARANTINED;
+use crate::state::PendingJob;
 use crate::state::Shared;
 
 use super::RequestGuard;
@@ -327,8 +329,38 @@
             tried: attempts.tried.clone(),
             possibly_executed: attempts.possibly_executed > 0,
         };
-        let mut pending = self.shared.submit(now, job);
-        let decided = self.wait_for(left, pending.decision());
+        let pending = self.shared.submit(now, job);
+        let decision = self.decision(attempts, pending, &mut verdicts, left).await;
+        let decided = clock::now();
+        attempts.queued += decided.since(now);
+        match decision {
+            Ok(DispatchDecision::Send { .. }) if !self.ends_before_process(attempts) => {
+                self.shared.dispatcher().record_outcome(decided, id, SendOutcome::Abandoned);
+                self.shared.dispatch_waiting(decided);
+                STOPPING
+            }
+            Ok(DispatchDecision::Send { upstream, version }) => {
+                Selection::Send { job: id, upstream, version }
+            }
+            Ok(DispatchDecision::Reject { reason, retry_after }) => {
+                Selection::Reject { reason: reason.code(), retry_after }
+            }
+            Err(selection) => selection,
+        }
+    }
+
+    /// Waits for the dispatcher's decision on a submitted request, at most for `limit`.
+    ///
+    /// # Errors
+    /// The request is rejected for another reason meanwhile, which the value tells.
+    async fn decision(
+        &self,
+        attempts: &Attempts,
+        mut pending: PendingJob,
+        verdicts: &mut watch::Receiver<()>,
+        limit: Duration,
+    ) -> Result<DispatchDecision, Selection> {
+        let decided = self.wait_for(limit, pending.decision());
         let stopping = self.shared.lifecycle.reached(Phase::Draining);
         tokio::pin!(decided, stopping);
         let mut is_stopping = false;
@@ -338,36 +370,23 @@
                 () = &mut stopping, if !is_stopping => {
                     is_stopping = true;
                     if !self.ends_before_process(attempts) {
-                        attempts.queued += clock::now().since(now);
-                        return STOPPING;
+                        return Err(STOPPING);
                     }
                 }
                 Ok(()) = verdicts.changed() => {
                     if let Some(retry_after) = self.prompt_parts.check(&self.shared, &self.id) {
-                        attempts.queued += clock::now().since(now);
-                        return Selection::Reject { reason: QUARANTINED, retry_after };
+                        return Err(Selection::Reject { reason: QUARANTINED, retry_after });
                     }
                 }
             }
         };
-        attempts.queued += clock::now().since(now);
         match decision {
-            Ok(Some(DispatchDecision::Send { .. })) if !self.ends_before_process(attempts) => {
-                let now = clock::now();
-                self.shared.dispatcher().record_outcome(now, id, SendOutcome::Abandoned);
-                self.shared.dispatch_waiting(now);
-                STOPPING
-            }
-            Ok(Some(DispatchDecision::Send { upstream, version })) => {
-                Selection::Send { job: id, upstream, version }
-            }
-            Ok(Some(DispatchDecision::Reject { reason, retry_after })) => {
-                Selection::Reject { reason: reason.code(), retry_after }
-            }
+            Ok(Some(decision)) => Ok(decision),
             Ok(None) | Err(WaitError::NodeStopped) => {
-                Selection::Reject { reason: "stopped", retry_after: REFUSED_RETRY_AFTER }
+                let retry_after = REFUSED_RETRY_AFTER;
+                Err(Selection::Reject { reason: "stopped", retry_after })
             }
-            Err(WaitError::Timeout) => Selection::DeadlineExceeded,
+            Err(WaitError::Timeout) => Err(Selection::DeadlineExceeded),
         }
     }
 
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -198,6 +198,9 @@
         if let Some(step) = self.received.take() {
             return step;
         }
+        if let Some(fault) = self.scanner.as_ref().and_then(EventScanner::fault) {
+            return broken(fault);
+        }
         let now = clock::now();
         let end = self.request.deadline + DEADLINE_SLACK;
         // Data that is ready takes precedence in the wait below.
@@ -221,7 +224,7 @@
         };
         let wait = receive_deadline.min(end).since(now);
         let Some(body) = &mut self.body else {
-            return StreamStep::Broken("the connection is closed".to_owned(), Failure::Broken);
+            return broken("the connection is closed");
         };
         let data = async {
             tokio::select! {
@@ -246,15 +249,13 @@
                 self.split_events(data)
             }
             Ok(None) => match &mut self.scanner {
-                Some(scanner) if scanner.misses_event() => {
-                    StreamStep::Broken(CUT_EVENT_MISSING.to_owned(), Failure::Broken)
-                }
+                Some(scanner) if scanner.misses_event() => broken(CUT_EVENT_MISSING),
                 Some(scanner) if scanner.has_partial_event() => {
                     StreamStep::Data(scanner.take_rest())
                 }
                 Some(_) | None => StreamStep::End,
             },
-            Err(e) => StreamStep::Broken(e.to_string(), Failure::Broken),
+            Err(e) => broken(e),
         }
     }
 
@@ -262,20 +263,17 @@
     fn split_events(&mut self, data: Bytes) -> StreamStep {
         let Some(scanner) = &mut self.scanner else { return StreamStep::Data(data) };
         let events = scanner.push(&data);
-        let broken = match scanner.fault() {
-            Some(fault) => Some(fault.to_string()),
-            None if scanner.is_oversized() => Some("an event is too large".to_owned()),
-            None => self.held.set(scanner.memory()).err().map(|e| e.to_string()),
+        let too_large = match scanner.is_oversized() {
+            true => Some("an event is too large".to_owned()),
+            false => self.held.set(scanner.memory()).err().map(|e| e.to_string()),
         };
-        let broken = broken.map(|reason| StreamStep::Broken(reason, Failure::Broken));
-        match (scanner.fault(), broken) {
-            (Some(EventFault::NotContinued), Some(broken)) => broken,
-            (_, Some(broken)) if events.is_empty() => broken,
-            (_, None) if events.is_empty() => StreamStep::Skip,
-            (_, broken) => {
-                self.received = broken;
-                StreamStep::Data(events)
-            }
+        match (scanner.fault(), too_large) {
+            (Some(fault @ EventFault::NotContinued), _) => broken(fault),
+            // Whole events before a fault are passed on first; the next receive reports it.
+            (_, _) if !events.is_empty() => StreamStep::Data(events),
+            (Some(fault), _) => broken(fault),
+            (None, Some(reason)) => broken(reason),
+            (None, None) => StreamStep::Skip,
         }
     }
 
@@ -458,6 +456,10 @@
     head.status == StatusCode::OK && is_events
 }
 
+fn broken(reason: impl ToString) -> StreamStep {
+    StreamStep::Broken(reason.to_string(), Failure::Broken)
+}
+
 fn is_past(time: Time) -> bool {
     clock::now() >= time
 }
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -160,9 +160,9 @@
     }
 
     /// Stops the node gracefully: directs callers to other nodes, rejects requests that are expected to
-    /// outlast the grace period or still wait when half of it is over, and waits until all connections have ended. A request
-    /// without a response at the end of the grace period gets an error response, and a stream is
-    /// cut off.
+    /// outlast the grace period or still wait when half of it is over, and waits until all
+    /// connections have ended. A request without a response at the end of the grace period gets an
+    /// error response, and a stream is cut off.
     pub async fn stop(mut self) -> StopReport {
         let grace = self.shared.settings.grace;
         let linger = DRAIN_LINGER.min(grace / 2);
