Let a reply of the store take an eighth of the memory

Cause: bounded replies without regard to what a store may return.

Change: the bound is an eighth of the memory that the platform grants, and a watch that returns more is followed by a full read, whose pages are smaller.

--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -92,6 +92,7 @@
             settings.store,
             Arc::clone(&protocol),
             Arc::clone(&metrics),
+            settings.memory,
         )?);
         let http = store::http_client()?;
         let caller_listener = listen(&mut settings.caller)?;
--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -31,9 +31,10 @@
 /// Time for the round trip of a watch, added to the time for which the store holds the call.
 const WATCH_ROUND_TRIP: Duration = Duration::from_millis(1_000);
 
-/// Largest body of a reply of the store, in bytes. A page holds about 1 MB, and a value, which is
-/// encoded as Base64, up to 1 MiB.
-const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
+/// Part of the memory of the process, as its divisor, that one reply of the store may take.
+const REPLY_MEMORY_DIVISOR: usize = 8;
+/// Number of largest replies that may be received at once.
+const MAX_LARGE_REPLIES: usize = 2;
 
 /// Reason why a call has no usable reply.
 #[derive(Debug)]
@@ -66,6 +67,8 @@
     http: Client,
     /// Memory that replies may take.
     memory: Arc<ResponseMemory>,
+    /// Largest body of a reply, in bytes.
+    max_reply: usize,
     address: SocketAddr,
     protocol: Arc<dyn PlatformProtocol>,
     metrics: Arc<Metrics>,
@@ -74,7 +77,7 @@
 }
 
 impl StoreClient {
-    /// Creates a client for the store at `address`.
+    /// Creates a client for the store at `address`, in a process that may use `memory` bytes.
     ///
     /// # Errors
     /// The HTTP client can't be created.
@@ -82,11 +85,14 @@
         address: SocketAddr,
         protocol: Arc<dyn PlatformProtocol>,
         metrics: Arc<Metrics>,
+        memory: usize,
     ) -> reqwest::Result<StoreClient> {
         let era = watch::Sender::new(Era::FIRST);
         // Apart from those of upstreams, so that these can't keep the node from reading the store.
-        let memory = Arc::new(ResponseMemory::new(2 * MAX_REPLY_BYTES));
-        Ok(StoreClient { http: http_client()?, memory, address, protocol, metrics, era })
+        let max_reply = memory / REPLY_MEMORY_DIVISOR;
+        let memory = Arc::new(ResponseMemory::new(MAX_LARGE_REPLIES * max_reply));
+        let http = http_client()?;
+        Ok(StoreClient { http, memory, max_reply, address, protocol, metrics, era })
     }
 
     /// Makes a call and counts its outcome.
@@ -99,7 +105,7 @@
             _ => CALL_TIMEOUT,
         };
         let encoded = self.protocol.store_call(call);
-        let limits = CallLimits { timeout, max_body: MAX_REPLY_BYTES };
+        let limits = CallLimits { timeout, max_body: self.max_reply };
         let sent =
             send_http_call(&self.http, &self.memory, self.address, encoded, None, limits).await;
         let result = match sent {
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -35,7 +35,9 @@
 use crate::quarantine;
 use crate::state::Shared;
 use crate::store::Backoff;
+use crate::store::CallError;
 use crate::store::StoreClient;
+use crate::store::StoreError;
 use crate::store::StoreResponse;
 
 /// Prefix that matches all keys.
@@ -169,6 +171,11 @@
                     return;
                 }
                 Ok(reply) => self.handle_store_failure(&format!("{reply:?}")).await,
+                // The pages of a full read are smaller.
+                Err(StoreError::Transport(CallError::TooLarge(bytes))) => {
+                    tracing::warn!(event = "watch_too_large", after, bytes);
+                    return;
+                }
                 Err(e) => self.handle_store_failure(&e.to_string()).await,
             }
         }
--- a/src/ops/store.rs
+++ b/src/ops/store.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use fireflyhead_gateway::metrics::Metrics;
+use fireflyhead_gateway::settings::GatewaySettings;
 use fireflyhead_gateway::store::StoreClient;
 use fireflyhead_gateway::store::StoreError;
 use fireflyhead_gateway::store::StoreResponse;
@@ -61,7 +62,8 @@
     /// Returns [`OperatorError::Client`] if the HTTP client can't be created.
     pub fn new(address: SocketAddr) -> Result<OperatorClient, OperatorError> {
         let metrics = Arc::new(Metrics::new());
-        let store = StoreClient::new(address, Arc::new(Platform), metrics);
+        let memory = GatewaySettings::default().memory;
+        let store = StoreClient::new(address, Arc::new(Platform), metrics, memory);
         Ok(OperatorClient { store: store.map_err(OperatorError::Client)? })
     }
 
