--- a/crates/fireflyhead-policy/src/config.rs
+++ b/crates/fireflyhead-policy/src/config.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::Name;
+use crate::accounts::Accounts;
 use crate::rendezvous;
 
 /// Kind of a route: whether its requests may be retried, and whether its responses are streams.
@@ -81,6 +82,8 @@
     pub prefix: Name,
     /// Method that requests must have; `None` for any.
     pub method: Option<Name>,
+    /// Whether requests need no key although the configuration has accounts.
+    pub is_public: bool,
     /// Whether requests may be retried, and whether responses are streams.
     pub kind: RouteKind,
     /// Maximum time for which a caller waits for its response.
@@ -195,6 +198,8 @@
     pub version: u64,
     /// Limits on requests and connections of callers.
     pub limits: RequestLimits,
+    /// Accounts of clients; `None` if requests need no keys.
+    pub accounts: Option<Accounts>,
     /// Routes by host and path prefix.
     routes: HashMap<Name, HashMap<Name, Arc<Route>>>,
     services: HashMap<Name, Arc<Service>>,
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`table`]: the operators' table and the configuration that is derived from it
 //! - [`config`]: routes and services, and which of them a request belongs to
+//! - [`accounts`]: which client account a request belongs to
 //! - [`limits`]: which requests exceed their route's limit on rate or on requests in flight
 //! - [`fleet`]: which upstreams exist, also while the store is unavailable
 //! - [`dispatch`]: which upstream a request is sent to, which requests wait and which are rejected
@@ -24,6 +25,7 @@
 //! platform, [`message`] defines the datagrams between nodes, [`rendezvous`] ranks nodes and
 //! upstreams, and [`types`] defines names, times and ranks.
 
+pub mod accounts;
 pub mod admission;
 pub mod budget;
 pub mod config;
--- a/crates/fireflyhead-policy/tests/policy/config.rs
+++ b/crates/fireflyhead-policy/tests/policy/config.rs
@@ -17,6 +17,7 @@
         host: Name::from(host),
         prefix: Name::from(prefix),
         method: None,
+        is_public: false,
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(300),
