--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -13,6 +13,8 @@
 
 use bytes::Bytes;
 use fireflyhead_policy::Name;
+use fireflyhead_policy::accounts::Accounts;
+use fireflyhead_policy::accounts::UnusableAccount;
 use fireflyhead_policy::era::Era;
 use fireflyhead_policy::era::Position;
 use fireflyhead_policy::fleet::FleetChange;
@@ -56,6 +58,9 @@
 /// Largest size of the values in a feed, in bytes. Larger changes are read from the store by each
 /// node.
 const MAX_FEED_BYTES: usize = 24 * 1024;
+/// Number of accounts that can't be used of which a new configuration logs a line each; a file with
+/// more has a common fault.
+const MAX_LOGGED_ACCOUNTS: usize = 20;
 /// Shortest and longest wait after a failed call.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
@@ -313,13 +318,16 @@
             StoreRecord::Config(Some(config)) => {
                 let version = config.version;
                 let routes = config.route_count();
+                let accounts = config.accounts.clone();
                 if self.shared.set_config(*config) {
                     tracing::info!(
                         event = "config_in_force",
                         version,
                         routes,
+                        accounts = accounts.as_ref().map(Accounts::len),
                         revision = item.revision
                     );
+                    accounts.iter().for_each(log_unusable_accounts);
                 }
             }
             StoreRecord::Config(None) => {
@@ -350,6 +358,20 @@
     }
 }
 
+/// Logs the accounts of a new configuration that can't be used: each of the first ones by name, and
+/// the number of all.
+fn log_unusable_accounts(accounts: &Accounts) {
+    let unusable = accounts.unusable();
+    for UnusableAccount { name, keys, reason } in unusable.iter().take(MAX_LOGGED_ACCOUNTS) {
+        let (account, keys) = (name.as_ref().map(Name::as_str), keys.len());
+        tracing::warn!(event = "account_unusable", account, keys, reason);
+    }
+    let keys = accounts.unusable_key_count();
+    if !unusable.is_empty() || keys > 0 {
+        tracing::warn!(event = "accounts_unusable", accounts = unusable.len(), keys);
+    }
+}
+
 /// Ends the grace periods of upstreams after an outage or a restore of the store.
 pub fn end_grace(shared: &Shared) {
     let changes = shared.fleet().end_grace(clock::now());
--- a/crates/fireflyhead-policy/src/accounts.rs
+++ b/crates/fireflyhead-policy/src/accounts.rs
@@ -139,8 +139,19 @@
     pub quota: Option<Quota>,
 }
 
+/// Account that can't be used, because the configuration doesn't say who it is or what it may use.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnusableAccount {
+    /// Name; `None` if the account has none.
+    pub name: Option<Name>,
+    /// Digests of its keys, as far as they are known.
+    pub keys: Vec<KeyDigest>,
+    /// Why it can't be used, for the log.
+    pub reason: &'static str,
+}
+
 /// Account that a key belongs to.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 enum KeyOwner {
     Account(Arc<ClientAccount>),
     /// Several accounts have the key, or the account that has it can't be used.
@@ -159,54 +170,63 @@
 }
 
 /// All accounts of a configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Accounts {
     by_key: HashMap<KeyDigest, KeyOwner>,
     by_name: HashMap<Name, Arc<ClientAccount>>,
-}
-
-impl PartialEq for Accounts {
-    fn eq(&self, other: &Accounts) -> bool {
-        self.by_name == other.by_name
-    }
+    unusable: Vec<UnusableAccount>,
+    /// Whether no account could be read at all, so that nothing is known of any key.
+    is_malformed: bool,
 }
 
 impl Accounts {
-    /// Creates the accounts of a configuration. `unusable_keys` are those of accounts that are
-    /// invalid. Accounts with the same name are invalid too, since upstreams could not tell them
-    /// apart.
-    pub fn new(accounts: Vec<ClientAccount>, unusable_keys: Vec<KeyDigest>) -> Accounts {
-        let mut result = Accounts::default();
+    /// Creates the accounts of a configuration from those that are valid and those that are not.
+    /// Accounts with the same name can't be used either, since upstreams could not tell them apart.
+    pub fn new(accounts: Vec<ClientAccount>, unusable: Vec<UnusableAccount>) -> Accounts {
+        let mut result = Accounts { unusable, ..Accounts::default() };
         let mut count: HashMap<Name, usize> = HashMap::new();
         for account in &accounts {
             *count.entry(account.name.clone()).or_default() += 1;
         }
         for account in accounts {
-            let is_unique = count[&account.name] == 1;
+            if count[&account.name] > 1 {
+                result.unusable.push(UnusableAccount {
+                    name: Some(account.name),
+                    keys: account.keys,
+                    reason: "another account has the same name",
+                });
+                continue;
+            }
             let account = Arc::new(account);
             for key in &account.keys {
                 let owner = match result.by_key.get(key) {
-                    None if is_unique => KeyOwner::Account(Arc::clone(&account)),
+                    None => KeyOwner::Account(Arc::clone(&account)),
                     Some(KeyOwner::Account(known)) if known.name == account.name => continue,
-                    None | Some(_) => KeyOwner::Unusable,
+                    Some(_) => KeyOwner::Unusable,
                 };
                 result.by_key.insert(*key, owner);
             }
-            if is_unique {
-                result.by_name.insert(account.name.clone(), account);
-            }
+            result.by_name.insert(account.name.clone(), account);
         }
-        for key in unusable_keys {
-            result.by_key.insert(key, KeyOwner::Unusable);
+        for key in result.unusable.iter().flat_map(|account| &account.keys) {
+            result.by_key.insert(*key, KeyOwner::Unusable);
         }
         result
     }
 
+    /// Creates the accounts of a configuration whose list of accounts can't be read; no key can be
+    /// judged by them.
+    pub fn malformed(reason: &'static str) -> Accounts {
+        let unusable = vec![UnusableAccount { name: None, keys: Vec::new(), reason }];
+        Accounts { unusable, is_malformed: true, ..Accounts::default() }
+    }
+
     /// Returns the account that `key` belongs to.
     pub fn lookup(&self, key: &KeyDigest) -> Lookup {
         match self.by_key.get(key) {
             Some(KeyOwner::Account(account)) => Lookup::Account(Arc::clone(account)),
             Some(KeyOwner::Unusable) => Lookup::Unusable,
+            None if self.is_malformed => Lookup::Unusable,
             None => Lookup::Unknown,
         }
     }
@@ -220,4 +240,23 @@
     pub fn iter(&self) -> impl Iterator<Item = &Arc<ClientAccount>> {
         self.by_name.values()
     }
+    /// Returns the number of accounts that can be used.
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Returns whether no account can be used.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// Returns the accounts that can't be used.
+    pub fn unusable(&self) -> &[UnusableAccount] {
+        &self.unusable
+    }
+
+    /// Returns the number of keys that several accounts have, or an account that can't be used.
+    pub fn unusable_key_count(&self) -> usize {
+        self.by_key.values().filter(|owner| **owner == KeyOwner::Unusable).count()
+    }
 }
