Authenticate requests by key and name their account to upstreams

Cause: every request passed its key on to upstreams, and any request was served. Change: a request head carries the digest of its key, a node answers 401, 400 or 503 before it reads the body, and the request to the upstream names the account in place of the key, on first sends, retries and resumes alike. A node says 401 only while nothing suggests that its configuration is outdated (ConfigView). The account's priority replaces the route's.

--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -6,6 +6,7 @@
 //! it returns 502 or 504.
 
 mod attempt;
+mod authentication;
 mod inbound_request;
 mod local_responses;
 mod response_body;
@@ -174,6 +175,10 @@
         return empty_response(StatusCode::METHOD_NOT_ALLOWED);
     }
     let Some(id) = head.id.clone() else { return empty_response(StatusCode::BAD_REQUEST) };
+    let identity = match authentication::authenticate(shared, &config, route, &id, &head) {
+        Ok(identity) => identity,
+        Err(response) => return *response,
+    };
     if let Err(retry_after) = guard.enter_route(route) {
         shared.metrics.record_rejection("limit");
         tracing::info!(event = "limited", %id, route = %route.name);
@@ -210,6 +215,7 @@
         head,
         id,
         prompt_parts,
+        identity,
         route: Arc::clone(route),
         service,
         served_by_engines,
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -208,9 +208,10 @@
         let node_set = NodeSetHeaders {
             deadline: left,
             upstream: upstream.id.clone(),
-            priority: self.served_by_engines.then_some(self.route.priority),
+            priority: self.served_by_engines.then(|| self.priority()),
             expected_version: version,
             last_event_id: resume_after,
+            account: self.identity.caller_account(),
         };
         let Some(req) = self.build_request(&node_set) else {
             return AttemptResult::NotSent("the request target is not valid".to_owned());
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::authentication::Identity;
 use fireflyhead_policy::config::Route;
 use fireflyhead_policy::config::RouteKind;
 use fireflyhead_policy::dispatch::DispatchDecision;
@@ -67,6 +68,7 @@
     pub(super) head: RequestHead,
     pub(super) id: Name,
     pub(super) prompt_parts: PromptParts,
+    pub(super) identity: Identity,
     pub(super) route: Arc<Route>,
     pub(super) service: Name,
     /// Whether the upstreams of the service are model engines.
@@ -313,7 +315,7 @@
             floor: self.route.policy.floor,
             service: self.service.clone(),
             model: self.served_by_engines.then(|| self.head.model.clone()).flatten(),
-            priority: self.route.priority,
+            priority: self.priority(),
             arrived: since,
             objective: match (since > self.arrived, self.route.pause_objective) {
                 (true, Some(pause)) => since + pause,
@@ -507,6 +509,11 @@
         empty_response(StatusCode::BAD_GATEWAY)
     }
 
+    /// Returns the priority of the request, 0 being the most urgent.
+    pub(super) fn priority(&self) -> u8 {
+        self.identity.priority(self.route.priority)
+    }
+
     pub(super) fn set_stage(&self, stage: Stage) {
         *self.stage.lock().unwrap_or_else(PoisonError::into_inner) = stage;
     }
@@ -544,6 +551,7 @@
             event = "request",
             id = %self.id,
             route = %self.route.name,
+            account = self.identity.account().map(|account| account.name.as_str()),
             service = %self.service,
             adapter = self.head.model.as_ref().and_then(|m| m.adapter.as_ref()).map(Name::as_str),
             outcome,
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod body;
 pub mod clock;
+mod config_state;
 pub mod datagram_sender;
 pub mod departures;
 pub mod directory;
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -16,6 +16,7 @@
 use fireflyhead_policy::Time;
 use fireflyhead_policy::admission::AddressedResponse;
 use fireflyhead_policy::admission::AdmissionController;
+use fireflyhead_policy::authentication::ConfigView;
 use fireflyhead_policy::budget::RetryBudget;
 use fireflyhead_policy::config::Config;
 use fireflyhead_policy::dispatch::DispatchDecision;
@@ -96,6 +97,8 @@
     announcement_due: AtomicBool,
     /// Phase of the node.
     pub lifecycle: Lifecycle,
+    /// What the node knows of the age of its configuration.
+    pub(crate) config_view: Mutex<ConfigView>,
     config: Mutex<Option<Arc<Config>>>,
     fleet: Mutex<Fleet>,
     dispatcher: Mutex<Dispatcher>,
@@ -149,6 +152,7 @@
             placements_changed: AtomicBool::new(false),
             announcement_due: AtomicBool::new(true),
             lifecycle: Lifecycle::default(),
+            config_view: Mutex::new(ConfigView::default()),
             config: Mutex::new(None),
             fleet: Mutex::new(fleet),
             dispatcher: Mutex::new(dispatcher),
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -109,11 +109,13 @@
     /// for changes.
     async fn read_all(&mut self) -> Position {
         loop {
+            let sent = clock::now();
             match self.read_pages().await {
                 Ok((items, position)) => {
                     self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
                     self.apply_snapshot(&items, position.era).await;
+                    self.shared.confirm_config(sent);
                     let Position { era, revision } = position;
                     tracing::info!(event = "store_read", items = items.len(), revision, %era);
                     return position;
@@ -165,6 +167,7 @@
                     self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
                     let relevant = self.apply_changes(&items, era).await;
+                    self.shared.confirm_config(clock::now());
                     if self.shared.is_reader(clock::now()) {
                         self.forward_changes(position, revision, relevant);
                         sleep(self.watch_interval().saturating_sub(clock::now().since(sent))).await;
@@ -213,6 +216,7 @@
                     last_feed = now;
                     self.mark_store_reachable();
                     self.apply_changes(&items, era).await;
+                    self.shared.confirm_config(now);
                     after = to;
                 }
                 FeedOutcome::Gap => {
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -12,6 +12,7 @@
 use http::request::Parts;
 
 use crate::Name;
+use crate::accounts::Credential;
 use crate::config::Config;
 use crate::era::Era;
 use crate::fleet::UpstreamEntry;
@@ -43,6 +44,8 @@
     pub model: Option<ModelRef>,
     /// Number of tokens; zero if the caller sent no count.
     pub tokens: TokenCount,
+    /// Whether the caller sent the number of tokens.
+    pub has_token_count: bool,
     /// Ids of the parts of the prompt that other requests may share; empty if the caller named none
     /// or the header is malformed.
     pub prompt_parts: Vec<Name>,
@@ -50,6 +53,27 @@
     pub deadline: Option<Duration>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Key of the caller's account.
+    pub credential: Credential,
+}
+
+impl RequestHead {
+    /// Returns the number of tokens; `None` if the caller sent no count.
+    pub fn token_count(&self) -> Option<TokenCount> {
+        self.has_token_count.then_some(self.tokens)
+    }
+}
+
+/// What upstreams are told of the account of a request.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum CallerAccount {
+    /// Requests need no keys: the caller's headers are forwarded as they are.
+    #[default]
+    Unmanaged,
+    /// The route needs no key: neither a key nor an account is forwarded.
+    Public,
+    /// Name of the account, in place of the key.
+    Account(Name),
 }
 
 /// Headers that the node itself sets on a request to an upstream, in place of any value that the
@@ -67,6 +91,8 @@
     /// Id of the last event that the caller received, to resume a stream after it; `None` to
     /// forward the id that the caller itself sent, if any.
     pub last_event_id: Option<u64>,
+    /// Account of the caller.
+    pub account: CallerAccount,
 }
 
 /// Load that an upstream reports in the headers of a response.
