Test the lookup of accounts and the decision on keys

Cause: the types of accounts had no tests. Change: tests of shared and doubled keys, quotas, the answer to each kind of key in each state of the configuration, and the state itself.

--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -4,7 +4,9 @@
 //! `ownership`, and `loads` and `replay`, which test `dispatch` under load patterns. `setup` holds
 //! shared fixtures.
 
+mod accounts;
 mod admission;
+mod authentication;
 mod away;
 mod budget;
 mod config;
--- a/crates/fireflyhead-policy/tests/policy/setup.rs
+++ b/crates/fireflyhead-policy/tests/policy/setup.rs
@@ -8,6 +8,8 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::accounts::ClientAccount;
+use fireflyhead_policy::accounts::KeyDigest;
 use fireflyhead_policy::admission::AddressedResponse;
 use fireflyhead_policy::admission::AdmissionController;
 use fireflyhead_policy::dispatch::DispatchDecision;
@@ -51,6 +53,16 @@
     }
 }
 
+/// Returns an account with these keys, the priority of the route and no limit.
+pub(crate) fn account(name: &str, keys: &[&str]) -> ClientAccount {
+    ClientAccount {
+        name: Name::from(name),
+        keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
+        priority: None,
+        quota: None,
+    }
+}
+
 /// Node that is the holder of all engines: its dispatcher and its admission controller, with the
 /// messages between the two delivered at once.
 pub(crate) struct TestNode {
