Let a reader's watch end before the other nodes of its zone stop waiting

Cause: a reader's watch waits for a change for up to 1.67 s, and up to the watch interval passes before it, but the other nodes of the zone wait for a feed for 1.2 to 1.6 s. Change: the watch of a reader waits for 200 ms.

--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -50,6 +50,9 @@
 const WATCH_INTERVAL_SHARE: f64 = 0.4;
 /// Time beyond the watch interval for which a node waits for a feed.
 const FEED_MARGIN: Duration = Duration::from_millis(400);
+/// Wait of a reader's watch. It follows the watch interval since the last feed, so that both end
+/// before the other nodes stop waiting for a feed, also while nothing changes.
+const READER_WATCH_WAIT: Duration = Duration::from_millis(200);
 /// If a wait for a feed lasts longer than its timeout by this time, the process was suspended, and
 /// the feeds in the queue are outdated.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(1_000);
@@ -153,7 +156,7 @@
             position.revision = self.apply_feeds(position).await;
             let Position { era, revision: after } = position;
             let sent = clock::now();
-            let wait = MAX_WATCH_WAIT.min(self.shared.settings.lease_ttl / 3);
+            let wait = self.watch_wait();
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call_in(era, &call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
@@ -181,6 +184,14 @@
         }
     }
 
+    /// Returns the time for which the store may hold a watch.
+    fn watch_wait(&self) -> Duration {
+        match self.shared.is_reader(clock::now()) {
+            true => READER_WATCH_WAIT,
+            false => MAX_WATCH_WAIT.min(self.shared.settings.lease_ttl / 3),
+        }
+    }
+
     /// Returns the interval between two watches of a reader.
     fn watch_interval(&self) -> Duration {
         self.shared.settings.apply_bound.mul_f64(WATCH_INTERVAL_SHARE)
