Read the store's changes up to the present before waiting

The store limits the changes in the reply of a watch. A node that was cut off from a busy store took the first reply for a complete view: it waited a whole interval before the next reply, and acted on ownership records that were several replies old. After a failed watch, a pause, a full read or a large reply it now reads on at once until a reply is not cut short, tells the other nodes of the zone only then, and records a complete view only then.

--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -74,6 +74,17 @@
 /// Time for which an engine must not be listed before its ownership record is removed.
 const ORPHAN_TTL: Duration = Duration::from_secs(15);
 
+/// What a node knows of the store with some items.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum View {
+    /// The items are all that existed; further changes may have been made during the read.
+    Snapshot,
+    /// The items are changes, and the store may have further ones.
+    Partial,
+    /// The items are changes, and the node knows the present state.
+    Complete,
+}
+
 /// Message to the [`EngineController`].
 #[derive(Debug)]
 pub enum ControllerMsg {
@@ -85,8 +96,8 @@
         items: Vec<Item>,
         /// Era of the store.
         era: Era,
-        /// Whether the items are all that exist, as opposed to changes.
-        full: bool,
+        /// What the node knows with these items.
+        view: View,
     },
     /// The node's lease was granted or renewed.
     LeaseRenewed {
@@ -215,11 +226,13 @@
         era == self.ownership.era()
     }
 
-    /// Applies membership entries and ownership records. If `full`, members without an item are
+    /// Applies membership entries and ownership records. With a snapshot, members without an item are
     /// removed.
-    fn apply_store_items(&mut self, now: Time, items: Vec<Item>, full: bool) {
-        self.ownership.record_complete_view(now);
-        if full {
+    fn apply_store_items(&mut self, now: Time, items: Vec<Item>, view: View) {
+        if view == View::Complete {
+            self.ownership.record_complete_view(now);
+        }
+        if view == View::Snapshot {
             let listed: HashSet<Name> = items.iter().map(|item| item.key.clone()).collect();
             let gone: Vec<Name> = self
                 .shared
@@ -576,9 +589,9 @@
                 }
                 self.tick(now, &actor_ref);
             }
-            ControllerMsg::StoreItems { items, era, full } => {
+            ControllerMsg::StoreItems { items, era, view } => {
                 if self.enter_era(now, era) {
-                    self.apply_store_items(now, items, full);
+                    self.apply_store_items(now, items, view);
                 }
             }
             ControllerMsg::LeaseRenewed { lease, era, sent } => {
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -25,12 +25,14 @@
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_policy::readers::FeedFilter;
 use fireflyhead_policy::readers::FeedOutcome;
+use fireflyhead_policy::readers::WatchProgress;
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
 use crate::clock;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
+use crate::engine_controller::View;
 use crate::heartbeats::send_to_controller;
 use crate::quarantine;
 use crate::state::Shared;
@@ -45,6 +47,8 @@
 /// Longest wait of a watch. The wait is also limited to a third of the lease TTL, because a holder
 /// may send orders only while its view of the store is younger than its lease.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Wait of a watch of a node that may be several replies behind.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Interval between two watches of a reader, as a share of the time within which a change must be
 /// in effect.
 const WATCH_INTERVAL_SHARE: f64 = 0.4;
@@ -86,6 +90,20 @@
     }
 }
 
+/// Changes that have not been sent to the other nodes of the zone. They are sent once they lead to a
+/// complete view, for which the other nodes take a feed.
+struct Unsent {
+    /// Position after which the changes are.
+    after: Position,
+    items: Vec<Item>,
+}
+
+impl Unsent {
+    fn after(after: Position) -> Unsent {
+        Unsent { after, items: Vec::new() }
+    }
+}
+
 /// Client of the store that keeps the shared state up to date.
 struct StoreWatcher {
     shared: Arc<Shared>,
@@ -149,38 +167,75 @@
     /// Applies the changes after a position, from feeds or own watches, until the store has
     /// compacted the history or was restored.
     async fn watch(&mut self, mut position: Position) {
+        let mut progress = WatchProgress::default();
+        let mut unsent = Unsent::after(position);
+        let mut sent = clock::now();
+        let mut last_complete = sent;
         loop {
-            position.revision = self.apply_feeds(position).await;
+            if !progress.is_behind() {
+                let known = self.apply_feeds(position).await;
+                if known != position.revision {
+                    last_complete = clock::now();
+                }
+                position.revision = known;
+                unsent = Unsent::after(position);
+                sent = clock::now();
+                if sent.since(last_complete) >= self.max_view_age() {
+                    progress.record_gap();
+                }
+            }
             let Position { era, revision: after } = position;
-            let sent = clock::now();
-            let wait = MAX_WATCH_WAIT.min(self.shared.settings.lease_ttl / 3);
+            let wait = match progress.is_behind() {
+                true => CATCH_UP_WAIT,
+                false => MAX_WATCH_WAIT.min(self.shared.settings.lease_ttl / 3),
+            };
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call_in(era, &call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
-                    let relevant = self.apply_changes(&items, era).await;
+                    let is_complete = progress.record_reply(items.len());
+                    let view = if is_complete { View::Complete } else { View::Partial };
+                    unsent.items.extend(self.apply_changes(&items, era, view).await);
+                    position.revision = revision.max(after);
+                    if !is_complete {
+                        tracing::debug!(event = "watch_behind", after, changes = items.len());
+                        continue;
+                    }
+                    last_complete = clock::now();
                     if self.shared.is_reader(clock::now()) {
-                        self.forward_changes(position, revision, relevant);
+                        let Unsent { after, items } =
+                            std::mem::replace(&mut unsent, Unsent::after(position));
+                        self.forward_changes(after, position.revision, items);
                         sleep(self.watch_interval().saturating_sub(clock::now().since(sent))).await;
                     }
-                    position.revision = revision.max(after);
                 }
                 Ok(StoreReply::Compacted) => {
                     tracing::info!(event = "store_history_gone", after);
                     return;
                 }
-                Ok(reply) => self.handle_store_failure(&format!("{reply:?}")).await,
+                Ok(reply) => {
+                    progress.record_gap();
+                    self.handle_store_failure(&format!("{reply:?}")).await;
+                }
                 // The pages of a full read are smaller.
                 Err(StoreError::Transport(CallError::TooLarge(bytes))) => {
                     tracing::warn!(event = "watch_too_large", after, bytes);
                     return;
                 }
-                Err(e) => self.handle_store_failure(&e.to_string()).await,
+                Err(e) => {
+                    progress.record_gap();
+                    self.handle_store_failure(&e.to_string()).await;
+                }
             }
         }
     }
 
+    /// Returns the age of the view from which on the node may be several replies behind.
+    fn max_view_age(&self) -> Duration {
+        self.watch_interval() * 2
+    }
+
     /// Returns the interval between two watches of a reader.
     fn watch_interval(&self) -> Duration {
         self.shared.settings.apply_bound.mul_f64(WATCH_INTERVAL_SHARE)
@@ -207,7 +262,7 @@
                 FeedOutcome::Apply(items, to) => {
                     last_feed = now;
                     self.mark_store_reachable();
-                    self.apply_changes(&items, era).await;
+                    self.apply_changes(&items, era, View::Complete).await;
                     after = to;
                 }
                 FeedOutcome::Gap => {
@@ -276,11 +331,11 @@
         self.feed_filter.replace(&listed);
         let changes = self.shared.fleet().replace(now, &listed);
         apply_fleet_changes(&self.shared, changes);
-        self.send_internal_items(items, era, true).await;
+        self.send_internal_items(items, era, View::Snapshot).await;
     }
 
     /// Applies changed items. Returns those that other nodes need, see [`FeedFilter`].
-    async fn apply_changes(&mut self, items: &[Item], era: Era) -> Vec<Item> {
+    async fn apply_changes(&mut self, items: &[Item], era: Era, view: View) -> Vec<Item> {
         let now = clock::now();
         let mut changes = Vec::new();
         let mut relevant = Vec::new();
@@ -302,7 +357,7 @@
             }
         }
         apply_fleet_changes(&self.shared, changes);
-        self.send_internal_items(items, era, false).await;
+        self.send_internal_items(items, era, view).await;
         relevant
     }
 
@@ -336,7 +391,7 @@
     }
 
     /// Sends the membership entries and ownership records among `items` to the engine controller.
-    async fn send_internal_items(&self, items: &[Item], era: Era, full: bool) {
+    async fn send_internal_items(&self, items: &[Item], era: Era, view: View) {
         let internal = items
             .iter()
             .filter(|item| self.shared.protocol.parse_store_item(item) == StoreRecord::Internal)
@@ -344,7 +399,7 @@
             .collect();
         send_to_controller(
             &self.controller,
-            ControllerMsg::StoreItems { items: internal, era, full },
+            ControllerMsg::StoreItems { items: internal, era, view },
         )
         .await;
     }
--- a/crates/fireflyhead-policy/src/readers.rs
+++ b/crates/fireflyhead-policy/src/readers.rs
@@ -17,6 +17,10 @@
 use crate::fleet::UpstreamState;
 use crate::protocol::Item;
 
+/// Number of changes from which on the reply of a watch may be one that the store has cut short. The
+/// store documents no limit; replies of up to some 290 changes were seen.
+const MIN_LIMITED_REPLY: usize = 64;
+
 /// Number of readers in one zone; the second one covers the loss of the first.
 pub const READERS_PER_ZONE: usize = 2;
 
@@ -86,6 +90,52 @@
     }
 }
 
+/// Tells whether the reply of a watch holds all changes, or the store has cut it short.
+///
+/// The store limits the changes in one reply and doesn't say whether there are more. A node that was
+/// cut off from a busy store is several replies behind, and must neither wait before the next one nor
+/// take the state in between for the present one.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchProgress {
+    /// Whether the node may be several replies behind.
+    is_behind: bool,
+    /// Number of changes in the largest reply since the node may be behind.
+    largest_reply: usize,
+}
+
+impl Default for WatchProgress {
+    /// Progress after a full read, whose pages are no snapshot.
+    fn default() -> WatchProgress {
+        WatchProgress { is_behind: true, largest_reply: 0 }
+    }
+}
+
+impl WatchProgress {
+    /// Records that a watch failed or that some time has passed without one.
+    pub fn record_gap(&mut self) {
+        *self = WatchProgress::default();
+    }
+
+    /// Returns whether the node may be several replies behind.
+    pub const fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
+    /// Records a reply with this number of changes; returns whether the node knows the present state.
+    ///
+    /// Replies that the store cuts short are of similar size, so that one of less than half the
+    /// largest size is whole. Without this rule a node would never catch up with constant writes.
+    pub fn record_reply(&mut self, changes: usize) -> bool {
+        let is_whole = match self.is_behind {
+            true => changes == 0 || changes * 2 < self.largest_reply,
+            false => changes < MIN_LIMITED_REPLY,
+        };
+        self.largest_reply = if is_whole { 0 } else { self.largest_reply.max(changes) };
+        self.is_behind = !is_whole;
+        is_whole
+    }
+}
+
 /// Fields of an upstream entry whose changes the other nodes of a zone need.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct PublishedEntry {
--- a/crates/fireflyhead-policy/tests/policy/readers.rs
+++ b/crates/fireflyhead-policy/tests/policy/readers.rs
@@ -13,6 +13,7 @@
 use fireflyhead_policy::readers::FeedOutcome;
 use fireflyhead_policy::readers::READERS_PER_ZONE;
 use fireflyhead_policy::readers::ReaderCandidate;
+use fireflyhead_policy::readers::WatchProgress;
 use fireflyhead_policy::readers::is_reader;
 use proptest::prelude::*;
 
@@ -146,3 +147,24 @@
         prop_assert_eq!(applied, (1..=after).collect::<Vec<u64>>());
     }
 }
+
+/// Guards against a node that takes a reply which the store has cut short for the present state, and
+/// against one that never catches up because some change is always new.
+#[test]
+fn a_watch_is_complete_once_a_reply_is_not_cut_short() {
+    let mut progress = WatchProgress::default();
+    assert!(!progress.record_reply(3), "the pages of a full read are no snapshot");
+    assert!(progress.record_reply(0));
+    for _ in 0..20 {
+        assert!(progress.record_reply(10));
+    }
+    assert!(!progress.record_reply(290));
+    assert!(!progress.record_reply(290));
+    assert!(!progress.record_reply(150));
+    assert!(progress.record_reply(12));
+    progress.record_gap();
+    assert!(progress.is_behind());
+    assert!(!progress.record_reply(40), "a store with a lower limit");
+    assert!(!progress.record_reply(40));
+    assert!(progress.record_reply(7));
+}
