Send the configuration to nodes that the store refuses

A node that the store turns away kept its configuration until the store answered again, so that a revoked key would work there for up to 9 s. While the configuration has accounts, each node now announces its version to three random nodes each 500 ms, and one that learns of a higher version requests the item in parts and applies it like an item of the store. Protocol version 6.

--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -34,6 +34,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::config_exchange;
 use crate::datagram_sender::MAX_DATAGRAM_BYTES;
 use crate::departures;
 use crate::engine_controller::ControllerMsg;
@@ -230,6 +231,11 @@
             }
             Ok(Datagram::CrashReports(reports)) => quarantine::handle_reports(&shared, &reports),
             Ok(Datagram::Departures(departures)) => departures::handle_notice(&shared, &departures),
+            Ok(Datagram::ConfigNotice(notice)) => config_exchange::handle_notice(&shared, &notice),
+            Ok(Datagram::ConfigRequest(request)) => {
+                config_exchange::handle_request(&shared, &request);
+            }
+            Ok(Datagram::ConfigPart(part)) => config_exchange::handle_part(&shared, &part),
             Err(error) => tracing::warn!(event = "bad_datagram", error, len),
         }
     }
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -13,6 +13,8 @@
 
 pub mod body;
 pub mod clock;
+pub mod config_exchange;
+pub mod config_state;
 pub mod datagram_sender;
 pub mod departures;
 pub mod directory;
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::config_exchange;
 use crate::directory;
 use crate::directory::Page;
 use crate::engine_controller;
@@ -131,6 +132,7 @@
         tasks.spawn(heartbeats::run_receiver(Arc::clone(&shared), socket, controller.clone()));
         tasks.spawn(run_periodic_checks(Arc::clone(&shared)));
         tasks.spawn(quarantine::run_exchange(Arc::clone(&shared)));
+        tasks.spawn(config_exchange::run(Arc::clone(&shared)));
         for listener in readiness_listener.into_iter().chain(directory_listener) {
             tasks.spawn(directory::serve(Arc::clone(&shared), listener, Page::Directory));
         }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -44,6 +44,8 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::config_exchange::ConfigExchangeState;
+use crate::config_state::ConfigView;
 use crate::datagram_sender::DatagramSender;
 use crate::feed_queue::FeedQueue;
 use crate::lifecycle::Lifecycle;
@@ -84,6 +86,10 @@
     pub quarantine: QuarantineState,
     /// Memory of the responses that are held back.
     pub response_memory: Arc<ResponseMemory>,
+    /// Exchange of the configuration with the other nodes.
+    pub config_exchange: ConfigExchangeState,
+    /// What this node knows of the newest configuration.
+    pub(crate) config_view: ConfigView,
     /// Whether this node serves callers.
     pub serving: ServingState,
     /// Wakes the heartbeat task: it sends the heartbeats that are due.
@@ -133,8 +139,11 @@
         let fleet = Fleet::new(settings.upstream_heartbeat);
         let response_memory =
             Arc::new(ResponseMemory::new(settings.memory / RESPONSE_MEMORY_DIVISOR));
+        let config_exchange = ConfigExchangeState::new(settings.node.clone());
         Shared {
             settings,
+            config_exchange,
+            config_view: ConfigView::default(),
             incarnation: clock::unix_millis(),
             protocol,
             metrics,
@@ -502,7 +511,7 @@
     }
 
     /// Sends a datagram to `node`, at the address from its heartbeats or else from the store.
-    fn send_to_node(&self, node: &Name, datagram: &Datagram) {
+    pub(crate) fn send_to_node(&self, node: &Name, datagram: &Datagram) {
         let address = self.peers().address(node.as_str());
         let address = address.or_else(|| self.members().get(node).copied());
         match address {
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -30,6 +30,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::config_exchange;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
 use crate::engine_controller::View;
@@ -203,6 +204,7 @@
                         continue;
                     }
                     last_complete = clock::now();
+                    self.shared.confirm_config(last_complete);
                     if self.shared.is_reader(clock::now()) {
                         let Unsent { after, items } =
                             std::mem::replace(&mut unsent, Unsent::after(position));
@@ -263,6 +265,7 @@
                     last_feed = now;
                     self.mark_store_reachable();
                     self.apply_changes(&items, era, View::Complete).await;
+                    self.shared.confirm_config(now);
                     after = to;
                 }
                 FeedOutcome::Gap => {
@@ -325,7 +328,7 @@
                 StoreRecord::Upstream { id, entry: Some(entry) } => {
                     listed.insert(id, entry);
                 }
-                record => self.apply_record(item, record),
+                record => self.apply_record(item, era, record),
             }
         }
         self.feed_filter.replace(&listed);
@@ -352,7 +355,7 @@
                 }
                 record => {
                     relevant.push(item.clone());
-                    self.apply_record(item, record);
+                    self.apply_record(item, era, record);
                 }
             }
         }
@@ -362,20 +365,11 @@
     }
 
     /// Applies a record that doesn't concern an upstream.
-    fn apply_record(&self, item: &Item, record: StoreRecord) {
+    fn apply_record(&self, item: &Item, era: Era, record: StoreRecord) {
         let now = clock::now();
         match record {
             StoreRecord::Config(Some(config)) => {
-                let version = config.version;
-                let routes = config.route_count();
-                if self.shared.set_config(*config) {
-                    tracing::info!(
-                        event = "config_in_force",
-                        version,
-                        routes,
-                        revision = item.revision
-                    );
-                }
+                config_exchange::apply(&self.shared, item, era, *config, None);
             }
             StoreRecord::Config(None) => {
                 tracing::warn!(event = "config_ignored", revision = item.revision);
--- a/crates/fireflyhead-gateway/tests/gateway/main.rs
+++ b/crates/fireflyhead-gateway/tests/gateway/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the state shared by the tasks of a node.
 
+mod config_state;
 mod pending;
 mod response_memory;
--- a/crates/fireflyhead-gateway/tests/gateway/pending.rs
+++ b/crates/fireflyhead-gateway/tests/gateway/pending.rs
@@ -17,7 +17,7 @@
 use fireflyhead_policy::fleet::UpstreamEntry;
 use fireflyhead_policy::fleet::UpstreamState;
 
-fn shared_state() -> Arc<Shared> {
+pub(crate) fn shared_state() -> Arc<Shared> {
     Arc::new(Shared::new(
         GatewaySettings::default(),
         Arc::new(Platform),
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`table`]: the operators' table and the configuration that is derived from it
 //! - [`config`]: routes and services, and which of them a request belongs to
 //! - [`accounts`]: which client account a request belongs to
+//! - [`config_exchange`]: which node sends the configuration to one that the store refuses
 //! - [`limits`]: which requests exceed their route's limit on rate or on requests in flight
 //! - [`fleet`]: which upstreams exist, also while the store is unavailable
 //! - [`dispatch`]: which upstream a request is sent to, which requests wait and which are rejected
@@ -29,6 +30,7 @@
 pub mod admission;
 pub mod budget;
 pub mod config;
+pub mod config_exchange;
 pub mod dispatch;
 pub mod era;
 pub mod fleet;
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -13,6 +13,8 @@
 //!   announced at least [`DEPARTURE_PROTOCOL`].
 //! - [`Activity`]: part of a heartbeat, sent only to nodes that announced at least
 //!   [`ACTIVITY_PROTOCOL`].
+//! - [`ConfigNotice`], [`ConfigRequest`], [`ConfigPart`]: the configuration, for nodes that the store
+//!   refuses. Sent only to nodes that announced at least [`ACCOUNT_PROTOCOL`].
 //!
 //! The holder of an engine is the node that owns it: it alone orders adapter loads there and admits
 //! requests. Module [`wire`] converts the messages to and from the generated wire types, some of
@@ -25,6 +27,9 @@
 
 use crate::Name;
 use crate::Time;
+use crate::config_exchange::ConfigNotice;
+use crate::config_exchange::ConfigPart;
+use crate::config_exchange::ConfigRequest;
 use crate::dispatch::Job;
 use crate::dispatch::JobId;
 use crate::protocol::ModelRef;
@@ -33,7 +38,7 @@
 
 /// Version of the protocol between nodes, which each node announces in the store. Nodes without an
 /// announcement have version 1.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 /// Lowest version of nodes that understand [`Datagram::CrashReports`].
 pub const EVIDENCE_PROTOCOL: u32 = 2;
 /// Lowest version of nodes that understand a [`Feed`] of a later era than the first one.
@@ -42,6 +47,8 @@
 pub const DEPARTURE_PROTOCOL: u32 = 4;
 /// Lowest version of nodes that understand a [`Heartbeat`] with an [`Activity`].
 pub const ACTIVITY_PROTOCOL: u32 = 5;
+/// Lowest version of nodes that understand the messages on client accounts.
+pub const ACCOUNT_PROTOCOL: u32 = 6;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -362,4 +369,10 @@
     CrashReports(Vec<CrashReport>),
     /// Upstreams that leave.
     Departures(Vec<Departure>),
+    /// Configuration that a node has.
+    ConfigNotice(ConfigNotice),
+    /// Request for parts of a configuration.
+    ConfigRequest(ConfigRequest),
+    /// Part of a configuration.
+    ConfigPart(ConfigPart),
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -23,6 +23,11 @@
 use fireflyhead_schema::messages as wire;
 
 use crate::Name;
+use crate::config_exchange::ConfigNotice;
+use crate::config_exchange::ConfigPart;
+use crate::config_exchange::ConfigRequest;
+use crate::config_exchange::ConfigStamp;
+use crate::config_exchange::MAX_PARTS_IN_FLIGHT;
 use crate::dispatch::JobId;
 use crate::era::Era;
 use crate::message::Activity;
@@ -111,6 +116,11 @@
                 let departures = departures.iter().map(wire::Departure::from).collect();
                 wire::datagram::Body::Departures(wire::Departures { departures })
             }
+            Datagram::ConfigNotice(notice) => wire::datagram::Body::ConfigNotices(notice.into()),
+            Datagram::ConfigRequest(request) => {
+                wire::datagram::Body::ConfigRequests(request.into())
+            }
+            Datagram::ConfigPart(part) => wire::datagram::Body::ConfigParts(part.into()),
         };
         wire::Datagram { body: Some(body) }
     }
@@ -164,11 +174,100 @@
             Some(wire::datagram::Body::Departures(wire::Departures { departures })) => {
                 Ok(Datagram::Departures(departures.into_iter().map(Departure::from).collect()))
             }
+            Some(wire::datagram::Body::ConfigNotices(notice)) => {
+                Ok(Datagram::ConfigNotice(notice.try_into()?))
+            }
+            Some(wire::datagram::Body::ConfigRequests(request)) => {
+                Ok(Datagram::ConfigRequest(request.try_into()?))
+            }
+            Some(wire::datagram::Body::ConfigParts(part)) => {
+                Ok(Datagram::ConfigPart(part.try_into()?))
+            }
             None => Err(WireError::Empty),
         }
     }
 }
 
+impl From<&ConfigStamp> for wire::ConfigStamp {
+    fn from(stamp: &ConfigStamp) -> wire::ConfigStamp {
+        let ConfigStamp { version, era, digest, bytes } = *stamp;
+        wire::ConfigStamp { version, era: era.number(), digest, bytes }
+    }
+}
+
+impl TryFrom<Option<wire::ConfigStamp>> for ConfigStamp {
+    type Error = WireError;
+
+    fn try_from(stamp: Option<wire::ConfigStamp>) -> Result<ConfigStamp, WireError> {
+        let wire::ConfigStamp { version, era, digest, bytes } = stamp.ok_or(WireError::Empty)?;
+        Ok(ConfigStamp { version, era: Era::new(era), digest, bytes })
+    }
+}
+
+impl From<&ConfigNotice> for wire::ConfigNotice {
+    fn from(notice: &ConfigNotice) -> wire::ConfigNotice {
+        wire::ConfigNotice { node: notice.node.to_string(), stamp: Some((&notice.stamp).into()) }
+    }
+}
+
+impl TryFrom<wire::ConfigNotice> for ConfigNotice {
+    type Error = WireError;
+
+    fn try_from(notice: wire::ConfigNotice) -> Result<ConfigNotice, WireError> {
+        Ok(ConfigNotice { node: Name::from(notice.node), stamp: notice.stamp.try_into()? })
+    }
+}
+
+impl From<&ConfigRequest> for wire::ConfigRequest {
+    fn from(request: &ConfigRequest) -> wire::ConfigRequest {
+        wire::ConfigRequest {
+            node: request.node.to_string(),
+            stamp: Some((&request.stamp).into()),
+            parts: request.parts.clone(),
+        }
+    }
+}
+
+impl TryFrom<wire::ConfigRequest> for ConfigRequest {
+    type Error = WireError;
+
+    fn try_from(request: wire::ConfigRequest) -> Result<ConfigRequest, WireError> {
+        Ok(ConfigRequest {
+            node: Name::from(request.node),
+            stamp: request.stamp.try_into()?,
+            parts: request.parts.into_iter().take(MAX_PARTS_IN_FLIGHT).collect(),
+        })
+    }
+}
+
+impl From<&ConfigPart> for wire::ConfigPart {
+    fn from(part: &ConfigPart) -> wire::ConfigPart {
+        wire::ConfigPart {
+            node: part.node.to_string(),
+            stamp: Some((&part.stamp).into()),
+            key: part.key.to_string(),
+            revision: part.revision,
+            index: part.index,
+            data: part.data.clone(),
+        }
+    }
+}
+
+impl TryFrom<wire::ConfigPart> for ConfigPart {
+    type Error = WireError;
+
+    fn try_from(part: wire::ConfigPart) -> Result<ConfigPart, WireError> {
+        Ok(ConfigPart {
+            node: Name::from(part.node),
+            stamp: part.stamp.try_into()?,
+            key: Name::from(part.key),
+            revision: part.revision,
+            index: part.index,
+            data: part.data,
+        })
+    }
+}
+
 impl From<&Departure> for wire::Departure {
     fn from(departure: &Departure) -> wire::Departure {
         wire::Departure { upstream: departure.upstream.to_string(), born: departure.incarnation }
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -8,6 +8,7 @@
 mod away;
 mod budget;
 mod config;
+mod config_exchange;
 mod custody;
 mod extremes;
 mod fleet;
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -4,6 +4,10 @@
 
 use bytes::Bytes;
 use fireflyhead_policy::Name;
+use fireflyhead_policy::config_exchange::ConfigNotice;
+use fireflyhead_policy::config_exchange::ConfigPart;
+use fireflyhead_policy::config_exchange::ConfigRequest;
+use fireflyhead_policy::config_exchange::ConfigStamp;
 use fireflyhead_policy::dispatch::JobId;
 use fireflyhead_policy::era::Era;
 use fireflyhead_policy::message::Activity;
@@ -123,6 +127,7 @@
         since_outage: Some(Duration::from_millis(900)),
         items,
     };
+    let stamp = ConfigStamp { version: 9, era: Era::new(2), digest: u64::MAX, bytes: 80_000 };
     vec![
         heartbeat(true),
         heartbeat(false),
@@ -131,6 +136,20 @@
         Datagram::Feed(feed.clone()),
         Datagram::Feed(Feed { era: Era::new(3), ..feed }),
         Datagram::Departures(vec![Departure { upstream: Name::from("desk-1"), incarnation: 7 }]),
+        Datagram::ConfigNotice(ConfigNotice { node: Name::from("node-1"), stamp }),
+        Datagram::ConfigRequest(ConfigRequest {
+            node: Name::from("node-2"),
+            stamp,
+            parts: vec![0, 3],
+        }),
+        Datagram::ConfigPart(ConfigPart {
+            node: Name::from("node-1"),
+            stamp,
+            key: Name::from("k"),
+            revision: 12,
+            index: 3,
+            data: Bytes::from("part"),
+        }),
         Datagram::CrashReports(vec![CrashReport {
             crash: CrashId(77),
             age: Duration::from_millis(1_234),
