--- a/crates/fireflyhead-gateway/src/config_state.rs
+++ b/crates/fireflyhead-gateway/src/config_state.rs
@@ -30,7 +30,7 @@
     }
 
     /// Records that the store, or a feed, has confirmed the view of the store at `now`.
-    pub(crate) fn confirm_config(&self, now: Time) {
+    pub fn confirm_config(&self, now: Time) {
         let mut view = self.config_view.lock().unwrap_or_else(PoisonError::into_inner);
         view.confirm(now);
     }
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -13,7 +13,8 @@
 
 pub mod body;
 pub mod clock;
-mod config_state;
+pub mod config_exchange;
+pub mod config_state;
 pub mod datagram_sender;
 pub mod departures;
 pub mod directory;
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -45,6 +45,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::config_exchange::ConfigExchangeState;
 use crate::datagram_sender::DatagramSender;
 use crate::feed_queue::FeedQueue;
 use crate::lifecycle::Lifecycle;
@@ -85,6 +86,8 @@
     pub quarantine: QuarantineState,
     /// Memory of the responses that are held back.
     pub response_memory: Arc<ResponseMemory>,
+    /// Exchange of the configuration with the other nodes.
+    pub config_exchange: ConfigExchangeState,
     /// Whether this node serves callers.
     pub serving: ServingState,
     /// Wakes the heartbeat task: it sends the heartbeats that are due.
@@ -136,8 +139,10 @@
         let fleet = Fleet::new(settings.upstream_heartbeat);
         let response_memory =
             Arc::new(ResponseMemory::new(settings.memory / RESPONSE_MEMORY_DIVISOR));
+        let config_exchange = ConfigExchangeState::new(settings.node.clone());
         Shared {
             settings,
+            config_exchange,
             incarnation: clock::unix_millis(),
             protocol,
             metrics,
@@ -506,7 +511,7 @@
     }
 
     /// Sends a datagram to `node`, at the address from its heartbeats or else from the store.
-    fn send_to_node(&self, node: &Name, datagram: &Datagram) {
+    pub(crate) fn send_to_node(&self, node: &Name, datagram: &Datagram) {
         let address = self.peers().address(node.as_str());
         let address = address.or_else(|| self.members().get(node).copied());
         match address {
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -13,8 +13,6 @@
 
 use bytes::Bytes;
 use fireflyhead_policy::Name;
-use fireflyhead_policy::accounts::Accounts;
-use fireflyhead_policy::accounts::UnusableAccount;
 use fireflyhead_policy::era::Era;
 use fireflyhead_policy::era::Position;
 use fireflyhead_policy::fleet::FleetChange;
@@ -27,12 +25,15 @@
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_policy::readers::FeedFilter;
 use fireflyhead_policy::readers::FeedOutcome;
+use fireflyhead_policy::readers::WatchProgress;
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::config_exchange;
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
+use crate::engine_controller::View;
 use crate::heartbeats::send_to_controller;
 use crate::quarantine;
 use crate::state::Shared;
@@ -47,6 +48,8 @@
 /// Longest wait of a watch. The wait is also limited to a third of the lease TTL, because a holder
 /// may send orders only while its view of the store is younger than its lease.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Wait of a watch of a node that may be several replies behind.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Interval between two watches of a reader, as a share of the time within which a change must be
 /// in effect.
 const WATCH_INTERVAL_SHARE: f64 = 0.4;
@@ -61,9 +64,6 @@
 /// Largest size of the values in a feed, in bytes. Larger changes are read from the store by each
 /// node.
 const MAX_FEED_BYTES: usize = 24 * 1024;
-/// Number of accounts that can't be used of which a new configuration logs a line each; a file with
-/// more has a common fault.
-const MAX_LOGGED_ACCOUNTS: usize = 20;
 /// Shortest and longest wait after a failed call.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
@@ -94,6 +94,20 @@
     }
 }
 
+/// Changes that have not been sent to the other nodes of the zone. They are sent once they lead to a
+/// complete view, for which the other nodes take a feed.
+struct Unsent {
+    /// Position after which the changes are.
+    after: Position,
+    items: Vec<Item>,
+}
+
+impl Unsent {
+    fn after(after: Position) -> Unsent {
+        Unsent { after, items: Vec::new() }
+    }
+}
+
 /// Client of the store that keeps the shared state up to date.
 struct StoreWatcher {
     shared: Arc<Shared>,
@@ -159,35 +173,67 @@
     /// Applies the changes after a position, from feeds or own watches, until the store has
     /// compacted the history or was restored.
     async fn watch(&mut self, mut position: Position) {
+        let mut progress = WatchProgress::default();
+        let mut unsent = Unsent::after(position);
+        let mut sent = clock::now();
+        let mut last_complete = sent;
         loop {
-            position.revision = self.apply_feeds(position).await;
+            if !progress.is_behind() {
+                let known = self.apply_feeds(position).await;
+                if known != position.revision {
+                    last_complete = clock::now();
+                }
+                position.revision = known;
+                unsent = Unsent::after(position);
+                sent = clock::now();
+                if sent.since(last_complete) >= self.max_view_age() {
+                    progress.record_gap();
+                }
+            }
             let Position { era, revision: after } = position;
-            let sent = clock::now();
-            let wait = self.watch_wait();
+            let wait = match progress.is_behind() {
+                true => CATCH_UP_WAIT,
+                false => self.watch_wait(),
+            };
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call_in(era, &call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
-                    let relevant = self.apply_changes(&items, era).await;
-                    self.shared.confirm_config(clock::now());
+                    let is_complete = progress.record_reply(items.len());
+                    let view = if is_complete { View::Complete } else { View::Partial };
+                    unsent.items.extend(self.apply_changes(&items, era, view).await);
+                    position.revision = revision.max(after);
+                    if !is_complete {
+                        tracing::debug!(event = "watch_behind", after, changes = items.len());
+                        continue;
+                    }
+                    last_complete = clock::now();
+                    self.shared.confirm_config(last_complete);
                     if self.shared.is_reader(clock::now()) {
-                        self.forward_changes(position, revision, relevant);
+                        let Unsent { after, items } =
+                            std::mem::replace(&mut unsent, Unsent::after(position));
+                        self.forward_changes(after, position.revision, items);
                         sleep(self.watch_interval().saturating_sub(clock::now().since(sent))).await;
                     }
-                    position.revision = revision.max(after);
                 }
                 Ok(StoreReply::Compacted) => {
                     tracing::info!(event = "store_history_gone", after);
                     return;
                 }
-                Ok(reply) => self.handle_store_failure(&format!("{reply:?}")).await,
+                Ok(reply) => {
+                    progress.record_gap();
+                    self.handle_store_failure(&format!("{reply:?}")).await;
+                }
                 // The pages of a full read are smaller.
                 Err(StoreError::Transport(CallError::TooLarge(bytes))) => {
                     tracing::warn!(event = "watch_too_large", after, bytes);
                     return;
                 }
-                Err(e) => self.handle_store_failure(&e.to_string()).await,
+                Err(e) => {
+                    progress.record_gap();
+                    self.handle_store_failure(&e.to_string()).await;
+                }
             }
         }
     }
@@ -200,6 +246,11 @@
         }
     }
 
+    /// Returns the age of the view from which on the node may be several replies behind.
+    fn max_view_age(&self) -> Duration {
+        self.watch_interval() * 2
+    }
+
     /// Returns the interval between two watches of a reader.
     fn watch_interval(&self) -> Duration {
         self.shared.settings.apply_bound.mul_f64(WATCH_INTERVAL_SHARE)
@@ -226,7 +277,7 @@
                 FeedOutcome::Apply(items, to) => {
                     last_feed = now;
                     self.mark_store_reachable();
-                    self.apply_changes(&items, era).await;
+                    self.apply_changes(&items, era, View::Complete).await;
                     self.shared.confirm_config(now);
                     after = to;
                 }
@@ -290,17 +341,17 @@
                 StoreRecord::Upstream { id, entry: Some(entry) } => {
                     listed.insert(id, entry);
                 }
-                record => self.apply_record(item, record),
+                record => self.apply_record(item, era, record),
             }
         }
         self.feed_filter.replace(&listed);
         let changes = self.shared.fleet().replace(now, &listed);
         apply_fleet_changes(&self.shared, changes);
-        self.send_internal_items(items, era, true).await;
+        self.send_internal_items(items, era, View::Snapshot).await;
     }
 
     /// Applies changed items. Returns those that other nodes need, see [`FeedFilter`].
-    async fn apply_changes(&mut self, items: &[Item], era: Era) -> Vec<Item> {
+    async fn apply_changes(&mut self, items: &[Item], era: Era, view: View) -> Vec<Item> {
         let now = clock::now();
         let mut changes = Vec::new();
         let mut relevant = Vec::new();
@@ -317,33 +368,21 @@
                 }
                 record => {
                     relevant.push(item.clone());
-                    self.apply_record(item, record);
+                    self.apply_record(item, era, record);
                 }
             }
         }
         apply_fleet_changes(&self.shared, changes);
-        self.send_internal_items(items, era, false).await;
+        self.send_internal_items(items, era, view).await;
         relevant
     }
 
     /// Applies a record that doesn't concern an upstream.
-    fn apply_record(&self, item: &Item, record: StoreRecord) {
+    fn apply_record(&self, item: &Item, era: Era, record: StoreRecord) {
         let now = clock::now();
         match record {
             StoreRecord::Config(Some(config)) => {
-                let version = config.version;
-                let routes = config.route_count();
-                let accounts = config.accounts.clone();
-                if self.shared.set_config(*config) {
-                    tracing::info!(
-                        event = "config_in_force",
-                        version,
-                        routes,
-                        accounts = accounts.as_ref().map(Accounts::len),
-                        revision = item.revision
-                    );
-                    accounts.iter().for_each(log_unusable_accounts);
-                }
+                config_exchange::apply(&self.shared, item, era, *config, None);
             }
             StoreRecord::Config(None) => {
                 tracing::warn!(event = "config_ignored", revision = item.revision);
@@ -359,7 +398,7 @@
     }
 
     /// Sends the membership entries and ownership records among `items` to the engine controller.
-    async fn send_internal_items(&self, items: &[Item], era: Era, full: bool) {
+    async fn send_internal_items(&self, items: &[Item], era: Era, view: View) {
         let internal = items
             .iter()
             .filter(|item| self.shared.protocol.parse_store_item(item) == StoreRecord::Internal)
@@ -367,26 +406,12 @@
             .collect();
         send_to_controller(
             &self.controller,
-            ControllerMsg::StoreItems { items: internal, era, full },
+            ControllerMsg::StoreItems { items: internal, era, view },
         )
         .await;
     }
 }
 
-/// Logs the accounts of a new configuration that can't be used: each of the first ones by name, and
-/// the number of all.
-fn log_unusable_accounts(accounts: &Accounts) {
-    let unusable = accounts.unusable();
-    for UnusableAccount { name, keys, reason } in unusable.iter().take(MAX_LOGGED_ACCOUNTS) {
-        let (account, keys) = (name.as_ref().map(Name::as_str), keys.len());
-        tracing::warn!(event = "account_unusable", account, keys, reason);
-    }
-    let keys = accounts.unusable_key_count();
-    if !unusable.is_empty() || keys > 0 {
-        tracing::warn!(event = "accounts_unusable", accounts = unusable.len(), keys);
-    }
-}
-
 /// Ends the grace periods of upstreams after an outage or a restore of the store.
 pub fn end_grace(shared: &Shared) {
     let changes = shared.fleet().end_grace(clock::now());
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -10,6 +10,7 @@
 mod away;
 mod budget;
 mod config;
+mod config_exchange;
 mod custody;
 mod extremes;
 mod fleet;
