--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -546,6 +546,9 @@
             self.shared.service_times().record(now, &self.route.name, time);
         }
         self.shared.metrics.record_request(self.route.name.as_str(), outcome, total);
+        if let Some(account) = self.identity.account() {
+            self.shared.metrics.accounts.record_request(&account.name, outcome);
+        }
         self.shared.metrics.record_queue_time(attempts.queued);
         tracing::info!(
             event = "request",
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! All tasks run on one thread and share [`state::Shared`].
 
+pub mod account_metrics;
 pub mod body;
 pub mod clock;
 mod config_state;
--- a/crates/fireflyhead-gateway/src/metrics.rs
+++ b/crates/fireflyhead-gateway/src/metrics.rs
@@ -12,12 +12,16 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::account_metrics::AccountMetrics;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
     [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
 
 /// Counters, gauges and histograms of a node.
 pub struct Metrics {
+    /// Requests of client accounts.
+    pub accounts: AccountMetrics,
     registry: Registry,
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
@@ -56,6 +60,7 @@
                 .build()
         };
         Metrics {
+            accounts: AccountMetrics::default(),
             requests: meter.u64_counter("fireflyhead_requests").build(),
             rejections: meter.u64_counter("fireflyhead_rejections").build(),
             sends: meter.u64_counter("fireflyhead_sends").build(),
@@ -132,7 +137,9 @@
     /// The values can't be encoded.
     pub fn encode_text(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut buf = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        let mut families = self.registry.gather();
+        families.extend(self.accounts.collect()?);
+        TextEncoder::new().encode(&families, &mut buf)?;
         Ok(buf)
     }
 }
