--- a/crates/fireflyhead-gateway/src/body.rs
+++ b/crates/fireflyhead-gateway/src/body.rs
@@ -32,6 +32,8 @@
     Deadline,
     /// the node stopped
     NodeStopped,
+    /// the key of the request was revoked
+    KeyRevoked,
 }
 
 impl std::error::Error for BodyError {}
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -10,6 +10,7 @@
 mod inbound_request;
 mod local_responses;
 mod response_body;
+mod revocation;
 mod streaming;
 
 use std::convert::Infallible;
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -45,6 +45,7 @@
 use super::inbound_request::Selection;
 use super::response_body::ReadError;
 use super::response_body::ResponseBody;
+use super::revocation::KeyWatch;
 
 /// Time without data after which another upstream is selected for a resumable stream that has
 /// begun, if an attempt is left. Several times the longest pause that any deployment allows,
@@ -77,6 +78,7 @@
     scanner: Option<EventScanner>,
     /// Memory of the event that is kept back until it is complete.
     held: HeldResponse,
+    key: KeyWatch,
     /// Whether the caller has received data.
     started: bool,
     ended: bool,
@@ -108,6 +110,8 @@
     DeadlineExceeded,
     /// The grace period of the node's stop is over.
     NodeStopped,
+    /// The key of the request was revoked.
+    KeyRevoked,
 }
 
 /// Upstream that was selected for the next attempt, see [`Selection::Send`].
@@ -136,6 +140,7 @@
         in_flight,
         scanner,
         held: HeldResponse::new(&request.shared.response_memory),
+        key: KeyWatch::new(&request.shared, &request.identity),
         started: false,
         ended: false,
         may_move: true,
@@ -176,6 +181,10 @@
                     self.abort("interrupted", SendOutcome::Abandoned, "");
                     return Some(Err(BodyError::NodeStopped));
                 }
+                StreamStep::KeyRevoked => {
+                    self.abort("revoked", SendOutcome::Abandoned, "the key was revoked");
+                    return Some(Err(BodyError::KeyRevoked));
+                }
                 StreamStep::Silent => {
                     if let Some(next) = self.select_next().await
                         && let Err(e) = self.resume(SILENT, Failure::Timeout, Some(next)).await
@@ -183,6 +192,10 @@
                         return Some(Err(e));
                     }
                 }
+                // A stream that broke off is not resumed only to be ended.
+                StreamStep::Broken(..) if self.key.is_revoked() => {
+                    self.received = Some(StreamStep::KeyRevoked);
+                }
                 StreamStep::Broken(reason, failure) => {
                     if let Err(e) = self.resume(&reason, failure, None).await {
                         return Some(Err(e));
@@ -233,7 +246,12 @@
                 data = body.next(&self.request.shared) => data,
             }
         };
-        match self.request.wait_for(wait, data).await {
+        let received = tokio::select! {
+            biased;
+            () = self.key.revoked() => return StreamStep::KeyRevoked,
+            received = self.request.wait_for(wait, data) => received,
+        };
+        match received {
             Ok(data) => self.handle_data(data),
             Err(WaitError::NodeStopped) => StreamStep::NodeStopped,
             Err(WaitError::Timeout) if is_past(end) => StreamStep::DeadlineExceeded,
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -58,6 +58,9 @@
     pub version_bound: Duration,
     /// Time for which callers may cache a response with node addresses.
     pub resolve_ttl: Duration,
+    /// Time after the revocation of a key within which its open streams must end; `None` if they go
+    /// on.
+    pub revoke_closes_streams: Option<Duration>,
 }
 
 impl Default for GatewaySettings {
@@ -85,6 +88,7 @@
             retry_window: Duration::from_secs(10),
             version_bound: Duration::from_secs(5),
             resolve_ttl: Duration::from_secs(2),
+            revoke_closes_streams: None,
         }
     }
 }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -43,6 +43,7 @@
 use fireflyhead_policy::serving;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::datagram_sender::DatagramSender;
@@ -97,6 +98,9 @@
     announcement_due: AtomicBool,
     /// Phase of the node.
     pub lifecycle: Lifecycle,
+    /// Version of the configuration in effect, for tasks that wait for its changes; 0 before the
+    /// first one.
+    config_changes: watch::Sender<u64>,
     /// What the node knows of the age of its configuration.
     pub(crate) config_view: Mutex<ConfigView>,
     config: Mutex<Option<Arc<Config>>>,
@@ -152,6 +156,7 @@
             placements_changed: AtomicBool::new(false),
             announcement_due: AtomicBool::new(true),
             lifecycle: Lifecycle::default(),
+            config_changes: watch::Sender::new(0),
             config_view: Mutex::new(ConfigView::default()),
             config: Mutex::new(None),
             fleet: Mutex::new(fleet),
@@ -187,10 +192,18 @@
         if current.as_ref().is_some_and(|current| current.version >= config.version) {
             return false;
         }
+        let version = config.version;
         *current = Some(Arc::new(config));
+        drop(current);
+        self.config_changes.send_replace(version);
         true
     }
 
+    /// Returns a receiver that is notified of each change of the configuration.
+    pub(crate) fn config_changes(&self) -> watch::Receiver<u64> {
+        self.config_changes.subscribe()
+    }
+
     /// Locks the upstreams that the store lists.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         lock(&self.fleet)
