Let operators write accounts, keys and quotas

Cause: accounts could be set only by writing the configuration by hand. Change: rows of kind account and the optional columns keys, burst, priority, unit, plain_tokens and public of the table, where keys are digests or files; table apply keeps the accounts of the store if the table has none; the command accounts lists, adds, rotates and removes keys and sets quotas. No command prints a key.

--- a/crates/fireflyhead-policy/src/accounts.rs
+++ b/crates/fireflyhead-policy/src/accounts.rs
@@ -37,6 +37,23 @@
         KeyDigest(bytes)
     }
 
+    /// Parses a digest in hexadecimal; `None` if it doesn't have 64 digits.
+    pub fn from_hex(text: &str) -> Option<KeyDigest> {
+        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return None;
+        }
+        let mut bytes = [0; 32];
+        for (byte, at) in bytes.iter_mut().zip((0..64).step_by(2)) {
+            *byte = u8::from_str_radix(text.get(at..at + 2)?, 16).ok()?;
+        }
+        Some(KeyDigest(bytes))
+    }
+
+    /// Returns the whole digest in hexadecimal.
+    pub fn to_hex(&self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
     /// Returns the bytes of the digest.
     pub const fn as_bytes(&self) -> &[u8; 32] {
         &self.0
--- a/crates/fireflyhead-policy/src/table.rs
+++ b/crates/fireflyhead-policy/src/table.rs
@@ -2,18 +2,23 @@
 //!
 //! The table is CSV text. A `class` row sets the policy of a class of requests; an `adapter` row
 //! names an adapter, its served versions and its class, from which it inherits the policy of its
-//! empty cells. A table is immutable: an edit creates a new one with a higher version.
+//! empty cells; an `account` row describes a client account. A table is immutable: an edit creates a
+//! new one with a higher version.
 
+mod account_rows;
 mod csv_text;
 mod edit;
 mod routes;
 
 use std::time::Duration;
 
+use crate::accounts::KeyDigest;
+use crate::accounts::Quota;
 use crate::types::Name;
 use crate::types::Rank;
 
 pub use csv_text::COLUMNS;
+pub use csv_text::OPTIONAL_COLUMNS;
 pub use csv_text::RowError;
 pub use edit::ApplyError;
 pub use edit::Conflict;
@@ -26,6 +31,8 @@
     Class,
     /// Adapter of a class.
     Adapter,
+    /// Client account.
+    Account,
 }
 
 impl RowKind {
@@ -34,6 +41,7 @@
         match self {
             RowKind::Class => "class",
             RowKind::Adapter => "adapter",
+            RowKind::Account => "account",
         }
     }
 }
@@ -87,14 +95,34 @@
     }
 }
 
+/// Where the table finds a key.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum KeySource {
+    /// Digest of a key that the configuration in the store, or another account's file, has in clear.
+    Digest(KeyDigest),
+    /// File with one key in clear on each line.
+    File(String),
+}
+
+/// Client account of an `account` row.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccountSpec {
+    /// Its keys.
+    pub keys: Vec<KeySource>,
+    /// Priority of its requests instead of that of their route.
+    pub priority: Option<u8>,
+    /// Quota; `None` without a limit.
+    pub quota: Option<Quota>,
+}
+
 /// Row of the table with its policy, including the inherited cells.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Row {
-    /// Class or adapter.
+    /// Class, adapter or account.
     pub kind: RowKind,
-    /// Name of the class or adapter.
+    /// Name of the class, adapter or account.
     pub name: Name,
-    /// Class of an adapter row; the name of a class row itself.
+    /// Class of an adapter row; the name of another row itself.
     pub class: Name,
     /// Service whose upstreams execute the requests.
     pub service: Name,
@@ -104,12 +132,18 @@
     pub versions: Vec<Name>,
     /// Policy of the row.
     pub policy: Policy,
-    /// Cells as written, in the order of [`COLUMNS`].
+    /// Whether the requests of a class need no key.
+    pub is_public: bool,
+    /// Account of an `account` row.
+    pub account: Option<AccountSpec>,
+    /// Cells as written, in the order of [`COLUMNS`] and, unless all of these are empty,
+    /// [`OPTIONAL_COLUMNS`].
     cells: Vec<String>,
 }
 
 impl Row {
-    /// Returns the cells as written, in the order of [`COLUMNS`].
+    /// Returns the cells as written, in the order of [`COLUMNS`] and, unless all of these are empty,
+    /// [`OPTIONAL_COLUMNS`].
     pub fn cells(&self) -> &[String] {
         &self.cells
     }
@@ -150,4 +184,9 @@
     pub fn classes(&self) -> impl Iterator<Item = &Row> {
         self.rows.iter().filter(|row| row.kind == RowKind::Class)
     }
+
+    /// Returns the names and properties of the client accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&Name, &AccountSpec)> {
+        self.rows.iter().filter_map(|row| Some((&row.name, row.account.as_ref()?)))
+    }
 }
--- a/crates/fireflyhead-policy/src/table/csv_text.rs
+++ b/crates/fireflyhead-policy/src/table/csv_text.rs
@@ -9,6 +9,7 @@
 use crate::table::RequestMatch;
 use crate::table::Row;
 use crate::table::RowKind;
+use crate::table::account_rows::parse_account;
 use crate::types::Name;
 use crate::types::Rank;
 
@@ -31,6 +32,13 @@
     "idempotent",
 ];
 
+/// Columns that a table may have beyond those, all or none of them.
+pub const OPTIONAL_COLUMNS: [&str; 6] =
+    ["keys", "burst", "priority", "unit", "plain_tokens", "public"];
+
+/// Numbers of cells of a row without and with the optional ones.
+pub(super) const ROW_LENGTHS: [usize; 2] = [COLUMNS.len(), COLUMNS.len() + OPTIONAL_COLUMNS.len()];
+
 /// Maximum length of the name of a class, adapter, service or version, in bytes.
 const MAX_NAME_BYTES: usize = 128;
 /// Maximum deadline or target: one day, in milliseconds.
@@ -58,21 +66,28 @@
 
 impl std::error::Error for RowError {}
 
-/// Line of the text with its cells in the order of [`COLUMNS`].
-struct Line {
+/// Line of the text with its cells in the order of [`COLUMNS`] and, unless all of these are empty,
+/// [`OPTIONAL_COLUMNS`].
+pub(super) struct Line {
     number: u64,
     cells: Vec<String>,
 }
 
 impl Line {
-    /// Returns the cell in `column`, which must be one of [`COLUMNS`].
-    fn cell(&self, column: &str) -> &str {
-        let at = COLUMNS.iter().position(|name| *name == column).expect("a known column");
-        &self.cells[at]
+    /// Returns the cell in `column`, which must be one of [`COLUMNS`] or [`OPTIONAL_COLUMNS`].
+    pub(super) fn cell(&self, column: &str) -> &str {
+        let mut columns = COLUMNS.iter().chain(&OPTIONAL_COLUMNS);
+        let at = columns.position(|name| *name == column).expect("a known column");
+        self.cells.get(at).map_or("", String::as_str)
+    }
+
+    /// Returns all cells.
+    pub(super) fn cells(&self) -> &[String] {
+        &self.cells
     }
 
     /// Creates an error for the cell in `column`.
-    fn error(&self, column: &str, reason: impl Into<String>) -> RowError {
+    pub(super) fn error(&self, column: &str, reason: impl Into<String>) -> RowError {
         RowError { line: self.number, column: column.to_owned(), reason: reason.into() }
     }
 }
@@ -90,14 +105,15 @@
         }
         let row = match line.cell("kind") {
             "class" => parse_class(line, &mut errors),
+            "account" => parse_account(line, &mut errors),
             "adapter" => None,
             kind => {
-                errors
-                    .push(line.error("kind", format!("`{kind}` is neither `class` nor `adapter`")));
+                let reason = format!("`{kind}` is not `class`, `adapter` or `account`");
+                errors.push(line.error("kind", reason));
                 None
             }
         };
-        if let Some(row) = &row {
+        if let Some(row) = row.as_ref().filter(|row| row.kind == RowKind::Class) {
             classes.insert(row.name.to_string(), row.clone());
         }
         rows.push(row);
@@ -116,12 +132,16 @@
     }
 }
 
-/// Returns the CSV text of `rows` with a header line.
+/// Returns the CSV text of `rows` with a header line, which has the optional columns if a row does.
 pub(super) fn write<'a>(rows: impl Iterator<Item = &'a [String]>) -> String {
+    let rows: Vec<&[String]> = rows.collect();
+    let columns: Vec<&str> = COLUMNS.into_iter().chain(OPTIONAL_COLUMNS).collect();
+    let len = rows.iter().map(|row| row.len()).max().unwrap_or(0).max(COLUMNS.len());
     let mut writer = csv::Writer::from_writer(Vec::new());
-    writer.write_record(COLUMNS).expect("a write to memory succeeds");
-    for cells in rows {
-        writer.write_record(cells).expect("rows have as many cells as the header");
+    writer.write_record(&columns[..len]).expect("a write to memory succeeds");
+    for row in rows {
+        let cells = row.iter().map(String::as_str).chain(std::iter::repeat(""));
+        writer.write_record(cells.take(len)).expect("rows have as many cells as the header");
     }
     let bytes = writer.into_inner().expect("a flush to memory succeeds");
     String::from_utf8(bytes).expect("cells are UTF-8")
@@ -135,6 +155,7 @@
         .trim(csv::Trim::All)
         .from_reader(text.as_bytes());
     let mut lines = Vec::new();
+    let mut columns = COLUMNS.len();
     let line_error = |line, reason| RowError { line, column: String::new(), reason };
     for (i, record) in reader.records().enumerate() {
         let record = match record {
@@ -146,18 +167,26 @@
         };
         let number = record.position().map_or(0, csv::Position::line);
         match record.len() {
+            n if i == 0 && record.iter().eq(COLUMNS.into_iter().chain(OPTIONAL_COLUMNS)) => {
+                columns = n;
+            }
             _ if i == 0 && !record.iter().eq(COLUMNS) => {
-                errors.push(line_error(
-                    number,
-                    format!("the header must be `{}`", COLUMNS.join(",")),
-                ));
+                let reason = format!(
+                    "the header must be `{}`, which `,{}` may follow",
+                    COLUMNS.join(","),
+                    OPTIONAL_COLUMNS.join(",")
+                );
+                errors.push(line_error(number, reason));
             }
             _ if i == 0 => {}
-            n if n == COLUMNS.len() => {
-                lines.push(Line { number, cells: record.iter().map(str::to_owned).collect() });
+            n if n == columns => {
+                let mut cells: Vec<String> = record.iter().map(str::to_owned).collect();
+                if cells[COLUMNS.len()..].iter().all(String::is_empty) {
+                    cells.truncate(COLUMNS.len());
+                }
+                lines.push(Line { number, cells });
             }
-            n => errors
-                .push(line_error(number, format!("expected {} cells, found {n}", COLUMNS.len()))),
+            n => errors.push(line_error(number, format!("expected {columns} cells, found {n}"))),
         }
     }
     if lines.is_empty() && errors.is_empty() {
@@ -173,6 +202,8 @@
     let service = parse_name(line, "service", errors);
     let request_match = parse_request_match(line, errors);
     require_empty(line, &["class", "version"], errors);
+    require_empty(line, &OPTIONAL_COLUMNS[..OPTIONAL_COLUMNS.len() - 1], errors);
+    let is_public = parse_flag(line, "public", false, errors);
     let policy = parse_policy(line, &Policy::default(), errors);
     (errors.len() == errors_before).then(|| Row {
         kind: RowKind::Class,
@@ -182,6 +213,8 @@
         request_match,
         versions: Vec::new(),
         policy,
+        is_public,
+        account: None,
         cells: line.cells.clone(),
     })
 }
@@ -195,6 +228,7 @@
     let errors_before = errors.len();
     let name = parse_name(line, "name", errors);
     require_empty(line, &["service", "match", "floor"], errors);
+    require_empty(line, &OPTIONAL_COLUMNS, errors);
     let versions: Vec<Name> = line.cell("version").split_whitespace().map(Name::from).collect();
     if versions.is_empty() {
         errors.push(line.error("version", "an adapter needs at least one version"));
@@ -225,12 +259,14 @@
         request_match: None,
         versions,
         policy,
+        is_public: false,
+        account: None,
         cells: line.cells.clone(),
     })
 }
 
 /// Reports the cells in `columns` that are not empty.
-fn require_empty(line: &Line, columns: &[&str], errors: &mut Vec<RowError>) {
+pub(super) fn require_empty(line: &Line, columns: &[&str], errors: &mut Vec<RowError>) {
     for column in columns.iter().filter(|column| !line.cell(column).is_empty()) {
         let reason = format!("must be empty in a row of kind `{}`", line.cell("kind"));
         errors.push(line.error(column, reason));
@@ -238,7 +274,7 @@
 }
 
 /// Parses a name and reports characters that names must not contain.
-fn parse_name(line: &Line, column: &str, errors: &mut Vec<RowError>) -> Name {
+pub(super) fn parse_name(line: &Line, column: &str, errors: &mut Vec<RowError>) -> Name {
     let text = line.cell(column);
     let is_name_char = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | '/');
     match text {
@@ -280,15 +316,7 @@
             base.rank
         }),
     };
-    let idempotent = match line.cell("idempotent") {
-        "" => base.idempotent,
-        "true" | "TRUE" | "yes" => true,
-        "false" | "FALSE" | "no" => false,
-        text => {
-            errors.push(line.error("idempotent", format!("`{text}` is not `true` or `false`")));
-            base.idempotent
-        }
-    };
+    let idempotent = parse_flag(line, "idempotent", base.idempotent, errors);
     let mut cells = NumericCells { line, errors };
     Policy {
         rank,
@@ -303,16 +331,29 @@
     }
 }
 
+/// Parses the truth value in `column`; an empty or invalid cell has the value `default`.
+fn parse_flag(line: &Line, column: &str, default: bool, errors: &mut Vec<RowError>) -> bool {
+    match line.cell(column) {
+        "" => default,
+        "true" | "TRUE" | "yes" => true,
+        "false" | "FALSE" | "no" => false,
+        text => {
+            errors.push(line.error(column, format!("`{text}` is not `true` or `false`")));
+            default
+        }
+    }
+}
+
 /// Parser for the numeric cells of one line.
-struct NumericCells<'a> {
-    line: &'a Line,
-    errors: &'a mut Vec<RowError>,
+pub(super) struct NumericCells<'a> {
+    pub(super) line: &'a Line,
+    pub(super) errors: &'a mut Vec<RowError>,
 }
 
 impl NumericCells<'_> {
     /// Parses the number in `column`, which must lie between `min` and `max`; `None` if the cell is
     /// empty or invalid.
-    fn number<T>(&mut self, column: &str, min: T, max: T) -> Option<T>
+    pub(super) fn number<T>(&mut self, column: &str, min: T, max: T) -> Option<T>
     where
         T: FromStr + PartialOrd + std::fmt::Display,
     {
--- a/crates/fireflyhead-policy/src/table/edit.rs
+++ b/crates/fireflyhead-policy/src/table/edit.rs
@@ -124,7 +124,8 @@
         let added =
             changes.iter().filter(|change| !rows.contains_key(&(&*change.kind, &*change.name)));
         cells.extend(added.filter_map(|change| change.after.as_deref()));
-        if let Some(malformed) = cells.iter().find(|row| row.len() != csv_text::COLUMNS.len()) {
+        let is_malformed = |row: &&&[String]| !csv_text::ROW_LENGTHS.contains(&row.len());
+        if let Some(malformed) = cells.iter().find(is_malformed) {
             let reason =
                 format!("expected {} cells, found {}", csv_text::COLUMNS.len(), malformed.len());
             let error = RowError { line: 0, column: String::new(), reason };
--- a/crates/fireflyhead-policy/src/table/routes.rs
+++ b/crates/fireflyhead-policy/src/table/routes.rs
@@ -61,7 +61,7 @@
         host: row.service.clone(),
         prefix: Name::from(prefix),
         method,
-        is_public: false,
+        is_public: row.is_public,
         kind,
         timeout: deadline,
         objective: target,
--- a/crates/fireflyhead-policy/tests/policy/table.rs
+++ b/crates/fireflyhead-policy/tests/policy/table.rs
@@ -3,12 +3,17 @@
 use std::time::Duration;
 
 use fireflyhead_policy::Name;
+use fireflyhead_policy::accounts::KeyDigest;
+use fireflyhead_policy::accounts::Quota;
+use fireflyhead_policy::accounts::QuotaUnit;
 use fireflyhead_policy::config::RouteKind;
 use proptest::prelude::ProptestConfig;
 use proptest::proptest;
 
 use fireflyhead_policy::table::ApplyError;
 use fireflyhead_policy::table::COLUMNS;
+use fireflyhead_policy::table::KeySource;
+use fireflyhead_policy::table::OPTIONAL_COLUMNS;
 use fireflyhead_policy::table::Table;
 
 /// Valid rows, which follow the header line.
@@ -154,3 +159,77 @@
         assert!(applied.diff(&new).is_empty());
     }
 }
+
+/// Parses a table with the optional columns: class rows, of which `open` is public, and `rows`.
+fn parse_account_rows(rows: &str) -> Result<Table, Vec<fireflyhead_policy::table::RowError>> {
+    let header = format!("{},{}", COLUMNS.join(","), OPTIONAL_COLUMNS.join(","));
+    let classes = "class,chat,,models,,,standard,2,0.3,,,530,30000,0.2,true,,,,,,
+class,open,,desk,GET /open,,standard,1,0,,,530,5000,0.2,true,,,,,,true
+";
+    Table::from_csv(1, &format!("{header}\n{classes}{rows}"))
+}
+
+/// Guards against accounts that are misread from the table, and against tables that lose them, or
+/// that differ, when they are written and read again.
+#[test]
+fn account_rows_are_parsed() {
+    let digest = KeyDigest::of("k");
+    let rows = format!(
+        "account,a,,,,,,,,2.5,,,,,,sha256:{} file:keys/a.txt,10,0,tokens,300,
+account,b,,,,,,,,,,,,,,,,,,,
+",
+        digest.to_hex().to_uppercase()
+    );
+    let table = parse_account_rows(&rows).expect("the rows are valid");
+    let accounts: Vec<_> = table.accounts().collect();
+    let (name, spec) = accounts[0];
+    assert_eq!((name.as_str(), spec.priority), ("a", Some(0)));
+    let keys = [KeySource::Digest(digest), KeySource::File("keys/a.txt".to_owned())];
+    assert_eq!(spec.keys, keys);
+    let unit = QuotaUnit::Tokens { plain_request: 300 };
+    assert_eq!(spec.quota, Some(Quota { unit, rate: 2.5, burst: 10.0 }));
+    let (name, spec) = accounts[1];
+    assert_eq!((name.as_str(), spec.priority, spec.quota), ("b", None, None));
+    assert!(spec.keys.is_empty() && accounts.len() == 2);
+    let config = table.config(Vec::new());
+    let public: Vec<_> = config.routes().filter(|r| r.is_public).map(|r| r.name.as_str()).collect();
+    assert_eq!((public, config.route_count()), (vec!["open"], 2));
+    let again = Table::from_csv(1, &table.to_csv()).expect("the written table is valid");
+    assert_eq!(table.diff(&again), []);
+    // The same rows without the optional columns.
+    let plain = parse_rows("class,chat,,models,,,standard,2,0.3,,,530,30000,0.2,true\n");
+    let changes = plain.expect("valid").diff(&table);
+    assert_eq!(changes.iter().map(|c| c.name.as_str()).collect::<Vec<_>>(), ["open", "a", "b"]);
+    let applied = valid_table().apply(2, &changes[1..]).expect("the edit is applied");
+    assert_eq!(applied.accounts().count(), 2);
+}
+
+/// Guards against account rows that are accepted with an invalid cell, and against an error that
+/// repeats a key which was written into the table by mistake.
+#[test]
+fn invalid_account_cells_are_reported_without_keys() {
+    let cases = [
+        ("account,a,,,,,,,,,,,,,,a-secret-key,,,,,", "keys"),
+        ("account,a,,,,,,,,,,,,,,sha256:a-secret-key,,,,,", "keys"),
+        ("account,a,,,,,,,,,,,,,,file:,,,,,", "keys"),
+        ("account,a,,,,,,,,-1,,,,,,,,,,,", "rate"),
+        ("account,a,,,,,,,,inf,,,,,,,,,,,", "rate"),
+        ("account,a,,,,,,,,,,,,,,,NaN,,,,", "burst"),
+        ("account,a,,,,,,,,,,,,,,,,256,,,", "priority"),
+        ("account,a,,,,,,,,,,,,,,,,,token,,", "unit"),
+        ("account,a,,,,,,,,,,,,,,,,,tokens,-1,", "plain_tokens"),
+        ("account,a,chat,,,,,,,,,,,,,,,,,,", "class"),
+        ("account,a,,,,,urgent,,,,,,,,,,,,,,", "rank"),
+        ("account,a,,,,,,,,,,,,,,,,,,,true", "public"),
+        ("account,,,,,,,,,,,,,,,,,,,,", "name"),
+        ("class,x,,models,,,standard,1,,,,,,,,a-secret-key,,,,,", "keys"),
+        ("adapter,x,chat,,,v1,,,,,,,,,,,,,,,true", "public"),
+        ("account,a", ""),
+    ];
+    for (row, column) in cases {
+        let errors = parse_account_rows(&format!("{row}\n")).expect_err(row);
+        let found: Vec<_> = errors.iter().map(|e| (e.line, e.column.as_str())).collect();
+        assert_eq!(found, [(4, column)], "{row}: {errors:?}");
+        assert!(!format!("{errors:?}").contains("a-secret-key"), "{errors:?}");
+    }
+}
--- a/src/bin/fireflyhead/commands.rs
+++ b/src/bin/fireflyhead/commands.rs
@@ -6,6 +6,7 @@
 use clap::ArgMatches;
 use clap::Command;
 
+mod accounts;
 mod completions;
 mod demo;
 mod nodes;
@@ -17,6 +18,7 @@
 pub(crate) fn all() -> Vec<Command> {
     vec![
         table::cli(),
+        accounts::cli(),
         nodes::cli(),
         upstreams::cli(),
         demo::cli(),
@@ -30,6 +32,7 @@
     let (name, matches) = matches.subcommand().expect("the parser requires a command");
     match name {
         "table" => table::exec(matches).await,
+        "accounts" => accounts::exec(matches).await,
         "nodes" => nodes::exec(matches).await,
         "upstreams" => upstreams::exec(matches).await,
         "demo" => demo::exec(matches).await,
--- a/src/bin/fireflyhead/commands/table.rs
+++ b/src/bin/fireflyhead/commands/table.rs
@@ -1,6 +1,7 @@
 //! `fireflyhead table`: checks the operators' table, compares two tables and applies one.
 
 use std::fs;
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -11,8 +12,10 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use fireflyhead::ops::accounts;
 use fireflyhead::ops::store::Listing;
 use fireflyhead::ops::store::OperatorError;
+use fireflyhead_platform::operator::Tenants;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::config::EngineSpec;
 use fireflyhead_policy::config::ModelSpec;
@@ -109,7 +112,7 @@
 /// The exit status is [`cli::EXIT_CONFLICT`] if the configuration changed after it was read.
 async fn apply(matches: &ArgMatches) -> Result<ExitCode> {
     let operator = cli::operator_client(matches)?;
-    let Listing { era, config: current, .. } = operator.list().await?;
+    let Listing { era, config: current, config_value, .. } = operator.list().await?;
     let (next_version, revision) = match &current {
         Some((config, revision)) => (config.version + 1, *revision),
         None => (1, 0),
@@ -119,9 +122,21 @@
         Ok(table) => table,
         Err(errors) => return Ok(print_row_errors(&errors)),
     };
+    let tenants = match &current {
+        Some(_) => Tenants::read(&config_value)?,
+        None => Tenants::default(),
+    };
+    let directory = Path::new(cli::text_arg(matches, "file")).parent().unwrap_or(Path::new(""));
+    let tenants = match accounts::table_tenants(&table, directory, &tenants) {
+        Ok(tenants) => tenants,
+        Err(e) => {
+            eprintln!("error: {e}");
+            return Ok(ExitCode::from(cli::EXIT_USAGE));
+        }
+    };
     let config = table.config(services(matches, &table)?);
     let versions = table.adapter_versions();
-    match operator.write_config(&config, &versions, Position { era, revision }).await {
+    match operator.write_config(&config, &tenants, &versions, Position { era, revision }).await {
         Ok(()) => {}
         Err(e @ OperatorError::Conflict) => {
             eprintln!("error: {e}");
--- a/src/ops/store.rs
+++ b/src/ops/store.rs
@@ -10,6 +10,9 @@
 use fireflyhead_gateway::store::StoreResponse;
 use fireflyhead_platform::Platform;
 use fireflyhead_platform::operator;
+use fireflyhead_platform::operator::ConfigValue;
+use fireflyhead_platform::operator::TenantError;
+use fireflyhead_platform::operator::Tenants;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::config::Config;
 use fireflyhead_policy::era::Era;
@@ -33,6 +36,8 @@
     Rejected(String),
     /// the configuration in the store changed after it was read
     Conflict,
+    /// {0}
+    Tenants(TenantError),
 }
 
 impl std::error::Error for OperatorError {}
@@ -49,6 +54,8 @@
     pub era: Era,
     /// Configuration with its store revision; `None` if none was written yet.
     pub config: Option<(Config, u64)>,
+    /// Value of the configuration, whose accounts have keys in clear.
+    pub config_value: ConfigValue,
     /// Registered upstreams.
     pub upstreams: Vec<UpstreamEntry>,
     /// Nodes that hold a lease, with their peer addresses.
@@ -95,7 +102,34 @@
         }
     }
 
-    /// Writes a configuration and adapter versions if the configuration in the store still has the
+    /// Replaces the accounts in the configuration of `listing`, as its next version, which is
+    /// returned.
+    ///
+    /// # Errors
+    /// Returns [`OperatorError::Conflict`] if the configuration has changed since it was read or
+    /// there is none, and another error if the store can't be reached or rejects the call.
+    pub async fn write_tenants(
+        &self,
+        listing: &Listing,
+        tenants: &Tenants,
+    ) -> Result<u64, OperatorError> {
+        let (config, revision) = listing.config.as_ref().ok_or(OperatorError::Conflict)?;
+        let version = (config.version + 1).max(listing.era.min_config_version());
+        let write = operator::tenants_item(&listing.config_value, version, tenants)
+            .map_err(OperatorError::Tenants)?;
+        let call = StoreCall::Transaction {
+            conditions: vec![operator::config_condition(*revision)],
+            writes: vec![write],
+            removes: Vec::new(),
+        };
+        match self.store.call_in(listing.era, &call).await.map_err(OperatorError::Store)? {
+            StoreReply::Applied { .. } => Ok(version),
+            StoreReply::Conflict { .. } => Err(OperatorError::Conflict),
+            reply => Err(OperatorError::Rejected(format!("{reply:?}"))),
+        }
+    }
+
+    /// Writes a configuration with these accounts, and adapter versions, if the configuration in the store still has the
     /// revision of `position`, and the store is in its era; revision 0 means that there is none yet.
     ///
     /// The versions that don't fit into the first transaction follow in further transactions, which
@@ -107,13 +141,14 @@
     pub async fn write_config(
         &self,
         config: &Config,
+        tenants: &Tenants,
         versions: &[(Name, u64)],
         position: Position,
     ) -> Result<(), OperatorError> {
         // The store accepts 32 entries in a transaction: condition, configuration and these.
         const VERSIONS_PER_TRANSACTION: usize = 30;
         let mut conditions = vec![operator::config_condition(position.revision)];
-        let mut writes = vec![operator::config_item(config)];
+        let mut writes = vec![operator::config_item(config, tenants)];
         let mut chunks = versions.chunks(VERSIONS_PER_TRANSACTION);
         let version_items = |chunk: Option<&[(Name, u64)]>| {
             chunk
@@ -147,7 +182,10 @@
     /// Adds the configuration, upstream or node in `item`; ignores other records.
     fn add(&mut self, item: &Item) {
         match Platform.parse_store_item(item) {
-            StoreRecord::Config(Some(config)) => self.config = Some((*config, item.revision)),
+            StoreRecord::Config(Some(config)) => {
+                self.config = Some((*config, item.revision));
+                self.config_value = ConfigValue::new(item.value.clone().unwrap_or_default());
+            }
             StoreRecord::Upstream { entry: Some(entry), .. } => self.upstreams.push(entry),
             StoreRecord::Internal => {
                 let node = item.key.as_str().strip_prefix("fireflyhead/members/");
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -9,6 +9,11 @@
 use fireflyhead_platform_standin::store::Store;
 use fireflyhead_platform_standin::upstream::Upstream;
 use fireflyhead_platform_standin::upstream::UpstreamConfig;
+use fireflyhead_policy::accounts::KeyDigest;
+use fireflyhead_policy::table::COLUMNS;
+use fireflyhead_policy::table::OPTIONAL_COLUMNS;
+use serde_json::Value;
+use serde_json::json;
 
 /// Temporary file of a test; removed on drop.
 struct TempFile(PathBuf);
@@ -143,3 +148,74 @@
     assert_eq!(checked.status.code(), Some(0));
     assert!(text(&checked.stdout).contains("node-id = n7"));
 }
+
+/// Guards against account rows and commands that write other keys or quotas than they say, that drop
+/// the accounts with a table of routes alone, or that print a key.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accounts_are_written_by_table_and_by_command() {
+    let store = Store::start(0).await.expect("the store starts");
+    store.allow_all_writers();
+    let address = store.address().to_string();
+    let run = async |args: &[&str], status: i32| {
+        let output = run_fireflyhead(&[args, &["--store", &address]].concat()).await;
+        let printed = format!("{}{}", text(&output.stdout), text(&output.stderr));
+        assert_eq!(output.status.code(), Some(status), "{args:?}: {printed}");
+        assert!(!printed.contains("secret"), "{args:?}: {printed}");
+        printed
+    };
+    let tenants = || {
+        let config = store.get("op/config").expect("the configuration is written");
+        let config: Value = serde_json::from_str(&config).expect("it is JSON");
+        config["tenants"].clone()
+    };
+    let keys = TempFile::write("keys.txt", "secret-1\n\n secret-2 \n");
+    let more = TempFile::write("more.txt", "secret-3\n");
+    let digest = |key: &str| KeyDigest::of(key).to_hex();
+    let header = format!("{},{}", COLUMNS.join(","), OPTIONAL_COLUMNS.join(","));
+    let class = "class,desk,,desk,* /,,standard,1,0,,,530,5000,0.2,true,,,,,,";
+    let name = keys.path().rsplit('/').next().expect("a file name");
+    let rows = format!(
+        "{header}\n{class}\naccount,a,,,,,,,,5,,,,,,file:{name},10,1,tokens,200,\naccount,b,,,,,,,,,,,,,,,,,,,\n"
+    );
+    let table = TempFile::write("accounts.csv", &rows);
+    run(&["table", "apply", table.path()], 0).await;
+    let expected = json!([
+        {
+            "name": "a", "apiKeys": ["secret-1", "secret-2"], "priority": 1, "unit": "token_count",
+            "plainTokens": 200, "ratePerS": 5.0, "burst": 10.0,
+        },
+        { "name": "b", "apiKeys": [] },
+    ]);
+    assert_eq!(tenants(), expected);
+    run(&["accounts", "add-key", "b", "--key-file", more.path()], 0).await;
+    run(&["accounts", "add-key", "a", "--key-file", more.path()], 2).await;
+    run(&["accounts", "add-key", "c", "--key-file", more.path()], 2).await;
+    run(&["accounts", "remove-key", "a", &digest("secret-1")[..12]], 0).await;
+    run(&["accounts", "remove-key", "a", &digest("secret-1")], 2).await;
+    run(&["accounts", "rotate-key", "b", &digest("secret-3"), "--key-file", more.path()], 0).await;
+    let quota = ["accounts", "set-quota", "b", "--rate", "2", "--burst", "4"];
+    run(&quota, 0).await;
+    run(&["accounts", "set-quota", "b", "--rate=-2"], 2).await;
+    run(&["accounts", "set-quota", "a", "--rate", "0"], 0).await;
+    let expected = json!([
+        { "name": "a", "apiKeys": ["secret-2"], "priority": 1 },
+        { "name": "b", "apiKeys": ["secret-3"], "ratePerS": 2.0, "burst": 4.0 },
+    ]);
+    assert_eq!(tenants(), expected);
+    // A table of routes alone keeps the accounts, and one with digests the keys.
+    let routes = TempFile::write("routes.csv", &format!("{header}\n{class}\n"));
+    run(&["table", "apply", routes.path()], 0).await;
+    assert_eq!(tenants(), expected);
+    let row = |key: &str| {
+        let key = digest(key);
+        format!("{header}\n{class}\naccount,b,,,,,,,,,,,,,,sha256:{key},,,,,\n")
+    };
+    let digests = TempFile::write("digests.csv", &row("secret-3"));
+    run(&["table", "apply", digests.path()], 0).await;
+    assert_eq!(tenants(), json!([{ "name": "b", "apiKeys": ["secret-3"] }]));
+    let missing = TempFile::write("missing.csv", &row("secret-9"));
+    let error = run(&["table", "apply", missing.path()], 2).await;
+    assert!(error.contains(&digest("secret-9")[..8]), "{error}");
+    let list = run(&["accounts", "list"], 0).await;
+    assert!(list.contains(&digest("secret-3")[..8]), "{list}");
+}
