--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -50,6 +50,10 @@
 /// Interval between two watches of a reader, as a share of the time within which a change must be
 /// in effect.
 const WATCH_INTERVAL_SHARE: f64 = 0.4;
+/// Longest wait of a watch that confirms the configuration, as a share of the same time. With the
+/// interval before it the reply comes after 0.9 of the bound; a wait of 1.67 s and a bound of 2 s left
+/// unknown keys without a verdict for half a second in some seconds of an idle store.
+const CONFIRMING_WAIT_SHARE: f64 = 0.5;
 /// Time beyond the watch interval for which a node waits for a feed.
 const FEED_MARGIN: Duration = Duration::from_millis(400);
 /// If a wait for a feed lasts longer than its timeout by this time, the process was suspended, and
@@ -160,7 +164,7 @@
             position.revision = self.apply_feeds(position).await;
             let Position { era, revision: after } = position;
             let sent = clock::now();
-            let wait = MAX_WATCH_WAIT.min(self.shared.settings.lease_ttl / 3);
+            let wait = self.max_watch_wait();
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call_in(era, &call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
@@ -194,6 +198,17 @@
         self.shared.settings.apply_bound.mul_f64(WATCH_INTERVAL_SHARE)
     }
 
+    /// Returns the longest wait of a watch. With accounts, a reply must come within the bound for
+    /// changes also while nothing changes, because it confirms the configuration.
+    fn max_watch_wait(&self) -> Duration {
+        let settings = &self.shared.settings;
+        let wait = MAX_WATCH_WAIT.min(settings.lease_ttl / 3);
+        match self.shared.config().is_some_and(|config| config.accounts.is_some()) {
+            true => wait.min(settings.apply_bound.mul_f64(CONFIRMING_WAIT_SHARE)),
+            false => wait,
+        }
+    }
+
     /// Applies feeds from the readers of the zone. Returns the last applied revision once this node
     /// must watch the store itself: it is a reader, no feed arrived in time, or a feed is missing.
     async fn apply_feeds(&mut self, Position { era, revision: mut after }: Position) -> u64 {
