--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -39,6 +39,7 @@
 use crate::engine_controller::ControllerMsg;
 use crate::engine_controller::EngineController;
 use crate::quarantine;
+use crate::quota;
 use crate::state::Shared;
 
 /// Shortest interval of heartbeats within the zone. It determines the age of the load figures of
@@ -230,6 +231,8 @@
             }
             Ok(Datagram::CrashReports(reports)) => quarantine::handle_reports(&shared, &reports),
             Ok(Datagram::Departures(departures)) => departures::handle_notice(&shared, &departures),
+            Ok(Datagram::QuotaRequest(request)) => quota::handle_request(&shared, &request),
+            Ok(Datagram::QuotaGrant(grant)) => quota::handle_grant(&shared, &grant),
             Err(error) => tracing::warn!(event = "bad_datagram", error, len),
         }
     }
--- a/crates/fireflyhead-gateway/src/metrics.rs
+++ b/crates/fireflyhead-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fireflyhead_policy::Name;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -27,6 +28,8 @@
     orders: Counter<u64>,
     upstream_crashes: Counter<u64>,
     quarantined_parts: Gauge<u64>,
+    quota_tokens: Counter<u64>,
+    quota_slots_without_owner: Gauge<u64>,
     first_output: Histogram<f64>,
     total: Histogram<f64>,
     queue: Histogram<f64>,
@@ -63,6 +66,10 @@
             orders: meter.u64_counter("fireflyhead_orders").build(),
             upstream_crashes: meter.u64_counter("fireflyhead_upstream_crashes").build(),
             quarantined_parts: meter.u64_gauge("fireflyhead_quarantined_parts").build(),
+            quota_tokens: meter.u64_counter("fireflyhead_quota_tokens").build(),
+            quota_slots_without_owner: meter
+                .u64_gauge("fireflyhead_quota_slots_without_owner")
+                .build(),
             first_output: latency_histogram("fireflyhead_first_output"),
             total: latency_histogram("fireflyhead_request"),
             queue: latency_histogram("fireflyhead_queue"),
@@ -110,6 +117,17 @@
         self.quarantined_parts.record(u64::try_from(parts).unwrap_or(u64::MAX), &[]);
     }
 
+    /// Counts tokens of an account with what became of them.
+    pub fn record_quota_tokens(&self, account: &Name, outcome: &'static str, tokens: u64) {
+        let account = KeyValue::new("account", account.to_string());
+        self.quota_tokens.add(tokens, &[account, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Sets the number of quota slots that no node owns, as far as this node knows.
+    pub fn set_quota_slots_without_owner(&self, slots: usize) {
+        self.quota_slots_without_owner.record(u64::try_from(slots).unwrap_or(u64::MAX), &[]);
+    }
+
     /// Records the time to the first output of a request.
     pub fn record_first_output(&self, route: &str, delay: Duration) {
         self.first_output.record(delay.as_secs_f64(), &[KeyValue::new("route", route.to_owned())]);
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -35,6 +35,7 @@
 use crate::lifecycle::Phase;
 use crate::metrics::Metrics;
 use crate::quarantine;
+use crate::quota;
 use crate::serving;
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
@@ -126,6 +127,8 @@
             Arc::clone(&store),
             controller.clone(),
         ));
+        tasks.spawn(quota::slots::hold(Arc::clone(&shared), Arc::clone(&store)));
+        tasks.spawn(quota::run(Arc::clone(&shared)));
         tasks.spawn(store_watch::run(Arc::clone(&shared), store, controller.clone()));
         tasks.spawn(heartbeats::run_sender(Arc::clone(&shared), controller.clone()));
         tasks.spawn(heartbeats::run_receiver(Arc::clone(&shared), socket, controller.clone()));
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::fleet::UPSTREAM_HEARTBEAT;
+use fireflyhead_policy::quota::QuotaSettings;
 use fireflyhead_schema::NodeSettings;
 
 /// Settings with which a node is started.
@@ -58,6 +59,8 @@
     pub version_bound: Duration,
     /// Time for which callers may cache a response with node addresses.
     pub resolve_ttl: Duration,
+    /// Settings of the quotas of client accounts; `None` to enforce none.
+    pub quota: Option<QuotaSettings>,
 }
 
 impl Default for GatewaySettings {
@@ -85,6 +88,7 @@
             retry_window: Duration::from_secs(10),
             version_bound: Duration::from_secs(5),
             resolve_ttl: Duration::from_secs(2),
+            quota: None,
         }
     }
 }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -52,6 +52,7 @@
 use crate::pool::Pool;
 use crate::protocol_versions::ProtocolVersions;
 use crate::quarantine::QuarantineState;
+use crate::quota::QuotaState;
 use crate::response_memory::ResponseMemory;
 use crate::serving::ServingState;
 use crate::settings::GatewaySettings;
@@ -82,6 +83,8 @@
     pub protocol_versions: ProtocolVersions,
     /// Evidence on prompt parts that crash engines.
     pub quarantine: QuarantineState,
+    /// Quotas of client accounts.
+    pub quota: QuotaState,
     /// Memory of the responses that are held back.
     pub response_memory: Arc<ResponseMemory>,
     /// Whether this node serves callers.
@@ -133,15 +136,18 @@
         let fleet = Fleet::new(settings.upstream_heartbeat);
         let response_memory =
             Arc::new(ResponseMemory::new(settings.memory / RESPONSE_MEMORY_DIVISOR));
+        let incarnation = clock::unix_millis();
+        let quota = QuotaState::new(&settings, incarnation);
         Shared {
             settings,
-            incarnation: clock::unix_millis(),
+            incarnation,
             protocol,
             metrics,
             pool: Pool::default(),
             feed_queue: FeedQueue::default(),
             protocol_versions: ProtocolVersions::default(),
             quarantine: QuarantineState::default(),
+            quota,
             response_memory,
             serving: ServingState::default(),
             heartbeat_now: Notify::new(),
@@ -502,7 +508,7 @@
     }
 
     /// Sends a datagram to `node`, at the address from its heartbeats or else from the store.
-    fn send_to_node(&self, node: &Name, datagram: &Datagram) {
+    pub(crate) fn send_to_node(&self, node: &Name, datagram: &Datagram) {
         let address = self.peers().address(node.as_str());
         let address = address.or_else(|| self.members().get(node).copied());
         match address {
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -33,6 +33,7 @@
 use crate::engine_controller::EngineController;
 use crate::heartbeats::send_to_controller;
 use crate::quarantine;
+use crate::quota;
 use crate::state::Shared;
 use crate::store::Backoff;
 use crate::store::CallError;
@@ -335,8 +336,10 @@
         }
     }
 
-    /// Sends the membership entries and ownership records among `items` to the engine controller.
+    /// Sends the membership entries and ownership records among `items` to the engine controller, and
+    /// applies those of quota slots.
     async fn send_internal_items(&self, items: &[Item], era: Era, full: bool) {
+        quota::apply_store_items(&self.shared, items, era, full);
         let internal = items
             .iter()
             .filter(|item| self.shared.protocol.parse_store_item(item) == StoreRecord::Internal)
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`table`]: the operators' table and the configuration that is derived from it
 //! - [`config`]: routes and services, and which of them a request belongs to
 //! - [`accounts`]: which client account a request belongs to
+//! - [`quota`]: which requests exceed the quota of their account over all nodes
 //! - [`limits`]: which requests exceed their route's limit on rate or on requests in flight
 //! - [`fleet`]: which upstreams exist, also while the store is unavailable
 //! - [`dispatch`]: which upstream a request is sent to, which requests wait and which are rejected
@@ -39,6 +40,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod quarantine;
+pub mod quota;
 pub mod readers;
 pub mod rendezvous;
 pub mod residency;
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -13,6 +13,8 @@
 //!   announced at least [`DEPARTURE_PROTOCOL`].
 //! - [`Activity`]: part of a heartbeat, sent only to nodes that announced at least
 //!   [`ACTIVITY_PROTOCOL`].
+//! - [`QuotaRequest`]: asks the owner of a quota slot for tokens of accounts. [`QuotaGrant`] is the
+//!   owner's response. Sent only to nodes that announced at least [`ACCOUNT_PROTOCOL`].
 //!
 //! The holder of an engine is the node that owns it: it alone orders adapter loads there and admits
 //! requests. Module [`wire`] converts the messages to and from the generated wire types, some of
@@ -29,11 +31,13 @@
 use crate::dispatch::JobId;
 use crate::protocol::ModelRef;
 use crate::quarantine::CrashReport;
+use crate::quota::QuotaGrant;
+use crate::quota::QuotaRequest;
 use crate::readers::Feed;
 
 /// Version of the protocol between nodes, which each node announces in the store. Nodes without an
 /// announcement have version 1.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 /// Lowest version of nodes that understand [`Datagram::CrashReports`].
 pub const EVIDENCE_PROTOCOL: u32 = 2;
 /// Lowest version of nodes that understand a [`Feed`] of a later era than the first one.
@@ -42,6 +46,8 @@
 pub const DEPARTURE_PROTOCOL: u32 = 4;
 /// Lowest version of nodes that understand a [`Heartbeat`] with an [`Activity`].
 pub const ACTIVITY_PROTOCOL: u32 = 5;
+/// Lowest version of nodes that understand messages about client accounts.
+pub const ACCOUNT_PROTOCOL: u32 = 6;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -362,4 +368,8 @@
     CrashReports(Vec<CrashReport>),
     /// Upstreams that leave.
     Departures(Vec<Departure>),
+    /// Request for tokens of accounts.
+    QuotaRequest(QuotaRequest),
+    /// Grants of tokens of accounts.
+    QuotaGrant(QuotaGrant),
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -17,6 +17,8 @@
 //!
 //! Some fields and events differ in name as well; the conversions below pair them.
 
+mod quota;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -62,6 +64,8 @@
     Decision(i32),
     /// {0} is not a finite weight or floor
     Weight(f64),
+    /// {0} is not a quota slot
+    Slot(u32),
 }
 
 impl std::error::Error for WireError {}
@@ -111,6 +115,8 @@
                 let departures = departures.iter().map(wire::Departure::from).collect();
                 wire::datagram::Body::Departures(wire::Departures { departures })
             }
+            Datagram::QuotaRequest(request) => wire::datagram::Body::QuotaRequests(request.into()),
+            Datagram::QuotaGrant(grant) => wire::datagram::Body::QuotaGrants(grant.into()),
         };
         wire::Datagram { body: Some(body) }
     }
@@ -164,6 +170,12 @@
             Some(wire::datagram::Body::Departures(wire::Departures { departures })) => {
                 Ok(Datagram::Departures(departures.into_iter().map(Departure::from).collect()))
             }
+            Some(wire::datagram::Body::QuotaRequests(request)) => {
+                Ok(Datagram::QuotaRequest(request.try_into()?))
+            }
+            Some(wire::datagram::Body::QuotaGrants(grant)) => {
+                Ok(Datagram::QuotaGrant(grant.try_into()?))
+            }
             None => Err(WireError::Empty),
         }
     }
--- a/crates/fireflyhead-policy/src/peers.rs
+++ b/crates/fireflyhead-policy/src/peers.rs
@@ -178,6 +178,11 @@
         self.peers.get(node).map(|peer| peer.heartbeat.peer_address)
     }
 
+    /// Returns the start of the process of `node` that was heard last; `None` if the node is unknown.
+    pub fn incarnation(&self, node: &str) -> Option<u64> {
+        self.peers.get(node).map(|peer| peer.heartbeat.incarnation)
+    }
+
     /// Returns the number of known peers in `zone`.
     pub fn count_same_zone(&self, zone: &Name) -> usize {
         self.peers.values().filter(|peer| peer.heartbeat.zone == *zone).count()
