--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -19,7 +19,10 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::accounts::ClientAccount;
 use fireflyhead_policy::config::Route;
+use fireflyhead_policy::protocol::RequestHead;
+use fireflyhead_policy::protocol::TokenCount;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -34,11 +37,14 @@
 use crate::clock;
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
+use crate::quota;
+use crate::quota::QuotaPermit;
 use crate::serving;
 use crate::state::Shared;
 
 use self::inbound_request::InboundRequest;
 use self::local_responses::empty_response;
+use self::local_responses::quota_refused;
 use self::local_responses::service_unavailable;
 pub(crate) use self::response_body::Framing;
 
@@ -174,6 +180,10 @@
         return empty_response(StatusCode::METHOD_NOT_ALLOWED);
     }
     let Some(id) = head.id.clone() else { return empty_response(StatusCode::BAD_REQUEST) };
+    let permit = match enter_quota(shared, None, &id, &head).await {
+        Ok(permit) => permit,
+        Err(response) => return response,
+    };
     if let Err(retry_after) = guard.enter_route(route) {
         shared.metrics.record_rejection("limit");
         tracing::info!(event = "limited", %id, route = %route.name);
@@ -217,11 +227,32 @@
         arrived,
         objective: objective(arrived, route),
         deadline: end,
+        quota: permit,
         stage: Mutex::default(),
     };
     request.forward(guard).await
 }
 
+/// Takes the tokens of a request from the quota of its account.
+///
+/// # Errors
+/// The quota doesn't admit the request; the value is the response.
+async fn enter_quota(
+    shared: &Arc<Shared>,
+    account: Option<&Arc<ClientAccount>>,
+    id: &Name,
+    head: &RequestHead,
+) -> Result<Option<QuotaPermit>, Response<Body>> {
+    let Some((account, quota)) = account.and_then(|a| Some((a, a.quota.as_ref()?))) else {
+        return Ok(None);
+    };
+    let tokens = Some(head.tokens).filter(|tokens| *tokens != TokenCount::default());
+    match quota::acquire(shared, id, account, quota.cost(tokens)).await {
+        Ok(permit) => Ok(Some(permit)),
+        Err(refusal) => Err(quota_refused(&refusal)),
+    }
+}
+
 /// Returns the time up to which the response meets the latency objective of the route.
 fn objective(arrived: Time, route: &Route) -> Time {
     arrived + route.objective
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -219,6 +219,9 @@
             in_flight.finish(SendOutcome::Abandoned);
             return AttemptResult::NotSent(QUARANTINED.to_owned());
         }
+        if let Some(permit) = &self.quota {
+            permit.consumed();
+        }
         let wait = head_deadline.min(self.deadline).since(clock::now());
         let response = match self.wait_for(wait, connection.send(req)).await {
             Ok(Ok(response)) => response,
@@ -245,6 +248,30 @@
         self.check_response(upstream, response, connection, in_flight).await
     }
 
+    /// Records with the quota of the account that the request has not run, if an attempt proves it.
+    /// `possibly_executed` is the number of earlier attempts that an upstream may have executed, and
+    /// `repeated` whether this upstream refused the request before: a further refusal may be a copy.
+    pub(super) fn settle_quota(
+        &self,
+        possibly_executed: u32,
+        repeated: bool,
+        result: &AttemptResult,
+    ) {
+        let not_executed = match result {
+            AttemptResult::NotSent(_) | AttemptResult::Withdrawn => true,
+            AttemptResult::NotExecuted(_) => !repeated,
+            AttemptResult::Response(_)
+            | AttemptResult::Unknown(_)
+            | AttemptResult::DeadlineExceeded => false,
+        };
+        if let Some(permit) = &self.quota
+            && not_executed
+            && possibly_executed == 0
+        {
+            permit.not_run();
+        }
+    }
+
     /// Builds the request to the upstream; `None` if the request target is not valid.
     fn build_request(&self, node_set: &NodeSetHeaders) -> Option<Request<Full<Bytes>>> {
         let target = self.parts.uri.path_and_query()?.as_str();
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -27,6 +27,7 @@
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
 use crate::quarantine::QUARANTINED;
+use crate::quota::QuotaPermit;
 use crate::state::PendingJob;
 use crate::state::Shared;
 
@@ -77,6 +78,9 @@
     pub(super) objective: Time,
     /// Time after which the caller no longer waits for the response.
     pub(super) deadline: Time,
+    /// Tokens of the account's quota; `None` without a quota. Returned if no upstream runs the
+    /// request.
+    pub(super) quota: Option<QuotaPermit>,
     /// Stage of the request, for the log line of a request that is dropped.
     pub(super) stage: Mutex<Stage>,
 }
@@ -181,6 +185,8 @@
                 };
             let head_deadline = self.head_deadline(&attempts, &upstream.id);
             let result = self.send_to(job, &upstream, version, head_deadline, None).await;
+            let repeated = attempts.refused_by.contains(&upstream.id);
+            self.settle_quota(attempts.possibly_executed, repeated, &result);
             let outcome = match result {
                 AttemptResult::Response(response) => {
                     attempts.possibly_executed += 1;
@@ -534,6 +540,7 @@
         self.set_stage(Stage::Logged);
         let now = clock::now();
         let total = now.since(self.arrived);
+        let grant_age = self.quota.as_ref().and_then(QuotaPermit::grant_age);
         if matches!(outcome, "answered" | "deadline" | "interrupted") {
             let time = total.saturating_sub(attempts.queued);
             self.shared.service_times().record(now, &self.route.name, time);
@@ -555,6 +562,8 @@
             first_ms = attempts.first_output.map(|delay| delay.as_millis() as u64),
             pause_ms = attempts.longest_pause.as_millis() as u64,
             tokens = self.head.tokens.prompt,
+            quota_tokens = self.quota.as_ref().map(QuotaPermit::tokens),
+            grant_ms = grant_age.map(|age| age.as_millis() as u64),
             sends = attempts.delivered,
             framing = attempts.framing.map(Framing::name),
             bytes = attempts.body_bytes,
--- a/crates/fireflyhead-gateway/src/quota.rs
+++ b/crates/fireflyhead-gateway/src/quota.rs
@@ -156,31 +156,16 @@
     account: &Arc<ClientAccount>,
     cost: u64,
 ) -> Result<QuotaPermit, QuotaRefusal> {
-    let started = clock::now();
     let Some(quota) = &account.quota else { return Ok(QuotaPermit::unlimited(shared)) };
-    let Some(mut state) = shared.quota.lock() else { return Ok(QuotaPermit::unlimited(shared)) };
-    let label = state.label(&account.name);
-    shared.metrics.record_quota_tokens(&label, "requested", cost);
-    let taken = state.borrower.try_take(started, &account.name, quota, cost);
-    let is_active = state.borrower.is_active();
-    let result = match taken {
-        TryTake::Granted(taken) => Ok(taken),
-        TryTake::Denied(denial) => Err(denial),
-        TryTake::Wait(ticket) => {
-            let (tx, rx) = oneshot::channel();
-            let pending = PendingRequest { account: account.name.clone(), result: tx };
-            state.pending.insert(ticket, pending);
-            exchange_tokens(shared, &mut state, started);
-            drop(state);
-            shared.quota.wake.notify_one();
-            let mut wait = TokenWait { shared, account: &account.name, ticket, rx };
-            // Can't fail: the sender is dropped only after it has sent.
-            (&mut wait.rx).await.unwrap_or(Err(QuotaDenial::Unknown))
-        }
+    let started = clock::now();
+    let Some((label, begun)) = begin(shared, started, account, quota, cost) else {
+        return Ok(QuotaPermit::unlimited(shared));
+    };
+    let result = match begun {
+        Begun::Known(result) => result,
+        // Can't fail: the sender is dropped only after it has sent.
+        Begun::Waiting(mut wait) => (&mut wait.rx).await.unwrap_or(Err(QuotaDenial::Unknown)),
     };
-    if is_active {
-        shared.quota.wake.notify_one();
-    }
     let now = clock::now();
     let waited_ms = now.since(started).as_millis() as u64;
     match result {
@@ -208,6 +193,41 @@
     }
 }
 
+/// Begin of a request's wait for tokens, or its result.
+enum Begun<'a> {
+    Known(Result<TakenTokens, QuotaDenial>),
+    Waiting(TokenWait<'a>),
+}
+
+/// Takes tokens or begins to wait for some. Returns that with the name under which the account is
+/// counted; `None` if the settings enforce no quotas.
+fn begin<'a>(
+    shared: &'a Shared,
+    now: Time,
+    account: &'a ClientAccount,
+    quota: &Quota,
+    cost: u64,
+) -> Option<(Name, Begun<'a>)> {
+    let mut state = shared.quota.lock()?;
+    let label = state.label(&account.name);
+    shared.metrics.record_quota_tokens(&label, "requested", cost);
+    let begun = match state.borrower.try_take(now, &account.name, quota, cost) {
+        TryTake::Granted(taken) => Begun::Known(Ok(taken)),
+        TryTake::Denied(denial) => Begun::Known(Err(denial)),
+        TryTake::Wait(ticket) => {
+            let (tx, rx) = oneshot::channel();
+            let pending = PendingRequest { account: account.name.clone(), result: tx };
+            state.pending.insert(ticket, pending);
+            exchange_tokens(shared, &mut state, now);
+            Begun::Waiting(TokenWait { shared, account: &account.name, ticket, rx })
+        }
+    };
+    if state.borrower.is_active() {
+        shared.quota.wake.notify_one();
+    }
+    Some((label, begun))
+}
+
 impl QuotaRefusal {
     /// Returns the time after which the client should retry; zero if it should not.
     pub fn retry_after(&self) -> Duration {
@@ -382,6 +402,10 @@
             let now = clock::now();
             state.update_accounts(&shared, now);
             state.update_owners(&shared);
+            if state.slots.is_needed() {
+                let absent = Slot::all().filter(|slot| state.slots.owner(*slot).is_none());
+                shared.metrics.set_quota_slots_without_owner(absent.count());
+            }
             exchange_tokens(&shared, &mut state, now);
             if state.borrower.is_active() { ACTIVE_INTERVAL } else { IDLE_INTERVAL }
         };
--- a/crates/fireflyhead-gateway/src/quota/slots.rs
+++ b/crates/fireflyhead-gateway/src/quota/slots.rs
@@ -100,7 +100,10 @@
         let is_due = self.renewed_at.is_none_or(|at| now.since(at) >= QUOTA_RENEWAL_INTERVAL);
         let result = match lease {
             None if claims.is_empty() => Ok(()),
-            None => self.obtain_lease().await,
+            None => match self.obtain_lease().await {
+                Ok(()) => return Duration::ZERO,
+                Err(error) => Err(error),
+            },
             // Without quotas the lease runs out, and with it the ownership.
             Some(lease) if is_due && needed && (owns_any || !claims.is_empty()) => {
                 self.renew(era, lease).await
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -115,6 +115,11 @@
             retry_window: settings.retry_window,
             version_bound: settings.version_bound,
             resolve_ttl: settings.resolve_ttl,
+            quota: (!settings.quota_window.is_zero()).then_some(QuotaSettings {
+                window: settings.quota_window,
+                overage: settings.quota_overage,
+                slack: settings.quota_slack,
+            }),
             ..GatewaySettings::default()
         }
     }
