Test the bound of quotas in 10,000 schedules of faults

Cause: the bound had no test. Change: a simulation of nodes, network and store in virtual time; the state of a node that has no I/O moves to policy/quota/node.rs, so that the simulation runs the code of the gateway.

--- a/crates/fireflyhead-gateway/src/quota.rs
+++ b/crates/fireflyhead-gateway/src/quota.rs
@@ -10,7 +10,6 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -27,17 +26,14 @@
 use fireflyhead_policy::quota::QuotaGrant;
 use fireflyhead_policy::quota::QuotaRequest;
 use fireflyhead_policy::quota::QuotaSettings;
-use fireflyhead_policy::quota::SLOT_COUNT;
 use fireflyhead_policy::quota::Slot;
-use fireflyhead_policy::quota::borrower::OwnerState;
-use fireflyhead_policy::quota::borrower::QuotaBorrower;
 use fireflyhead_policy::quota::borrower::QuotaDenial;
 use fireflyhead_policy::quota::borrower::TakenTokens;
 use fireflyhead_policy::quota::borrower::Ticket;
 use fireflyhead_policy::quota::borrower::TryTake;
 use fireflyhead_policy::quota::borrower::UNKNOWN_RETRY_AFTER;
-use fireflyhead_policy::quota::owner::QuotaOwner;
-use fireflyhead_policy::quota::slots::QuotaSlots;
+use fireflyhead_policy::quota::node::QuotaNode;
+use fireflyhead_policy::quota::node::SlotChange;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
@@ -97,15 +93,9 @@
     result: oneshot::Sender<Result<TakenTokens, QuotaDenial>>,
 }
 
-/// Owner of a slot as the borrower knows it: its node and the start of its process.
-type KnownOwner = (OwnerState, Option<(SocketAddr, u64)>);
-
 struct State {
-    borrower: QuotaBorrower,
-    owner: QuotaOwner,
-    slots: QuotaSlots,
+    node: QuotaNode,
     pending: HashMap<Ticket, PendingRequest>,
-    known_owners: [KnownOwner; SLOT_COUNT],
     /// Version of the configuration whose accounts are in effect.
     config_version: Option<u64>,
     /// Accounts that have metrics of their own.
@@ -128,11 +118,8 @@
             // Random, so that a late reply to an earlier process is not taken for one to this.
             let first_seq = u64::from(rand::random::<u32>()) << 24;
             Mutex::new(State {
-                borrower: QuotaBorrower::new(quota, node.clone(), incarnation, first_seq),
-                owner: QuotaOwner::new(quota),
-                slots: QuotaSlots::new(node.clone(), *peer, incarnation),
+                node: QuotaNode::new(quota, node, *peer, incarnation, first_seq),
                 pending: HashMap::new(),
-                known_owners: [(OwnerState::Absent, None); SLOT_COUNT],
                 config_version: None,
                 labeled: HashSet::new(),
             })
@@ -211,7 +198,7 @@
     let mut state = shared.quota.lock()?;
     let label = state.label(&account.name);
     shared.metrics.record_quota_tokens(&label, "requested", cost);
-    let begun = match state.borrower.try_take(now, &account.name, quota, cost) {
+    let begun = match state.node.borrower.try_take(now, &account.name, quota, cost) {
         TryTake::Granted(taken) => Begun::Known(Ok(taken)),
         TryTake::Denied(denial) => Begun::Known(Err(denial)),
         TryTake::Wait(ticket) => {
@@ -222,7 +209,7 @@
             Begun::Waiting(TokenWait { shared, account: &account.name, ticket, rx })
         }
     };
-    if state.borrower.is_active() {
+    if state.node.borrower.is_active() {
         shared.quota.wake.notify_one();
     }
     Some((label, begun))
@@ -264,9 +251,9 @@
     fn drop(&mut self) {
         let Some(mut state) = self.shared.quota.lock() else { return };
         if state.pending.remove(&self.ticket).is_some() {
-            state.borrower.cancel(self.account.as_str(), self.ticket);
+            state.node.borrower.cancel(self.account.as_str(), self.ticket);
         } else if let Ok(Ok(taken)) = self.rx.try_recv() {
-            state.borrower.give_back(clock::now(), self.account.as_str(), taken);
+            state.node.borrower.give_back(clock::now(), self.account.as_str(), taken);
         }
     }
 }
@@ -285,52 +272,24 @@
 
     /// Delivers the results of waits.
     fn deliver(&mut self, now: Time) {
-        for (ticket, result) in self.borrower.take_resolved(now) {
+        for (ticket, result) in self.node.borrower.take_resolved(now) {
             let Some(PendingRequest { account, result: tx }) = self.pending.remove(&ticket) else {
                 continue;
             };
             if let Err(Ok(taken)) = tx.send(result) {
                 // The caller disconnected meanwhile.
-                self.borrower.give_back(now, account.as_str(), taken);
+                self.node.borrower.give_back(now, account.as_str(), taken);
             }
         }
     }
 
     /// Makes borrower and owner follow the view of the slots.
     fn update_owners(&mut self, shared: &Shared) {
-        for slot in Slot::all() {
-            let is_owned = self.slots.owns(slot);
-            let owner = self.slots.owner(slot).map(|record| (record.peer, record.incarnation));
-            let known = match self.slots.owner(slot) {
-                _ if is_owned => (OwnerState::Local, owner),
-                None => (OwnerState::Absent, None),
-                // The process that wrote the record has ended.
-                Some(record)
-                    if record.node == shared.settings.node
-                        || shared
-                            .peers()
-                            .incarnation(record.node.as_str())
-                            .is_some_and(|running| running != record.incarnation) =>
-                {
-                    (OwnerState::Absent, None)
-                }
-                Some(_) => (OwnerState::Remote, owner),
-            };
-            let previous = &mut self.known_owners[slot.index()];
-            if *previous != known {
-                *previous = known;
-                self.borrower.set_owner(slot, known.0);
-            }
-            match (is_owned, self.owner.owns(slot)) {
-                (true, false) => {
-                    tracing::info!(event = "quota_slot_taken", %slot);
-                    self.owner.add_slot(clock::now(), slot);
-                }
-                (false, true) => {
-                    tracing::info!(event = "quota_slot_lost", %slot);
-                    self.owner.remove_slot(slot);
-                }
-                (true, true) | (false, false) => {}
+        let peers = shared.peers();
+        for change in self.node.update_owners(clock::now(), |node| peers.incarnation(node)) {
+            match change {
+                SlotChange::Taken(slot) => tracing::info!(event = "quota_slot_taken", %slot),
+                SlotChange::Lost(slot) => tracing::info!(event = "quota_slot_lost", %slot),
             }
         }
     }
@@ -349,44 +308,18 @@
             .map(|account| (account.name.clone(), account.quota))
             .collect();
         let needed = accounts.values().any(Option::is_some);
-        if needed != self.slots.is_needed() {
+        if needed != self.node.slots.is_needed() {
             tracing::info!(event = "quotas", needed, accounts = accounts.len());
         }
-        self.slots.set_needed(now, needed);
-        self.owner.set_accounts(now, accounts);
-    }
-
-    /// Returns what this node grants to a request, if it may grant for the slot.
-    fn grant(&mut self, now: Time, request: &QuotaRequest) -> Option<QuotaGrant> {
-        match self.slots.may_grant(now, request.slot) {
-            true => self.owner.grant(now, request),
-            false => None,
-        }
+        self.node.slots.set_needed(now, needed);
+        self.node.owner.set_accounts(now, accounts);
     }
 }
 
 /// Asks the owners of slots for the tokens that are needed, and delivers the results of waits.
 fn exchange_tokens(shared: &Shared, state: &mut State, now: Time) {
-    // A slot of this node replies at once, and what it refuses may be asked of the next slot.
-    for _ in 0..=SLOT_COUNT {
-        let mut has_reply = false;
-        for request in state.borrower.due_requests(now) {
-            match state.known_owners[request.slot.index()] {
-                (OwnerState::Local, _) => {
-                    if let Some(grant) = state.grant(now, &request) {
-                        has_reply = true;
-                        state.borrower.handle_grant(now, &grant);
-                    }
-                }
-                (OwnerState::Remote, Some((address, _))) => {
-                    shared.datagrams().send(address, &Datagram::QuotaRequest(request));
-                }
-                (OwnerState::Remote | OwnerState::Absent, _) => {}
-            }
-        }
-        if !has_reply {
-            break;
-        }
+    for (address, request) in state.node.exchange(now) {
+        shared.datagrams().send(address, &Datagram::QuotaRequest(request));
     }
     state.deliver(now);
 }
@@ -402,12 +335,12 @@
             let now = clock::now();
             state.update_accounts(&shared, now);
             state.update_owners(&shared);
-            if state.slots.is_needed() {
-                let absent = Slot::all().filter(|slot| state.slots.owner(*slot).is_none());
+            if state.node.slots.is_needed() {
+                let absent = Slot::all().filter(|slot| state.node.slots.owner(*slot).is_none());
                 shared.metrics.set_quota_slots_without_owner(absent.count());
             }
             exchange_tokens(&shared, &mut state, now);
-            if state.borrower.is_active() { ACTIVE_INTERVAL } else { IDLE_INTERVAL }
+            if state.node.borrower.is_active() { ACTIVE_INTERVAL } else { IDLE_INTERVAL }
         };
         // Requests ask for tokens themselves, so that a notification only shortens a long sleep.
         tokio::select! {
@@ -420,7 +353,7 @@
 /// Handles the request of another node for tokens.
 pub fn handle_request(shared: &Shared, request: &QuotaRequest) {
     let Some(mut state) = shared.quota.lock() else { return };
-    let grant = state.grant(clock::now(), request);
+    let grant = state.node.grant(clock::now(), request);
     drop(state);
     match grant {
         Some(grant) => shared.send_to_node(&request.node, &Datagram::QuotaGrant(grant)),
@@ -434,7 +367,7 @@
 pub fn handle_grant(shared: &Shared, grant: &QuotaGrant) {
     let Some(mut state) = shared.quota.lock() else { return };
     let now = clock::now();
-    state.borrower.handle_grant(now, grant);
+    state.node.borrower.handle_grant(now, grant);
     exchange_tokens(shared, &mut state, now);
 }
 
@@ -442,7 +375,7 @@
 pub fn apply_store_items(shared: &Shared, items: &[Item], era: Era, full: bool) {
     let Some(mut state) = shared.quota.lock() else { return };
     let now = clock::now();
-    if !state.slots.enter_era(now, era) {
+    if !state.node.slots.enter_era(now, era) {
         return;
     }
     let slot = |item: &Item| Slot::new(item.key.as_str().strip_prefix(SLOT_PREFIX)?.parse().ok()?);
@@ -453,11 +386,11 @@
                 Some((slot(item)?, item.value.as_deref()?, item.revision, item.lease))
             })
             .collect();
-        state.slots.apply_snapshot(now, &listed);
+        state.node.slots.apply_snapshot(now, &listed);
     } else {
         for item in items {
             if let Some(slot) = slot(item) {
-                state.slots.apply(now, slot, item.value.as_deref(), item.revision, item.lease);
+                state.node.slots.apply(now, slot, item.value.as_deref(), item.revision, item.lease);
             }
         }
     }
--- a/crates/fireflyhead-gateway/src/quota/permit.rs
+++ b/crates/fireflyhead-gateway/src/quota/permit.rs
@@ -59,7 +59,7 @@
         let Some((account, taken)) = &self.taken else { return };
         let Some(mut state) = self.shared.quota.lock() else { return };
         let label = state.label(account);
-        state.borrower.give_back(clock::now(), account.as_str(), *taken);
+        state.node.borrower.give_back(clock::now(), account.as_str(), *taken);
         drop(state);
         self.shared.metrics.record_quota_tokens(&label, "returned", taken.tokens);
         self.shared.quota.wake.notify_one();
--- a/crates/fireflyhead-gateway/src/quota/slots.rs
+++ b/crates/fireflyhead-gateway/src/quota/slots.rs
@@ -72,7 +72,7 @@
 /// Makes this node stop to grant if the store is in a later era.
 fn enter_era(shared: &Shared, era: Era) {
     let Some(mut state) = shared.quota.lock() else { return };
-    state.slots.enter_era(clock::now(), era);
+    state.node.slots.enter_era(clock::now(), era);
     state.update_owners(shared);
 }
 
@@ -92,10 +92,10 @@
             let candidates = candidates(&self.shared, now);
             let Some(mut state) = self.shared.quota.lock() else { return CHECK_INTERVAL };
             let era = self.store.era();
-            state.slots.enter_era(now, era);
-            let claims = state.slots.claims(now, &candidates);
-            let owns_any = Slot::all().any(|slot| state.slots.owns(slot));
-            (era, state.slots.lease(), claims, owns_any, state.slots.is_needed())
+            state.node.slots.enter_era(now, era);
+            let claims = state.node.slots.claims(now, &candidates);
+            let owns_any = Slot::all().any(|slot| state.node.slots.owns(slot));
+            (era, state.node.slots.lease(), claims, owns_any, state.node.slots.is_needed())
         };
         let is_due = self.renewed_at.is_none_or(|at| now.since(at) >= QUOTA_RENEWAL_INTERVAL);
         let result = match lease {
@@ -128,9 +128,9 @@
             Ok(StoreResponse { era, reply: StoreReply::Lease { lease, ttl } }) => {
                 self.renewed_at = Some(sent);
                 if let Some(mut state) = self.shared.quota.lock()
-                    && state.slots.enter_era(clock::now(), era)
+                    && state.node.slots.enter_era(clock::now(), era)
                 {
-                    state.slots.record_lease(lease, ttl, sent);
+                    state.node.slots.record_lease(lease, ttl, sent);
                 }
                 Ok(())
             }
@@ -146,21 +146,21 @@
         match reply {
             Ok(StoreReply::Lease { ttl, .. }) => {
                 self.renewed_at = Some(sent);
-                if state.slots.era() == era && state.slots.lease() == Some(lease) {
-                    state.slots.record_lease(lease, ttl, sent);
+                if state.node.slots.era() == era && state.node.slots.lease() == Some(lease) {
+                    state.node.slots.record_lease(lease, ttl, sent);
                 }
                 Ok(())
             }
             Ok(StoreReply::NoLease) => {
                 tracing::warn!(event = "quota_lease_lost", lease);
-                state.slots.lose_lease();
+                state.node.slots.lose_lease();
                 state.update_owners(&self.shared);
                 Ok(())
             }
             Ok(reply) => Err(format!("{reply:?}")),
             Err(error) => {
                 if let StoreError::Restored(era) = &error {
-                    state.slots.enter_era(clock::now(), *era);
+                    state.node.slots.enter_era(clock::now(), *era);
                     state.update_owners(&self.shared);
                 }
                 Err(error.to_string())
@@ -182,7 +182,7 @@
             let now = clock::now();
             match reply {
                 StoreReply::Applied { revision } => {
-                    state.slots.record_claim(now, &claim, revision, lease);
+                    state.node.slots.record_claim(now, &claim, revision, lease);
                     state.update_owners(&self.shared);
                 }
                 // The watch shows the claim of the other node.
@@ -190,7 +190,7 @@
                     tracing::debug!(event = "quota_slot_not_claimed", slot = %claim.slot);
                 }
                 StoreReply::NoLease => {
-                    state.slots.lose_lease();
+                    state.node.slots.lose_lease();
                     state.update_owners(&self.shared);
                     return Ok(());
                 }
@@ -204,8 +204,8 @@
     async fn release(&mut self) {
         let lease = {
             let Some(mut state) = self.shared.quota.lock() else { return };
-            let lease = state.slots.lease();
-            state.slots.lose_lease();
+            let lease = state.node.slots.lease();
+            state.node.slots.lose_lease();
             state.update_owners(&self.shared);
             lease.filter(|lease| *lease != NO_LEASE)
         };
--- a/crates/fireflyhead-policy/src/quota.rs
+++ b/crates/fireflyhead-policy/src/quota.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`slots`]: which node owns a slot
 //! - [`owner`]: which tokens an owner grants
+//! - [`node`]: these three on one node
 //! - [`borrower`]: which requests a node admits, and which tokens it asks for
 //!
 //! In a window W an account with rate r and burst b uses at most r (W + L) + b tokens, where L is
@@ -14,6 +15,7 @@
 //! bucket issues at most its depth and what it gains. `docs/design/quotas.md` has the proof.
 
 pub mod borrower;
+pub mod node;
 pub mod owner;
 pub mod slots;
 
--- a/crates/fireflyhead-policy/src/quota/borrower.rs
+++ b/crates/fireflyhead-policy/src/quota/borrower.rs
@@ -315,8 +315,7 @@
     fn is_responsive(&self, now: Time) -> bool {
         match self.state {
             OwnerState::Absent => false,
-            OwnerState::Local => true,
-            OwnerState::Remote => now >= self.silent_until,
+            OwnerState::Local | OwnerState::Remote => now >= self.silent_until,
         }
     }
 }
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/quota.rs
@@ -0,0 +1,137 @@
+//! Bound on the tokens of an account in any window, under faults.
+
+use std::thread;
+use std::time::Duration;
+
+use fireflyhead_policy::Name;
+use fireflyhead_policy::accounts::Quota;
+use fireflyhead_policy::accounts::QuotaUnit;
+use fireflyhead_policy::quota::QuotaSettings;
+use rand::Rng;
+
+use crate::quota_sim::Fault;
+use crate::quota_sim::Network;
+use crate::quota_sim::Sim;
+
+/// Number of schedules. They run in as many threads as [`THREADS`].
+const SCHEDULES: u64 = 10_000;
+const THREADS: u64 = 3;
+/// Largest number of requests of a burst.
+const BURST_REQUESTS: u64 = 60;
+
+fn quota(rate: f64, burst: f64) -> Quota {
+    Quota::new(QuotaUnit::Requests, rate, burst).expect("a valid quota").expect("a limit")
+}
+
+/// Largest number of tokens used in a window from `from` on, as a multiple of the bound.
+fn worst_window(sim: &Sim, account: usize, bound: f64) -> f64 {
+    let window = sim.settings.window;
+    let used: Vec<_> = sim.used.iter().filter(|(_, used, _)| *used == account).collect();
+    let (mut first, mut sum, mut worst) = (0, 0, 0);
+    for (at, _, tokens) in &used {
+        sum += tokens;
+        while at.since(used[first].0) > window {
+            sum -= used[first].2;
+            first += 1;
+        }
+        worst = worst.max(sum);
+    }
+    worst as f64 / bound
+}
+
+/// Returns a random fault.
+fn random_fault(sim: &mut Sim, nodes: usize, accounts: &[(Name, Quota)]) -> Fault {
+    let node = sim.rng.random_range(0..nodes);
+    let other = sim.rng.random_range(0..nodes);
+    let ms = |sim: &mut Sim, max: u64| Duration::from_millis(sim.rng.random_range(1..max));
+    match sim.rng.random_range(0..10) {
+        0 | 1 => Fault::Restart(node, ms(sim, 2_000)),
+        2 => Fault::Restart(node, ms(sim, 16_000)),
+        3 => Fault::Freeze(node, ms(sim, 1_500)),
+        4 => Fault::Freeze(node, ms(sim, 16_000)),
+        5 | 6 => Fault::CutFromStore(node, ms(sim, 20_000)),
+        7 => Fault::CutLink(node, other, ms(sim, 6_000)),
+        8 if sim.rng.random_bool(0.5) => Fault::Copy,
+        8 => Fault::Restore,
+        _ => {
+            // An account leaves the configuration, or all are in it again.
+            let left = sim.rng.random_range(0..=accounts.len());
+            let rest = accounts.iter().enumerate().filter(|(at, _)| *at != left);
+            Fault::Accounts(rest.map(|(_, account)| account.clone()).collect(), ms(sim, 3_000))
+        }
+    }
+}
+
+/// Runs a random schedule. Returns the largest use in a window, as a multiple of the bound, and the
+/// number of admitted requests.
+fn run_schedule(seed: u64) -> (f64, u64) {
+    let window = Duration::from_millis([500, 2_000, 8_000][(seed % 3) as usize]);
+    let overage = [0.0, 0.1, 0.2][(seed / 3 % 3) as usize];
+    let slack = [0.0, 5_000.0][(seed / 9 % 2) as usize];
+    let settings = QuotaSettings { window, overage, slack: slack + 1_700.0 };
+    let accounts = [
+        (Name::from("large"), quota(20_000.0, 64_000.0)),
+        (Name::from("small"), quota(6_000.0, 9_000.0)),
+    ];
+    let network = Network {
+        max_delay: Duration::from_millis(if seed.is_multiple_of(4) { 80 } else { 8 }),
+        loss: [0.0, 0.02, 0.2][(seed / 5 % 3) as usize],
+        duplicates: 0.1,
+    };
+    let nodes = 2 + (seed % 4) as usize;
+    let mut sim = Sim::new(seed, settings, nodes, &accounts, network);
+    sim.not_run = if seed.is_multiple_of(2) { 0.2 } else { 0.0 };
+    let end = 40_000;
+    for _ in 0..sim.rng.random_range(1..6) {
+        let at = Duration::from_millis(sim.rng.random_range(3_000..end));
+        let fault = random_fault(&mut sim, nodes, &accounts);
+        sim.fault(at, fault);
+    }
+    for _ in 0..4 {
+        let begin = sim.rng.random_range(2_000..end);
+        let spread = sim.rng.random_range(100..window.as_millis() as u64 * 2);
+        let account = usize::from(sim.rng.random_bool(0.3));
+        for _ in 0..BURST_REQUESTS {
+            let at = Duration::from_millis(begin + sim.rng.random_range(0..spread));
+            let node = sim.rng.random_range(0..nodes);
+            let cost = sim.rng.random_range(500..9_000);
+            sim.request(at, node, account, cost);
+        }
+    }
+    sim.run(Duration::from_millis(end + 17_000));
+    let worst = accounts
+        .iter()
+        .enumerate()
+        .map(|(at, (_, quota))| worst_window(&sim, at, sim.settings.bound(quota)))
+        .fold(0.0, f64::max);
+    (worst, sim.counts.iter().map(|counts| counts.admitted).sum())
+}
+
+/// Guards against more tokens in a window than the page permits, while messages are lost, delayed
+/// and duplicated, nodes restart, freeze and are cut off, slots change their owner, the store is
+/// restored and accounts leave and return.
+#[test]
+fn no_schedule_exceeds_the_bound() {
+    let results: Vec<(u64, f64, u64)> = thread::scope(|scope| {
+        let run = |thread: u64| {
+            let seeds = (thread..SCHEDULES).step_by(THREADS as usize);
+            scope.spawn(move || {
+                let result = |seed| {
+                    let (worst, admitted) = run_schedule(seed);
+                    (seed, worst, admitted)
+                };
+                seeds.map(result).collect::<Vec<_>>()
+            })
+        };
+        let threads: Vec<_> = (0..THREADS).map(run).collect();
+        threads.into_iter().flat_map(|thread| thread.join().expect("no panic")).collect()
+    });
+    let (seed, worst, _) =
+        results.iter().copied().max_by(|a, b| a.1.total_cmp(&b.1)).expect("schedules ran");
+    let admitted: u64 = results.iter().map(|(.., admitted)| admitted).sum();
+    let above_half = results.iter().filter(|(_, worst, _)| *worst > 0.5).count();
+    println!("{admitted} admitted; worst window {worst:.3} of the bound in schedule {seed}");
+    println!("{above_half} schedules used over half of the bound");
+    assert!(worst <= 1.0, "schedule {seed} used {worst:.3} of the bound");
+    assert!(above_half > 500, "the schedules hardly use quotas");
+}
--- /dev/null
+++ b/crates/fireflyhead-policy/tests/policy/quota_loads.rs
@@ -0,0 +1,1 @@
+//! Quotas under load: how much of its quota an account gets.
