--- a/crates/fireflyhead-policy/tests/policy/quota.rs
+++ b/crates/fireflyhead-policy/tests/policy/quota.rs
@@ -16,8 +16,8 @@
 /// Number of schedules. They run in as many threads as [`THREADS`].
 const SCHEDULES: u64 = 10_000;
 const THREADS: u64 = 3;
-/// Largest number of requests of a burst.
-const BURST_REQUESTS: u64 = 60;
+/// Tokens that a flood asks for, as a multiple of what the quota permits.
+const FLOOD: f64 = 2.0;
 
 fn quota(rate: f64, burst: f64) -> Quota {
     Quota::new(QuotaUnit::Requests, rate, burst).expect("a valid quota").expect("a limit")
@@ -44,20 +44,19 @@
     let node = sim.rng.random_range(0..nodes);
     let other = sim.rng.random_range(0..nodes);
     let ms = |sim: &mut Sim, max: u64| Duration::from_millis(sim.rng.random_range(1..max));
-    match sim.rng.random_range(0..10) {
-        0 | 1 => Fault::Restart(node, ms(sim, 2_000)),
-        2 => Fault::Restart(node, ms(sim, 16_000)),
-        3 => Fault::Freeze(node, ms(sim, 1_500)),
-        4 => Fault::Freeze(node, ms(sim, 16_000)),
-        5 | 6 => Fault::CutFromStore(node, ms(sim, 20_000)),
-        7 => Fault::CutLink(node, other, ms(sim, 6_000)),
-        8 if sim.rng.random_bool(0.5) => Fault::Copy,
-        8 => Fault::Restore,
+    match sim.rng.random_range(0..12) {
+        0..=2 => Fault::Restart(node, ms(sim, 300)),
+        3 => Fault::Restart(node, ms(sim, 16_000)),
+        4 => Fault::Freeze(node, ms(sim, 1_500)),
+        5 => Fault::Freeze(node, ms(sim, 16_000)),
+        6 | 7 => Fault::CutFromStore(node, ms(sim, 24_000)),
+        8 => Fault::CutLink(node, other, ms(sim, 6_000)),
+        9 => Fault::Restore,
         _ => {
-            // An account leaves the configuration, or all are in it again.
-            let left = sim.rng.random_range(0..=accounts.len());
+            // An account leaves the configuration.
+            let left = sim.rng.random_range(0..accounts.len());
             let rest = accounts.iter().enumerate().filter(|(at, _)| *at != left);
-            Fault::Accounts(rest.map(|(_, account)| account.clone()).collect(), ms(sim, 3_000))
+            Fault::Accounts(rest.map(|(_, account)| account.clone()).collect(), ms(sim, 300))
         }
     }
 }
@@ -65,40 +64,43 @@
 /// Runs a random schedule. Returns the largest use in a window, as a multiple of the bound, and the
 /// number of admitted requests.
 fn run_schedule(seed: u64) -> (f64, u64) {
-    let window = Duration::from_millis([500, 2_000, 8_000][(seed % 3) as usize]);
-    let overage = [0.0, 0.1, 0.2][(seed / 3 % 3) as usize];
-    let slack = [0.0, 5_000.0][(seed / 9 % 2) as usize];
-    let settings = QuotaSettings { window, overage, slack: slack + 1_700.0 };
+    let window = [1_000, 3_000, 8_000][(seed % 3) as usize];
+    let overage = [0.0, 0.1][(seed / 3 % 2) as usize];
+    let slack = [1_700.0, 6_700.0][(seed / 6 % 2) as usize];
+    let settings = QuotaSettings { window: Duration::from_millis(window), overage, slack };
     let accounts = [
         (Name::from("large"), quota(20_000.0, 64_000.0)),
-        (Name::from("small"), quota(6_000.0, 9_000.0)),
+        (Name::from("small"), quota(9_000.0, 9_000.0)),
     ];
     let network = Network {
-        max_delay: Duration::from_millis(if seed.is_multiple_of(4) { 80 } else { 8 }),
-        loss: [0.0, 0.02, 0.2][(seed / 5 % 3) as usize],
+        max_delay: Duration::from_millis(if seed.is_multiple_of(8) { 80 } else { 8 }),
+        loss: [0.0, 0.0, 0.02, 0.2][(seed / 5 % 4) as usize],
         duplicates: 0.1,
     };
-    let nodes = 2 + (seed % 4) as usize;
+    let nodes = 2 + (seed / 2 % 4) as usize;
     let mut sim = Sim::new(seed, settings, nodes, &accounts, network);
-    sim.not_run = if seed.is_multiple_of(2) { 0.2 } else { 0.0 };
-    let end = 40_000;
-    for _ in 0..sim.rng.random_range(1..6) {
-        let at = Duration::from_millis(sim.rng.random_range(3_000..end));
-        let fault = random_fault(&mut sim, nodes, &accounts);
-        sim.fault(at, fault);
-    }
-    for _ in 0..4 {
-        let begin = sim.rng.random_range(2_000..end);
-        let spread = sim.rng.random_range(100..window.as_millis() as u64 * 2);
-        let account = usize::from(sim.rng.random_bool(0.3));
-        for _ in 0..BURST_REQUESTS {
-            let at = Duration::from_millis(begin + sim.rng.random_range(0..spread));
-            let node = sim.rng.random_range(0..nodes);
-            let cost = sim.rng.random_range(500..9_000);
-            sim.request(at, node, account, cost);
+    sim.not_run = if seed.is_multiple_of(4) { 0.2 } else { 0.0 };
+    let end = 30_000;
+    let copied_at = Duration::from_millis(sim.rng.random_range(1..end));
+    sim.fault(copied_at, Fault::Copy);
+    for _ in 0..sim.rng.random_range(1..4) {
+        // The owners have their slots, and the buckets are full.
+        let at = sim.rng.random_range(8_000..end);
+        for _ in 0..sim.rng.random_range(1..4) {
+            let fault = random_fault(&mut sim, nodes, &accounts);
+            let fault_at = Duration::from_millis(at + sim.rng.random_range(0..500));
+            if let Fault::Accounts(..) = fault {
+                let spread = Duration::from_millis(300);
+                let back_at = fault_at + Duration::from_millis(sim.rng.random_range(1..2_000));
+                sim.fault(back_at, Fault::Accounts(accounts.to_vec(), spread));
+            }
+            sim.fault(fault_at, fault);
         }
+        // The account floods the nodes about the time of the fault, or of a takeover after it.
+        let flood_at = at + if sim.rng.random_bool(0.4) { 12_000 } else { 0 };
+        add_flood(&mut sim, flood_at, nodes, &accounts);
     }
-    sim.run(Duration::from_millis(end + 17_000));
+    sim.run(Duration::from_millis(end + 17_000 + window));
     let worst = accounts
         .iter()
         .enumerate()
@@ -107,6 +109,25 @@
     (worst, sim.counts.iter().map(|counts| counts.admitted).sum())
 }
 
+/// Adds requests for several times the bound in windows about a time.
+fn add_flood(sim: &mut Sim, at: u64, nodes: usize, accounts: &[(Name, Quota)]) {
+    let window = sim.settings.window.as_millis() as u64;
+    let account = usize::from(sim.rng.random_bool(0.3));
+    let (_, quota) = &accounts[account];
+    let max_cost = (quota.burst / 10.0).min(4_000.0) as u64;
+    let begin = at - sim.rng.random_range(0..window);
+    let length = window * 3 / 2;
+    let bound = quota.rate * length as f64 / 1_000.0 + quota.burst;
+    let mut tokens = bound * FLOOD;
+    while tokens > 0.0 {
+        let cost = sim.rng.random_range(max_cost / 4..=max_cost);
+        let at = Duration::from_millis(begin + sim.rng.random_range(0..length));
+        let node = sim.rng.random_range(0..nodes);
+        sim.request(at, node, account, cost);
+        tokens -= cost as f64;
+    }
+}
+
 /// Guards against more tokens in a window than the page permits, while messages are lost, delayed
 /// and duplicated, nodes restart, freeze and are cut off, slots change their owner, the store is
 /// restored and accounts leave and return.
@@ -133,5 +154,5 @@
     println!("{admitted} admitted; worst window {worst:.3} of the bound in schedule {seed}");
     println!("{above_half} schedules used over half of the bound");
     assert!(worst <= 1.0, "schedule {seed} used {worst:.3} of the bound");
-    assert!(above_half > 500, "the schedules hardly use quotas");
+    assert!(above_half > 5_000, "the schedules hardly use quotas");
 }
--- a/crates/fireflyhead-policy/tests/policy/quota_sim.rs
+++ b/crates/fireflyhead-policy/tests/policy/quota_sim.rs
@@ -32,7 +32,7 @@
 /// Interval at which an active node asks for tokens, as in the gateway.
 const TICK: Duration = Duration::from_millis(10);
 /// Interval of the checks for slots to claim.
-const STORE_STEP: Duration = Duration::from_millis(500);
+const STORE_STEP: Duration = Duration::from_millis(250);
 /// Time after which a call to the store without a reply is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -272,7 +272,7 @@
         node.waiting.clear();
         let delay = self.delay();
         self.push(self.now + delay, Event::Snapshot { node: number, process });
-        self.push(self.now + STORE_STEP, Event::StoreStep { node: number, process });
+        self.push(self.now + delay * 2, Event::StoreStep { node: number, process });
     }
 
     /// Returns the node at which an event happens.
