Measure the control traffic of quotas, and test their messages

Cause: the traffic at 300 nodes was not known. Change: a simulation with the load of the deployment with accounts counts encoded bytes; owners share the accounts of a configuration.

--- a/crates/fireflyhead-gateway/src/quota.rs
+++ b/crates/fireflyhead-gateway/src/quota.rs
@@ -34,6 +34,7 @@
 use fireflyhead_policy::quota::borrower::UNKNOWN_RETRY_AFTER;
 use fireflyhead_policy::quota::node::QuotaNode;
 use fireflyhead_policy::quota::node::SlotChange;
+use fireflyhead_policy::quota::owner::AccountQuotas;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
@@ -301,7 +302,7 @@
             return;
         }
         self.config_version = Some(config.version);
-        let accounts: HashMap<Name, Option<Quota>> = config
+        let accounts: AccountQuotas = config
             .accounts
             .iter()
             .flat_map(|accounts| accounts.iter())
@@ -312,7 +313,7 @@
             tracing::info!(event = "quotas", needed, accounts = accounts.len());
         }
         self.node.slots.set_needed(now, needed);
-        self.node.owner.set_accounts(now, accounts);
+        self.node.owner.set_accounts(now, Arc::new(accounts));
     }
 }
 
--- a/crates/fireflyhead-policy/src/quota/owner.rs
+++ b/crates/fireflyhead-policy/src/quota/owner.rs
@@ -6,6 +6,7 @@
 //! window.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Name;
@@ -30,6 +31,9 @@
 /// Longest time after which a node is told to ask again.
 const MAX_RETRY: Duration = Duration::from_secs(60);
 
+/// Accounts of a configuration with their quotas; `None` without a limit.
+pub type AccountQuotas = HashMap<Name, Option<Quota>>;
+
 /// Token bucket of one part of an account.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -85,7 +89,7 @@
 pub struct QuotaOwner {
     settings: QuotaSettings,
     /// Accounts of the configuration, without a quota or with one.
-    accounts: HashMap<Name, Option<Quota>>,
+    accounts: Arc<AccountQuotas>,
     /// Accounts that were removed from the configuration, and when.
     removed: HashMap<Name, Time>,
     slots: [Option<OwnedSlot>; SLOT_COUNT],
@@ -96,14 +100,14 @@
     pub fn new(settings: QuotaSettings) -> QuotaOwner {
         QuotaOwner {
             settings,
-            accounts: HashMap::new(),
+            accounts: Arc::default(),
             removed: HashMap::new(),
             slots: [const { None }; SLOT_COUNT],
         }
     }
 
     /// Applies the accounts of a new configuration. A bucket keeps its level, at most its new depth.
-    pub fn set_accounts(&mut self, now: Time, accounts: HashMap<Name, Option<Quota>>) {
+    pub fn set_accounts(&mut self, now: Time, accounts: Arc<AccountQuotas>) {
         let memory = self.memory();
         self.removed.retain(|_, at| now.since(*at) < memory);
         let previous = std::mem::replace(&mut self.accounts, accounts);
@@ -114,7 +118,7 @@
             let Some(owned) = &mut self.slots[slot.index()] else { continue };
             let may_start_full = now.since(owned.since) >= memory;
             let mut old = std::mem::take(&mut owned.buckets);
-            for (name, quota) in &self.accounts {
+            for (name, quota) in self.accounts.iter() {
                 let Some(quota) = quota else { continue };
                 let is_new = !previous.contains_key(name) && !self.removed.contains_key(name);
                 let Some(mut bucket) = new_bucket(&self.settings, slot, name, quota, now) else {
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -22,6 +22,11 @@
 use fireflyhead_policy::quarantine::CrashId;
 use fireflyhead_policy::quarantine::CrashReport;
 use fireflyhead_policy::quarantine::PartId;
+use fireflyhead_policy::quota::GrantedTokens;
+use fireflyhead_policy::quota::QuotaDemand;
+use fireflyhead_policy::quota::QuotaGrant;
+use fireflyhead_policy::quota::QuotaRequest;
+use fireflyhead_policy::quota::Slot;
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_schema::codec;
 use fireflyhead_schema::messages as wire;
@@ -137,6 +142,25 @@
             suspects: vec![PartId(5), PartId(u64::MAX)],
             cleared: vec![PartId(6)],
         }]),
+        Datagram::QuotaRequest(QuotaRequest {
+            node: Name::from("node-1"),
+            incarnation: 7,
+            seq: u64::MAX - 1,
+            slot: Slot::new(3).expect("a slot"),
+            demands: vec![QuotaDemand {
+                account: Name::from("hule930"),
+                waiting: vec![1_460, 200],
+                expected: 9_000,
+            }],
+        }),
+        Datagram::QuotaGrant(QuotaGrant {
+            seq: 9,
+            slot: Slot::new(0).expect("a slot"),
+            grants: vec![GrantedTokens {
+                tokens: 1_460,
+                retry_after: Duration::from_micros(40_001),
+            }],
+        }),
     ]
 }
 
@@ -163,6 +187,15 @@
     }
 }
 
+/// Guards against a request for a slot that doesn't exist.
+#[test]
+fn messages_for_an_unknown_slot_are_rejected() {
+    let grant = wire::QuotaGrant { seq: 1, slot: 4, grants: Vec::new() };
+    let body = Some(wire::datagram::Body::QuotaGrants(grant));
+    let bytes = codec::encode(&wire::Datagram { body }).expect("it is encoded");
+    assert_eq!(decode(&bytes), None);
+}
+
 proptest! {
     /// Guards against a node that panics when other software sends it datagrams.
     #[test]
@@ -176,7 +209,7 @@
     /// or cut off.
     #[test]
     fn decoding_damaged_datagrams_does_not_panic(
-        index in 0_usize..6,
+        index in 0_usize..10,
         changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
         cut in any::<prop::sample::Index>(),
     ) {
--- a/crates/fireflyhead-policy/tests/policy/quota_loads.rs
+++ b/crates/fireflyhead-policy/tests/policy/quota_loads.rs
@@ -3,9 +3,18 @@
 use std::time::Duration;
 
 use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
 use fireflyhead_policy::accounts::Quota;
 use fireflyhead_policy::accounts::QuotaUnit;
+use fireflyhead_policy::message::Datagram;
+use fireflyhead_policy::quota::GrantedTokens;
+use fireflyhead_policy::quota::QuotaDemand;
+use fireflyhead_policy::quota::QuotaGrant;
+use fireflyhead_policy::quota::QuotaRequest;
 use fireflyhead_policy::quota::QuotaSettings;
+use fireflyhead_policy::quota::Slot;
+use fireflyhead_schema::codec;
+use fireflyhead_schema::messages as wire;
 use rand::Rng;
 
 use crate::quota_sim::Fault;
@@ -62,7 +71,7 @@
 /// Returns the tokens that `account` used per second once the load had settled, as a share of
 /// `rate`.
 fn used_share(sim: &Sim, account: usize, rate: f64) -> f64 {
-    let start = fireflyhead_policy::Time::from_millis(1_000) + BEGIN + SETTLED;
+    let start = Time::from_millis(1_000) + BEGIN + SETTLED;
     let end = start + (LOAD - SETTLED);
     let used =
         sim.used.iter().filter(|(at, used, _)| *used == account && *at >= start && *at < end);
@@ -154,3 +163,88 @@
     assert!(share >= 0.9 * left, "{share}");
     assert_eq!(sim.counts[0].unknown, 0, "other owners reply");
 }
+
+/// Guards against control traffic that grows with the number of nodes or accounts. The load is that
+/// of the deployment with accounts, 504,000 tokens per second, at 300 nodes.
+#[test]
+fn control_traffic_stays_small() {
+    const LARGE_FLEET: usize = 300;
+    const TOKENS_PER_S: f64 = 504_000.0;
+    for (count, serving) in [(16, 24), (16, LARGE_FLEET), (20_000, 24), (20_000, LARGE_FLEET)] {
+        // As in the deployment, the largest of 16 accounts has a third of the load.
+        let share = |at: usize| match (count, at) {
+            (16, 0) => 1.0 / 3.0,
+            _ => (1.0 / count as f64).max(0.01 * f64::from(u8::from(count == 16))),
+        };
+        let accounts: Vec<(Name, Quota)> = (0..count)
+            .map(|at| account(&format!("account{at}"), TOKENS_PER_S * share(at) * 1.5 + 5_000.0))
+            .collect();
+        let mut sim = Sim::new(3, QuotaSettings::default(), LARGE_FLEET, &accounts, NETWORK);
+        sim.bytes = Some(vec![0; LARGE_FLEET]);
+        if count == 16 {
+            for at in 0..count {
+                add_load(&mut sim, at, TOKENS_PER_S * share(at), &vec![1.0; serving]);
+            }
+        } else {
+            add_load_of_many(&mut sim, TOKENS_PER_S, count, serving);
+        }
+        sim.run(BEGIN + LOAD);
+        let bytes = sim.bytes.as_ref().expect("they are counted");
+        let per_s = |bytes: u64| bytes as f64 / LOAD.as_secs_f64() / 1_000.0;
+        let mean = per_s(bytes.iter().sum::<u64>()) / LARGE_FLEET as f64;
+        let most = per_s(*bytes.iter().max().expect("there are nodes"));
+        let admitted: u64 = sim.counts.iter().map(|counts| counts.admitted).sum();
+        let refused: u64 = sim.counts.iter().map(|counts| counts.refused + counts.unknown).sum();
+        println!(
+            "{count} accounts, {serving} of {LARGE_FLEET} nodes serve: {mean:.2} KB/s a node, at \
+             most {most:.1}; {admitted} admitted, {refused} refused"
+        );
+        assert!(mean < 1.0, "{mean}");
+    }
+}
+
+/// Adds requests of as many accounts, each equally likely.
+fn add_load_of_many(sim: &mut Sim, tokens_per_s: f64, accounts: usize, nodes: usize) {
+    let (cost, _) = COSTS[0];
+    let interval = cost as f64 / tokens_per_s;
+    let requests = (LOAD.as_secs_f64() / interval) as u32;
+    for number in 0..requests {
+        let at = BEGIN + Duration::from_secs_f64(interval * f64::from(number));
+        let node = sim.rng.random_range(0..nodes);
+        let account = sim.rng.random_range(0..accounts);
+        sim.request(at, node, account, cost);
+    }
+}
+
+/// Shows the encoded sizes from which the traffic follows.
+#[test]
+fn sizes_of_quota_messages_are_small() {
+    let size = |datagram: &Datagram| {
+        let encoded = codec::encode(&wire::Datagram::from(datagram));
+        encoded.expect("it is encoded").len()
+    };
+    let request = |accounts: usize| {
+        let demand = |at: usize| QuotaDemand {
+            account: Name::from(format!("account{at}")),
+            waiting: vec![1_630],
+            expected: 0,
+        };
+        Datagram::QuotaRequest(QuotaRequest {
+            node: Name::from("i-8049e92b2d"),
+            incarnation: 1_790_000_000_000,
+            seq: 1 << 40,
+            slot: Slot::new(3).expect("a slot"),
+            demands: (0..accounts).map(demand).collect(),
+        })
+    };
+    let grant = |accounts: usize| {
+        let granted = GrantedTokens { tokens: 1_630, retry_after: Duration::from_millis(40) };
+        let slot = Slot::new(3).expect("a slot");
+        Datagram::QuotaGrant(QuotaGrant { seq: 1 << 40, slot, grants: vec![granted; accounts] })
+    };
+    for accounts in [1, 16, 128] {
+        let (request, grant) = (size(&request(accounts)), size(&grant(accounts)));
+        println!("{accounts} accounts: request {request} bytes, grant {grant} bytes");
+        assert!(request <= 40 + 24 * accounts && grant <= 20 + 12 * accounts);
+    }
+}
--- a/crates/fireflyhead-policy/tests/policy/quota_sim.rs
+++ b/crates/fireflyhead-policy/tests/policy/quota_sim.rs
@@ -5,12 +5,14 @@
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::accounts::Quota;
 use fireflyhead_policy::era::Era;
+use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::quota::QuotaGrant;
 use fireflyhead_policy::quota::QuotaRequest;
 use fireflyhead_policy::quota::QuotaSettings;
@@ -21,10 +23,13 @@
 use fireflyhead_policy::quota::borrower::Ticket;
 use fireflyhead_policy::quota::borrower::TryTake;
 use fireflyhead_policy::quota::node::QuotaNode;
+use fireflyhead_policy::quota::owner::AccountQuotas;
 use fireflyhead_policy::quota::slots::QUOTA_LEASE_TTL;
 use fireflyhead_policy::quota::slots::QUOTA_RENEWAL_INTERVAL;
 use fireflyhead_policy::quota::slots::SlotCandidate;
 use fireflyhead_policy::quota::slots::SlotClaim;
+use fireflyhead_schema::codec;
+use fireflyhead_schema::messages as wire;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -143,9 +148,11 @@
     pub(crate) not_run: f64,
     /// Number of datagrams between nodes.
     pub(crate) datagrams: u64,
+    /// Bytes that each node sent and received, if they are counted.
+    pub(crate) bytes: Option<Vec<u64>>,
     pub(crate) rng: ChaCha8Rng,
     accounts: Vec<Name>,
-    versions: Vec<HashMap<Name, Option<Quota>>>,
+    versions: Vec<Arc<AccountQuotas>>,
     nodes: Vec<SimNode>,
     cuts: Vec<(usize, usize, Time)>,
     store: SimStore,
@@ -173,6 +180,7 @@
             used: Vec::new(),
             not_run: 0.0,
             datagrams: 0,
+            bytes: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
             accounts: accounts.iter().map(|(name, _)| name.clone()).collect(),
             versions: vec![quotas(accounts)],
@@ -403,6 +411,7 @@
         }
         for (address, request) in requests {
             let to = usize::from(address.port() - 7_000);
+            self.count_bytes(number, to, &Datagram::QuotaRequest(request.clone()));
             self.send(number, to, |to| Event::QuotaRequest { to, request: request.clone() });
         }
     }
@@ -412,10 +421,19 @@
         let now = self.now + node.offset;
         if let Some(grant) = node.quota.as_mut().expect("it runs").grant(now, request) {
             let to = self.nodes.iter().position(|n| n.name == request.node).expect("it exists");
+            self.count_bytes(number, to, &Datagram::QuotaGrant(grant.clone()));
             self.send(number, to, |to| Event::QuotaGrant { to, grant: grant.clone() });
         }
     }
 
+    fn count_bytes(&mut self, from: usize, to: usize, datagram: &Datagram) {
+        if let Some(bytes) = &mut self.bytes {
+            let encoded = codec::encode(&wire::Datagram::from(datagram)).expect("it is encoded");
+            bytes[from] += encoded.len() as u64;
+            bytes[to] += encoded.len() as u64;
+        }
+    }
+
     fn send(&mut self, from: usize, to: usize, event: impl Fn(usize) -> Event) {
         self.datagrams += 1;
         let is_cut = |(a, b, until): &(usize, usize, Time)| {
@@ -674,6 +692,6 @@
     }
 }
 
-fn quotas(accounts: &[(Name, Quota)]) -> HashMap<Name, Option<Quota>> {
-    accounts.iter().map(|(name, quota)| (name.clone(), Some(*quota))).collect()
+fn quotas(accounts: &[(Name, Quota)]) -> Arc<AccountQuotas> {
+    Arc::new(accounts.iter().map(|(name, quota)| (name.clone(), Some(*quota))).collect())
 }
