Merge quotas of client accounts over all nodes

The request path takes the tokens of the account that the key belongs to, after the route is known and before the route's limits and the body.

--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -21,7 +21,11 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::accounts::ClientAccount;
+use fireflyhead_policy::authentication::Identity;
+use fireflyhead_policy::config::Config;
 use fireflyhead_policy::config::Route;
+use fireflyhead_policy::protocol::RequestHead;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -36,11 +40,14 @@
 use crate::clock;
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
+use crate::quota;
+use crate::quota::QuotaPermit;
 use crate::serving;
 use crate::state::Shared;
 
 use self::inbound_request::InboundRequest;
 use self::local_responses::empty_response;
+use self::local_responses::quota_refused;
 use self::local_responses::service_unavailable;
 pub(crate) use self::response_body::Framing;
 
@@ -167,17 +174,13 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
     };
-    let Some(host) = host(&parts) else { return empty_response(StatusCode::BAD_REQUEST) };
-    let Some(route) = config.route(host, parts.uri.path()) else {
-        tracing::info!(event = "no_route", host, path = parts.uri.path(), config = config.version);
-        return empty_response(StatusCode::NOT_FOUND);
+    let route = match find_route(&config, &parts) {
+        Ok(route) => route,
+        Err(status) => return empty_response(status),
     };
-    if route.method.as_ref().is_some_and(|method| method.as_str() != parts.method.as_str()) {
-        return empty_response(StatusCode::METHOD_NOT_ALLOWED);
-    }
     let Some(id) = head.id.clone() else { return empty_response(StatusCode::BAD_REQUEST) };
-    let identity = match authentication::authenticate(shared, &config, route, &id, &head) {
-        Ok(identity) => identity,
+    let (identity, permit) = match identify(shared, &config, route, &id, &head).await {
+        Ok(identified) => identified,
         Err(response) => return *response,
     };
     if let Err(retry_after) = guard.enter_route(route) {
@@ -224,11 +227,66 @@
         arrived,
         objective: objective(arrived, route),
         deadline: end,
+        quota: permit,
         stage: Mutex::default(),
     };
     request.forward(guard).await
 }
 
+/// Returns the route of a request.
+///
+/// # Errors
+/// No route serves it; the value is the status of the response.
+fn find_route<'a>(
+    config: &'a Config,
+    parts: &http::request::Parts,
+) -> Result<&'a Arc<Route>, StatusCode> {
+    let Some(host) = host(parts) else { return Err(StatusCode::BAD_REQUEST) };
+    let Some(route) = config.route(host, parts.uri.path()) else {
+        tracing::info!(event = "no_route", host, path = parts.uri.path(), config = config.version);
+        return Err(StatusCode::NOT_FOUND);
+    };
+    match route.method.as_ref().is_some_and(|method| method.as_str() != parts.method.as_str()) {
+        true => Err(StatusCode::METHOD_NOT_ALLOWED),
+        false => Ok(route),
+    }
+}
+
+/// Returns who a request belongs to, and the permit of its account's quota.
+///
+/// # Errors
+/// The request is not served; the value is its response.
+async fn identify(
+    shared: &Arc<Shared>,
+    config: &Config,
+    route: &Route,
+    id: &Name,
+    head: &RequestHead,
+) -> Result<(Identity, Option<QuotaPermit>), Box<Response<Body>>> {
+    let identity = authentication::authenticate(shared, config, route, id, head)?;
+    let permit = enter_quota(shared, identity.account(), id, head).await?;
+    Ok((identity, permit))
+}
+
+/// Takes the tokens of a request from the quota of its account.
+///
+/// # Errors
+/// The quota doesn't admit the request; the value is the response.
+async fn enter_quota(
+    shared: &Arc<Shared>,
+    account: Option<&Arc<ClientAccount>>,
+    id: &Name,
+    head: &RequestHead,
+) -> Result<Option<QuotaPermit>, Box<Response<Body>>> {
+    let Some((account, quota)) = account.and_then(|a| Some((a, a.quota.as_ref()?))) else {
+        return Ok(None);
+    };
+    match quota::acquire(shared, id, account, quota.cost(head.token_count())).await {
+        Ok(permit) => Ok(Some(permit)),
+        Err(refusal) => Err(Box::new(quota_refused(&refusal))),
+    }
+}
+
 /// Returns the time up to which the response meets the latency objective of the route.
 fn objective(arrived: Time, route: &Route) -> Time {
     arrived + route.objective
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::fleet::UPSTREAM_HEARTBEAT;
+use fireflyhead_policy::quota::QuotaSettings;
 use fireflyhead_schema::NodeSettings;
 
 /// Settings with which a node is started.
@@ -61,6 +62,8 @@
     /// Time after the revocation of a key within which its open streams must end; `None` if they go
     /// on.
     pub revoke_closes_streams: Option<Duration>,
+    /// Settings of the quotas of client accounts; `None` to enforce none.
+    pub quota: Option<QuotaSettings>,
 }
 
 impl Default for GatewaySettings {
@@ -89,6 +92,7 @@
             version_bound: Duration::from_secs(5),
             resolve_ttl: Duration::from_secs(2),
             revoke_closes_streams: None,
+            quota: None,
         }
     }
 }
@@ -115,6 +119,11 @@
             retry_window: settings.retry_window,
             version_bound: settings.version_bound,
             resolve_ttl: settings.resolve_ttl,
+            quota: (!settings.quota_window.is_zero()).then_some(QuotaSettings {
+                window: settings.quota_window,
+                overage: settings.quota_overage,
+                slack: settings.quota_slack,
+            }),
             ..GatewaySettings::default()
         }
     }
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -55,6 +55,7 @@
 use crate::pool::Pool;
 use crate::protocol_versions::ProtocolVersions;
 use crate::quarantine::QuarantineState;
+use crate::quota::QuotaState;
 use crate::response_memory::ResponseMemory;
 use crate::serving::ServingState;
 use crate::settings::GatewaySettings;
@@ -85,6 +86,8 @@
     pub protocol_versions: ProtocolVersions,
     /// Evidence on prompt parts that crash engines.
     pub quarantine: QuarantineState,
+    /// Quotas of client accounts.
+    pub quota: QuotaState,
     /// Memory of the responses that are held back.
     pub response_memory: Arc<ResponseMemory>,
     /// Exchange of the configuration with the other nodes.
@@ -144,16 +147,19 @@
         let response_memory =
             Arc::new(ResponseMemory::new(settings.memory / RESPONSE_MEMORY_DIVISOR));
         let config_exchange = ConfigExchangeState::new(settings.node.clone());
+        let incarnation = clock::unix_millis();
+        let quota = QuotaState::new(&settings, incarnation);
         Shared {
             settings,
             config_exchange,
-            incarnation: clock::unix_millis(),
+            incarnation,
             protocol,
             metrics,
             pool: Pool::default(),
             feed_queue: FeedQueue::default(),
             protocol_versions: ProtocolVersions::default(),
             quarantine: QuarantineState::default(),
+            quota,
             response_memory,
             serving: ServingState::default(),
             heartbeat_now: Notify::new(),
--- a/crates/fireflyhead-policy/src/lib.rs
+++ b/crates/fireflyhead-policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`accounts`]: which client account a request belongs to
 //! - [`authentication`]: whether a request is served for that account
 //! - [`config_exchange`]: which node sends the configuration to one that the store refuses
+//! - [`quota`]: which requests exceed the quota of their account over all nodes
 //! - [`limits`]: which requests exceed their route's limit on rate or on requests in flight
 //! - [`fleet`]: which upstreams exist, also while the store is unavailable
 //! - [`dispatch`]: which upstream a request is sent to, which requests wait and which are rejected
@@ -43,6 +44,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod quarantine;
+pub mod quota;
 pub mod readers;
 pub mod rendezvous;
 pub mod residency;
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -13,6 +13,8 @@
 //!   announced at least [`DEPARTURE_PROTOCOL`].
 //! - [`Activity`]: part of a heartbeat, sent only to nodes that announced at least
 //!   [`ACTIVITY_PROTOCOL`].
+//! - [`QuotaRequest`]: asks the owner of a quota slot for tokens of accounts. [`QuotaGrant`] is the
+//!   owner's response. Sent only to nodes that announced at least [`ACCOUNT_PROTOCOL`].
 //! - [`ConfigNotice`], [`ConfigRequest`], [`ConfigPart`]: the configuration, for nodes that the store
 //!   refuses. Sent only to nodes that announced at least [`ACCOUNT_PROTOCOL`].
 //!
@@ -34,6 +36,8 @@
 use crate::dispatch::JobId;
 use crate::protocol::ModelRef;
 use crate::quarantine::CrashReport;
+use crate::quota::QuotaGrant;
+use crate::quota::QuotaRequest;
 use crate::readers::Feed;
 
 /// Version of the protocol between nodes, which each node announces in the store. Nodes without an
@@ -47,7 +51,7 @@
 pub const DEPARTURE_PROTOCOL: u32 = 4;
 /// Lowest version of nodes that understand a [`Heartbeat`] with an [`Activity`].
 pub const ACTIVITY_PROTOCOL: u32 = 5;
-/// Lowest version of nodes that understand the messages on client accounts.
+/// Lowest version of nodes that understand messages about client accounts.
 pub const ACCOUNT_PROTOCOL: u32 = 6;
 
 /// State of a node towards callers.
@@ -369,6 +373,10 @@
     CrashReports(Vec<CrashReport>),
     /// Upstreams that leave.
     Departures(Vec<Departure>),
+    /// Request for tokens of accounts.
+    QuotaRequest(QuotaRequest),
+    /// Grants of tokens of accounts.
+    QuotaGrant(QuotaGrant),
     /// Configuration that a node has.
     ConfigNotice(ConfigNotice),
     /// Request for parts of a configuration.
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -26,6 +26,11 @@
 use fireflyhead_policy::quarantine::CrashId;
 use fireflyhead_policy::quarantine::CrashReport;
 use fireflyhead_policy::quarantine::PartId;
+use fireflyhead_policy::quota::GrantedTokens;
+use fireflyhead_policy::quota::QuotaDemand;
+use fireflyhead_policy::quota::QuotaGrant;
+use fireflyhead_policy::quota::QuotaRequest;
+use fireflyhead_policy::quota::Slot;
 use fireflyhead_policy::readers::Feed;
 use fireflyhead_schema::codec;
 use fireflyhead_schema::messages as wire;
@@ -127,8 +132,7 @@
         since_outage: Some(Duration::from_millis(900)),
         items,
     };
-    let stamp = ConfigStamp { version: 9, era: Era::new(2), digest: u64::MAX, bytes: 80_000 };
-    vec![
+    let mut datagrams = vec![
         heartbeat(true),
         heartbeat(false),
         Datagram::HolderMessages { node: Name::from("node-1"), messages },
@@ -136,6 +140,40 @@
         Datagram::Feed(feed.clone()),
         Datagram::Feed(Feed { era: Era::new(3), ..feed }),
         Datagram::Departures(vec![Departure { upstream: Name::from("desk-1"), incarnation: 7 }]),
+        Datagram::CrashReports(vec![CrashReport {
+            crash: CrashId(77),
+            age: Duration::from_millis(1_234),
+            suspects: vec![PartId(5), PartId(u64::MAX)],
+            cleared: vec![PartId(6)],
+        }]),
+    ];
+    datagrams.extend(account_datagrams());
+    datagrams
+}
+
+/// Returns the datagrams about quotas and configurations with accounts.
+fn account_datagrams() -> Vec<Datagram> {
+    let stamp = ConfigStamp { version: 9, era: Era::new(2), digest: u64::MAX, bytes: 80_000 };
+    vec![
+        Datagram::QuotaRequest(QuotaRequest {
+            node: Name::from("node-1"),
+            incarnation: 7,
+            seq: u64::MAX - 1,
+            slot: Slot::new(3).expect("a slot"),
+            demands: vec![QuotaDemand {
+                account: Name::from("hule930"),
+                waiting: vec![1_460, 200],
+                expected: 9_000,
+            }],
+        }),
+        Datagram::QuotaGrant(QuotaGrant {
+            seq: 9,
+            slot: Slot::new(0).expect("a slot"),
+            grants: vec![GrantedTokens {
+                tokens: 1_460,
+                retry_after: Duration::from_micros(40_001),
+            }],
+        }),
         Datagram::ConfigNotice(ConfigNotice { node: Name::from("node-1"), stamp }),
         Datagram::ConfigRequest(ConfigRequest {
             node: Name::from("node-2"),
@@ -150,12 +188,6 @@
             index: 3,
             data: Bytes::from("part"),
         }),
-        Datagram::CrashReports(vec![CrashReport {
-            crash: CrashId(77),
-            age: Duration::from_millis(1_234),
-            suspects: vec![PartId(5), PartId(u64::MAX)],
-            cleared: vec![PartId(6)],
-        }]),
     ]
 }
 
@@ -182,6 +214,15 @@
     }
 }
 
+/// Guards against a request for a slot that doesn't exist.
+#[test]
+fn messages_for_an_unknown_slot_are_rejected() {
+    let grant = wire::QuotaGrant { seq: 1, slot: 4, grants: Vec::new() };
+    let body = Some(wire::datagram::Body::QuotaGrants(grant));
+    let bytes = codec::encode(&wire::Datagram { body }).expect("it is encoded");
+    assert_eq!(decode(&bytes), None);
+}
+
 proptest! {
     /// Guards against a node that panics when other software sends it datagrams.
     #[test]
@@ -195,7 +236,7 @@
     /// or cut off.
     #[test]
     fn decoding_damaged_datagrams_does_not_panic(
-        index in 0_usize..6,
+        index in 0_usize..10,
         changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
         cut in any::<prop::sample::Index>(),
     ) {
