End streams of a revoked key also if their callers read nothing

Cause: a stream is looked at only while its caller reads, so that one to a caller that reads nothing went on after its key was revoked.

--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -43,6 +43,7 @@
 use self::local_responses::empty_response;
 use self::local_responses::service_unavailable;
 pub(crate) use self::response_body::Framing;
+pub(crate) use self::revocation::KeyWatch;
 
 /// `Retry-After` while the node has no configuration, or no service for the request.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/fireflyhead-gateway/src/forward/revocation.rs
+++ b/crates/fireflyhead-gateway/src/forward/revocation.rs
@@ -8,10 +8,11 @@
 
 use crate::state::Shared;
 
-/// Watches whether the key of a request still exists, if the settings demand that its stream ends
+/// Extension of a response: watches whether the key of a request still exists, if the settings demand that its stream ends
 /// otherwise. The stream ends as soon as the configuration without the key is in effect, so that the
 /// time to the revocation is that of a change of the configuration.
-pub(super) struct KeyWatch {
+#[derive(Clone)]
+pub(crate) struct KeyWatch {
     shared: Arc<Shared>,
     identity: Identity,
     /// Changes of the configuration; `None` if the stream goes on in any case.
@@ -30,8 +31,13 @@
         KeyWatch { shared: Arc::clone(shared), identity: identity.clone(), changes }
     }
 
+    /// Returns whether the settings demand that the stream ends with its key.
+    pub(super) fn is_watching(&self) -> bool {
+        self.changes.is_some()
+    }
+
     /// Returns whether the stream must end.
-    pub(super) fn is_revoked(&self) -> bool {
+    pub(crate) fn is_revoked(&self) -> bool {
         let config = self.shared.config();
         let accounts = config.as_ref().and_then(|config| config.accounts.as_ref());
         self.changes.is_some() && self.identity.is_revoked(accounts)
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -58,6 +58,8 @@
 const SILENT: &str = "no data in time";
 /// Reason for not ending a stream at the end of a response, for the log.
 const CUT_EVENT_MISSING: &str = "the response ended without the event that was cut off";
+/// Outcome of a stream that was ended because its key was revoked, for the log.
+const REVOKED: &str = "revoked";
 /// Content type of a stream of events.
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
 /// Time after the deadline for which an upstream may still end its stream by itself.
@@ -132,6 +134,8 @@
 ) -> Response<Body> {
     let resumable = request.route.kind == RouteKind::Streaming { resumable: true };
     let scanner = resumable.then(|| EventScanner::new(request.head.last_event_id));
+    let key = KeyWatch::new(&request.shared, &request.identity);
+    let connection_key = key.is_watching().then(|| key.clone());
     let relay = StreamRelay {
         request: Arc::clone(&request),
         attempts,
@@ -140,7 +144,7 @@
         in_flight,
         scanner,
         held: HeldResponse::new(&request.shared.response_memory),
-        key: KeyWatch::new(&request.shared, &request.identity),
+        key,
         started: false,
         ended: false,
         may_move: true,
@@ -156,6 +160,9 @@
     let body = BodyExt::boxed_unsync(StreamBody::new(frames));
     let mut response = request.build_response(head, body);
     response.extensions_mut().insert(SendDeadline(request.deadline + SEND_SLACK));
+    if let Some(key) = connection_key {
+        response.extensions_mut().insert(key);
+    }
     response
 }
 
@@ -182,7 +189,7 @@
                     return Some(Err(BodyError::NodeStopped));
                 }
                 StreamStep::KeyRevoked => {
-                    self.abort("revoked", SendOutcome::Abandoned, "the key was revoked");
+                    self.abort(REVOKED, SendOutcome::Abandoned, "");
                     return Some(Err(BodyError::KeyRevoked));
                 }
                 StreamStep::Silent => {
@@ -458,7 +465,10 @@
     fn drop(&mut self) {
         if !self.ended {
             self.close_body();
-            let outcome = self.request.shared.abandoned_outcome();
+            let outcome = match self.key.is_revoked() {
+                true => REVOKED,
+                false => self.request.shared.abandoned_outcome(),
+            };
             self.request.log_completion(&self.attempts, outcome, Some(&self.upstream), 200, "");
         }
     }
--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -38,6 +40,7 @@
 use crate::body::SendDeadline;
 use crate::clock;
 use crate::forward;
+use crate::forward::KeyWatch;
 use crate::lifecycle::Phase;
 use crate::state::Shared;
 
@@ -58,6 +61,9 @@
 const LATE_REQUEST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Smallest size of hyper's read buffer, in bytes; hyper panics below it.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Time from the revocation of a key to the end of the connection with its stream, if the caller reads
+/// nothing; the stream to one that reads ends by itself within it.
+const REVOCATION_SLACK: Duration = Duration::from_millis(300);
 /// Largest number of headers in a request.
 const MAX_HEADERS: usize = 128;
 
@@ -107,6 +113,13 @@
         }
     }
 
+    /// Brings the end of the response in progress forward to `deadline`.
+    fn bring_forward(&self, deadline: Time) {
+        if self.send_deadline().is_some() {
+            self.send_deadline.fetch_min(deadline.as_micros(), Ordering::Relaxed);
+        }
+    }
+
     /// Returns the time until the next check of the timeouts.
     fn check_delay(&self, now: Time) -> Duration {
         self.send_deadline().map_or(TIMEOUT_CHECK_INTERVAL, |deadline| {
@@ -331,12 +344,16 @@
     let limits = || shared.config().map(|config| config.limits).unwrap_or_default();
     let activity = Arc::new(Activity::default());
     activity.record_activity();
+    let open_key: Mutex<Option<KeyWatch>> = Mutex::default();
     let service = service_fn(|req| {
         let active = ActiveRequest::new(&activity);
         let version = req.version();
         let response = forward::handle(Arc::clone(&shared), req);
+        let open_key = &open_key;
         async move {
             let response = response.await?;
+            *open_key.lock().unwrap_or_else(PoisonError::into_inner) =
+                response.extensions().get().cloned();
             if let Some(SendDeadline(deadline)) = response.extensions().get() {
                 active.0.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
             }
@@ -368,6 +385,10 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = sleep(activity.check_delay(clock::now())) => {
+                let key = open_key.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                if key.is_some_and(|key| key.is_revoked()) {
+                    activity.bring_forward(clock::now() + REVOCATION_SLACK);
+                }
                 if activity.is_timed_out(clock::now(), &limits()) {
                     let cuts_response = activity.active_requests.load(Ordering::Relaxed) > 0;
                     activity.must_reset.store(cuts_response, Ordering::Relaxed);
