--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -1,8 +1,9 @@
 //! Integration tests of the policy crate, run in virtual time.
 //!
 //! A module has the name of the module of the crate that it tests, except `custody`, which tests
-//! `ownership`, and `loads` and `replay`, which test `dispatch` under load patterns, and `quota_loads`, which
-//! tests `quota` under load. `setup` holds shared fixtures, and `quota_sim` simulates nodes with quotas.
+//! `ownership`, `loads` and `replay`, which test `dispatch` under load patterns, and `quota_loads`
+//! and `quota_slots`, which test `quota`. `setup` holds shared fixtures, and `quota_sim` simulates
+//! nodes with quotas.
 
 mod admission;
 mod away;
@@ -20,6 +21,7 @@
 mod quota;
 mod quota_loads;
 mod quota_sim;
+mod quota_slots;
 mod readers;
 mod replay;
 mod residency;
