Bound the memory of request bodies, and disconnect callers that read nothing

A body now takes its memory before it is read, from an eighth of that of the process, and keeps it until its last copy is dropped; without room the request gets 503.

A whole response counted only until hyper had queued it, so that callers that read nothing held memory that nobody counted.

--- a/crates/fireflyhead-gateway/src/body.rs
+++ b/crates/fireflyhead-gateway/src/body.rs
@@ -1,10 +1,5 @@
 //! Request and response bodies.
 
-use std::convert::Infallible;
-use std::pin::Pin;
-use std::task::Context;
-use std::task::Poll;
-
 use bytes::Bytes;
 use bytes::BytesMut;
 use fireflyhead_policy::Time;
@@ -12,11 +7,10 @@
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Body as _;
-use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::body::SizeHint;
 
-use crate::response_memory::HeldResponse;
+use crate::request_memory::BodyMemory;
+use crate::request_memory::RequestMemoryFull;
 
 /// Body of a response to a caller.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
@@ -45,6 +39,8 @@
 pub enum ReadError {
     /// The body is larger than the limit.
     TooLarge,
+    /// The bodies of all requests exceed their memory.
+    MemoryFull(RequestMemoryFull),
     /// The connection failed before the end of the body.
     Broken(String),
 }
@@ -54,47 +50,24 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Body that keeps its memory until it has been sent.
-struct HeldBody {
-    body: Full<Bytes>,
-    _held: HeldResponse,
-}
-
-impl hyper::body::Body for HeldBody {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// Creates a response body from `bytes`, whose memory is free once it has been sent.
-pub fn held(bytes: Bytes, held: HeldResponse) -> Body {
-    let body = HeldBody { body: Full::new(bytes), _held: held };
-    body.map_err(|never| match never {}).boxed_unsync()
-}
-
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes, which keeps its share of `memory` until the last copy
+/// has been dropped. A body of a known length is not read at all if there is no room for it.
 ///
 /// # Errors
-/// The body is larger than `limit`, or the connection fails before its end.
-pub async fn read(body: &mut Incoming, limit: usize) -> Result<Bytes, ReadError> {
-    if body.size_hint().lower() > limit as u64 {
+/// The body is larger than `limit`, its memory is in use, or the connection fails before its end.
+pub async fn read(
+    body: &mut Incoming,
+    limit: usize,
+    mut memory: BodyMemory,
+) -> Result<Bytes, ReadError> {
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
         return Err(ReadError::TooLarge);
     }
-    let mut buf = BytesMut::new();
+    let expected = size.exact().and_then(|len| usize::try_from(len).ok()).unwrap_or(0);
+    memory.grow(expected).map_err(ReadError::MemoryFull)?;
+    // Pages of it that are never written take no memory.
+    let mut buf = BytesMut::with_capacity(expected);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| ReadError::Broken(e.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
@@ -102,8 +75,12 @@
             return Err(ReadError::TooLarge);
         }
         buf.extend_from_slice(&data);
+        memory.grow(buf.capacity()).map_err(ReadError::MemoryFull)?;
+    }
+    match buf.is_empty() {
+        true => Ok(Bytes::new()),
+        false => Ok(memory.attach(buf.freeze())),
     }
-    Ok(buf.freeze())
 }
 
 /// Reads and drops the rest of a body, or at least `limit` bytes of it.
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::Route;
@@ -34,6 +35,7 @@
 use crate::clock;
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
+use crate::request_memory::BodyMemory;
 use crate::serving;
 use crate::state::Shared;
 
@@ -44,6 +46,9 @@
 
 /// `Retry-After` while the node has no configuration, or no service for the request.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` while the bodies of other requests take all of their memory. Most requests end within
+/// a second.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Time for which the rest of a request's body is awaited before a response that doesn't need it.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -184,22 +189,11 @@
     };
     let end = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
     *deadline = Some(end);
-    let left = end.since(clock::now());
-    let body = tokio::select! {
-        body = timeout(left, body::read(body, config.limits.body_bytes)) => body,
-        () = shared.lifecycle.reached(Phase::Ended) => {
-            tracing::info!(event = "body_broken", %id, error = "the node stopped");
-            return service_unavailable(Duration::ZERO);
-        }
-    };
-    let body = match body {
-        Ok(Ok(body)) => body,
-        Ok(Err(ReadError::TooLarge)) => return empty_response(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(ReadError::Broken(error))) => {
-            tracing::info!(event = "body_broken", %id, error);
-            return empty_response(StatusCode::BAD_REQUEST);
-        }
-        Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT),
+    let memory = BodyMemory::new(&shared.request_memory, None);
+    let limit = config.limits.body_bytes;
+    let body = match read_body(shared, body, limit, memory, end, &id).await {
+        Ok(body) => body,
+        Err(response) => return response,
     };
     let served_by_engines = config.service(service.as_str()).is_some_and(|s| s.engine.is_some());
     shared.budget().record_request(arrived, &service);
@@ -222,6 +216,43 @@
     request.forward(guard).await
 }
 
+/// Reads the body of the request `id` until `end`.
+///
+/// # Errors
+/// The body can't be read; the value is the response.
+async fn read_body(
+    shared: &Shared,
+    body: &mut Incoming,
+    limit: usize,
+    memory: BodyMemory,
+    end: Time,
+    id: &Name,
+) -> Result<Bytes, Response<Body>> {
+    let left = end.since(clock::now());
+    let body = tokio::select! {
+        body = timeout(left, body::read(body, limit, memory)) => body,
+        () = shared.lifecycle.reached(Phase::Ended) => {
+            tracing::info!(event = "body_broken", %id, error = "the node stopped");
+            return Err(service_unavailable(Duration::ZERO));
+        }
+    };
+    match body {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLarge)) => Err(empty_response(StatusCode::PAYLOAD_TOO_LARGE)),
+        Ok(Err(ReadError::MemoryFull(error))) => {
+            shared.metrics.record_rejection("request_memory");
+            let bytes = shared.request_memory.sum();
+            tracing::info!(event = "limited", %id, reason = %error, bytes);
+            Err(service_unavailable(MEMORY_RETRY_AFTER))
+        }
+        Ok(Err(ReadError::Broken(error))) => {
+            tracing::info!(event = "body_broken", %id, error);
+            Err(empty_response(StatusCode::BAD_REQUEST))
+        }
+        Err(_) => Err(empty_response(StatusCode::REQUEST_TIMEOUT)),
+    }
+}
+
 /// Returns the time up to which the response meets the latency objective of the route.
 fn objective(arrived: Time, route: &Route) -> Time {
     arrived + route.objective
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -35,6 +35,7 @@
 use super::inbound_request::Stage;
 use super::response_body::Content;
 use super::response_body::Framing;
+use super::response_body::ReadError;
 use super::response_body::ResponseBody;
 
 /// Longest time for which an upstream is not sent requests because it wants none. A longer one would
@@ -385,6 +386,11 @@
                 let response = UpstreamResponse::Buffered { head, body: data, held, framing };
                 AttemptResult::Response(Box::new(response))
             }
+            // Says nothing about the upstream: other responses may have taken the memory.
+            Ok(Err(error @ ReadError::Memory(_))) => {
+                in_flight.finish(SendOutcome::Abandoned);
+                AttemptResult::Unknown(error.to_string())
+            }
             Ok(Err(error)) => {
                 in_flight.finish(SendOutcome::Failed(Failure::Broken));
                 AttemptResult::Unknown(error.to_string())
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -27,6 +27,7 @@
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
 use crate::quarantine::QUARANTINED;
+use crate::response_memory::HeldResponse;
 use crate::state::PendingJob;
 use crate::state::Shared;
 
@@ -195,7 +196,7 @@
                         UpstreamResponse::Buffered { head, body, held, framing } => {
                             attempts.record_body(framing, body.len());
                             let failed = head.status.is_server_error();
-                            let response = self.build_response(head, body::held(body, held));
+                            let response = self.build_buffered(head, body, held);
                             match failed && self.reserve_retry(&mut attempts, &upstream.id) {
                                 true => {
                                     self.log_failed_attempt(&upstream.id, "error", "server error");
@@ -501,6 +502,21 @@
         response
     }
 
+    /// Builds the response to the caller from a whole response of an upstream.
+    fn build_buffered(
+        &self,
+        head: http::response::Parts,
+        body: Bytes,
+        held: HeldResponse,
+    ) -> Response<Body> {
+        let counted = held.counted();
+        let mut response = self.build_response(head, body::full(held.attach(body)));
+        if let Some(counted) = counted {
+            response.extensions_mut().insert(counted);
+        }
+        response
+    }
+
     /// Returns status 502, for a request that an upstream may have executed.
     fn bad_gateway(&self, attempts: &Attempts, reason: &str) -> Response<Body> {
         self.log_completion(attempts, "unknown", None, 502, reason);
--- a/crates/fireflyhead-gateway/src/forward/response_body.rs
+++ b/crates/fireflyhead-gateway/src/forward/response_body.rs
@@ -22,6 +22,7 @@
 use hyper::body::Incoming;
 use tokio::time::sleep;
 
+use crate::pool::MAX_HEAD_BYTES;
 use crate::pool::PROBE_DELAY;
 use crate::pool::PooledConnection;
 use crate::response_memory::HeldResponse;
@@ -200,8 +201,11 @@
                 return Err(ReadError::TooLarge);
             }
             buf.extend_from_slice(&data);
-            held.set(buf.capacity()).map_err(ReadError::Memory)?;
+            // hyper's read buffer grows with the data, up to its limit.
+            let read_buffer = buf.len().min(MAX_HEAD_BYTES);
+            held.set(buf.capacity() + read_buffer).map_err(ReadError::Memory)?;
         }
+        held.set(buf.capacity()).map_err(ReadError::Memory)?;
         held.complete().map_err(ReadError::Memory)?;
         Ok((buf.freeze(), held))
     }
--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -2,8 +2,11 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -15,6 +18,7 @@
 use bytes::Bytes;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::RequestLimits;
+use http::Extensions;
 use http::Version;
 use hyper::body::Body as _;
 use hyper::body::Frame;
@@ -39,6 +43,8 @@
 use crate::clock;
 use crate::forward;
 use crate::lifecycle::Phase;
+use crate::response_memory::CountedResponse;
+use crate::response_memory::SendProgress;
 use crate::state::Shared;
 
 /// Interval at which the timeouts of a connection are checked.
@@ -81,6 +87,10 @@
     must_reset: AtomicBool,
     /// Notified when the response to a request has ended.
     request_ended: Notify,
+    /// Progress of the writes.
+    progress: Arc<SendProgress>,
+    /// Last response whose memory counts.
+    counted: Mutex<Option<CountedResponse>>,
 }
 
 impl Activity {
@@ -91,9 +101,28 @@
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(_))) {
             self.record_activity();
+            self.progress.record_write(clock::now());
         }
     }
 
+    /// Records the head of a response that is sent now.
+    fn begin_response(&self, extensions: &Extensions) {
+        if let Some(SendDeadline(deadline)) = extensions.get() {
+            self.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
+        }
+        let counted = extensions.get::<CountedResponse>().cloned();
+        if let Some(counted) = &counted {
+            counted.begin_send(clock::now(), &self.progress);
+        }
+        *self.counted.lock().unwrap_or_else(PoisonError::into_inner) = counted;
+    }
+
+    /// Returns whether a whole response that counts has not been written to its end.
+    fn has_unsent(&self) -> bool {
+        let counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        counted.as_ref().is_some_and(CountedResponse::is_unsent)
+    }
+
     /// Returns whether a request is arriving on the connection, or the caller is about to send the
     /// first one.
     fn expects_request(&self) -> bool {
@@ -328,6 +357,7 @@
         tracing::debug!(event = "connection_not_set_up", %error);
         return;
     }
+    let caller = stream.peer_addr().ok();
     let limits = || shared.config().map(|config| config.limits).unwrap_or_default();
     let activity = Arc::new(Activity::default());
     activity.record_activity();
@@ -337,9 +367,7 @@
         let response = forward::handle(Arc::clone(&shared), req);
         async move {
             let response = response.await?;
-            if let Some(SendDeadline(deadline)) = response.extensions().get() {
-                active.0.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
-            }
+            active.0.begin_response(response.extensions());
             Ok::<_, Infallible>(response.map(|body| ActiveBody::new(body, active, version)))
         }
     });
@@ -358,8 +386,12 @@
     loop {
         tokio::select! {
             ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    tracing::debug!(event = "connection_ended", %error);
+                match ended {
+                    Err(error) if activity.has_unsent() => {
+                        log_not_sent(&activity, caller, &error.to_string());
+                    }
+                    Err(error) => tracing::debug!(event = "connection_ended", %error),
+                    Ok(()) => {}
                 }
                 return;
             }
@@ -369,15 +401,34 @@
             }
             () = sleep(activity.check_delay(clock::now())) => {
                 if activity.is_timed_out(clock::now(), &limits()) {
-                    let cuts_response = activity.active_requests.load(Ordering::Relaxed) > 0;
+                    let is_active = activity.active_requests.load(Ordering::Relaxed) > 0;
+                    let cuts_response = is_active || activity.has_unsent();
                     activity.must_reset.store(cuts_response, Ordering::Relaxed);
+                    if cuts_response {
+                        log_not_sent(&activity, caller, "timeout");
+                    }
                     return;
                 }
             }
+            () = activity.progress.given_up() => {
+                activity.must_reset.store(true, Ordering::Relaxed);
+                log_not_sent(&activity, caller, "memory");
+                return;
+            }
         }
     }
 }
 
+/// Logs that a connection is closed before its response has been written to its end.
+fn log_not_sent(activity: &Activity, caller: Option<SocketAddr>, reason: &str) {
+    tracing::info!(
+        event = "response_not_sent",
+        caller = caller.map(|caller| caller.to_string()),
+        reason,
+        pause_ms = activity.progress.pause(clock::now()).as_millis() as u64
+    );
+}
+
 /// Waits until the node is closing and no request is in progress or expected on the connection.
 /// hyper would not read a request that the caller has sent after one in progress.
 async fn begin_closing(shared: &Shared, activity: &Activity) {
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod pool;
 pub mod protocol_versions;
 pub mod quarantine;
+pub mod request_memory;
 pub mod response_memory;
 pub mod serving;
 pub mod settings;
--- a/crates/fireflyhead-gateway/src/pool.rs
+++ b/crates/fireflyhead-gateway/src/pool.rs
@@ -60,7 +60,7 @@
 /// Largest number of idle connections kept per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 /// Largest size of a response head and of hyper's read buffer, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest number of bytes that are read until the head of the response is known. Larger than
 /// [`MAX_HEAD_BYTES`], because hyper may read on before [`PooledConnection::send`] returns.
 const MAX_BYTES_BEFORE_RESPONSE: usize = 8 * MAX_HEAD_BYTES;
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -54,6 +54,7 @@
 use crate::pool::Pool;
 use crate::protocol_versions::ProtocolVersions;
 use crate::quarantine::QuarantineState;
+use crate::request_memory::RequestMemory;
 use crate::response_memory::ResponseMemory;
 use crate::serving::ServingState;
 use crate::settings::GatewaySettings;
@@ -66,6 +67,9 @@
 /// Part of the memory of the process, as its divisor, that responses may take which are held back.
 const RESPONSE_MEMORY_DIVISOR: usize = 8;
 
+/// Part of the memory of the process, as its divisor, that the bodies of requests may take.
+const REQUEST_MEMORY_DIVISOR: usize = 8;
+
 /// Shared state of a node. A lock is held for a single decision and never across an `await`.
 pub struct Shared {
     /// Settings with which the node was started, with the addresses that were bound.
@@ -86,6 +90,8 @@
     pub quarantine: QuarantineState,
     /// Memory of the responses that are held back.
     pub response_memory: Arc<ResponseMemory>,
+    /// Memory of the bodies of requests.
+    pub request_memory: Arc<RequestMemory>,
     /// Exchange of the configuration with the other nodes.
     pub config_exchange: ConfigExchangeState,
     /// What this node knows of the newest configuration.
@@ -139,6 +145,7 @@
         let fleet = Fleet::new(settings.upstream_heartbeat);
         let response_memory =
             Arc::new(ResponseMemory::new(settings.memory / RESPONSE_MEMORY_DIVISOR));
+        let request_memory = Arc::new(RequestMemory::new(settings.memory / REQUEST_MEMORY_DIVISOR));
         let config_exchange = ConfigExchangeState::new(settings.node.clone());
         Shared {
             settings,
@@ -152,6 +159,7 @@
             protocol_versions: ProtocolVersions::default(),
             quarantine: QuarantineState::default(),
             response_memory,
+            request_memory,
             serving: ServingState::default(),
             heartbeat_now: Notify::new(),
             dispatch_now: Notify::new(),
--- a/crates/fireflyhead-gateway/tests/gateway/main.rs
+++ b/crates/fireflyhead-gateway/tests/gateway/main.rs
@@ -2,4 +2,5 @@
 
 mod config_state;
 mod pending;
+mod request_memory;
 mod response_memory;
