Add fireflyhead explain

Operators could not tell where a request would be sent and why. The metrics address of a node answers under /explain with the route, the account, each upstream with its expected delay, age of its figures and what excludes it, and the decision. At most one explanation each 100 ms.

--- a/crates/fireflyhead-gateway/src/directory.rs
+++ b/crates/fireflyhead-gateway/src/directory.rs
@@ -1,4 +1,5 @@
-//! HTTP endpoints besides the proxy: readiness checks, node addresses for callers and metrics.
+//! HTTP endpoints besides the proxy: readiness checks, node addresses for callers, metrics and
+//! explanations of decisions.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,6 +20,9 @@
 use tokio::net::TcpListener;
 
 use crate::clock;
+use crate::explain;
+use crate::explain::EXPLAIN_PATH;
+use crate::explain::ExplainLimit;
 use crate::serving;
 use crate::state::Shared;
 
@@ -42,17 +46,21 @@
 pub enum Page {
     /// Readiness checks and node addresses.
     Directory,
-    /// Metrics.
+    /// Metrics, and explanations of decisions.
     Metrics,
 }
 
 /// Serves the endpoints of `page` until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener, page: Page) {
+    let limit = Arc::new(ExplainLimit::default());
     let router = Router::new().fallback(move |req: Request| {
-        let shared = Arc::clone(&shared);
+        let (shared, limit) = (Arc::clone(&shared), Arc::clone(&limit));
         async move {
             match page {
                 Page::Directory => respond(&shared, &req),
+                Page::Metrics if req.uri().path() == EXPLAIN_PATH => {
+                    explain::respond(&shared, &limit, req.uri())
+                }
                 Page::Metrics => render_metrics(&shared),
             }
         }
--- a/crates/fireflyhead-gateway/src/lib.rs
+++ b/crates/fireflyhead-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod departures;
 pub mod directory;
 pub mod engine_controller;
+pub mod explain;
 pub mod feed_queue;
 pub mod forward;
 pub mod heartbeats;
--- a/crates/fireflyhead-gateway/src/quarantine.rs
+++ b/crates/fireflyhead-gateway/src/quarantine.rs
@@ -359,6 +359,13 @@
     update(shared, |policy| policy.forget_upstream(upstream.as_str()));
 }
 
+/// Returns whether a request with these shared prompt parts is refused now, without starting a trial.
+pub(crate) fn is_refused(shared: &Shared, service: &Name, parts: &[Name]) -> bool {
+    let ids: Vec<PartId> =
+        parts.iter().map(|part| PartId::new(service.as_str(), part.as_str())).collect();
+    shared.quarantine.policy().is_refused(&ids)
+}
+
 /// Merges the evidence of another node.
 pub(crate) fn handle_reports(shared: &Shared, reports: &[CrashReport]) {
     update(shared, |policy| policy.merge(clock::now(), reports));
--- a/src/bin/fireflyhead/commands.rs
+++ b/src/bin/fireflyhead/commands.rs
@@ -8,6 +8,7 @@
 
 mod completions;
 mod demo;
+mod explain;
 mod nodes;
 mod standin;
 mod table;
@@ -19,6 +20,7 @@
         table::cli(),
         nodes::cli(),
         upstreams::cli(),
+        explain::cli(),
         demo::cli(),
         standin::cli(),
         completions::cli(),
@@ -32,6 +34,7 @@
         "table" => table::exec(matches).await,
         "nodes" => nodes::exec(matches).await,
         "upstreams" => upstreams::exec(matches).await,
+        "explain" => explain::exec(matches).await,
         "demo" => demo::exec(matches).await,
         "standin" => standin::exec(matches).await,
         "completions" => completions::exec(matches),
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -1,5 +1,6 @@
 //! Operations that the commands of `fireflyhead` call; none of them depends on the command line.
 
 pub mod demo;
+pub mod explain;
 pub mod output;
 pub mod store;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,3 +2,4 @@
 
 mod commands;
 mod demo;
+mod explain;
