Don't treat a connection as idle while a large response is being sent

hyper drops a body once its bytes are queued, so that the idle timeout ran while the caller was still reading. The connection of a counted response now ends 300 ms after the deadline of its request.

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -23,6 +23,7 @@
 
 use crate::body;
 use crate::body::Body;
+use crate::body::SendDeadline;
 use crate::clock;
 use crate::lifecycle::Phase;
 use crate::quarantine::PromptParts;
@@ -40,6 +41,7 @@
 use super::local_responses::service_unavailable;
 use super::response_body::Framing;
 use super::streaming;
+use super::streaming::SEND_SLACK;
 
 /// Number of attempts that sent no byte after which a request is rejected.
 const MAX_UNSENT_ATTEMPTS: u32 = 6;
@@ -513,6 +515,7 @@
         let mut response = self.build_response(head, body::full(held.attach(body)));
         if let Some(counted) = counted {
             response.extensions_mut().insert(counted);
+            response.extensions_mut().insert(SendDeadline(self.deadline + SEND_SLACK));
         }
         response
     }
--- a/crates/fireflyhead-gateway/src/forward/streaming.rs
+++ b/crates/fireflyhead-gateway/src/forward/streaming.rs
@@ -63,7 +63,7 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Time after the deadline for which the rest of a stream may still be sent to the caller. Longer than
 /// [`DEADLINE_SLACK`], because hyper polls the stream only while the caller reads.
-const SEND_SLACK: Duration = Duration::from_millis(300);
+pub(super) const SEND_SLACK: Duration = Duration::from_millis(300);
 
 /// Passes the stream of one response from its upstreams to the caller.
 struct StreamRelay {
--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -146,9 +146,10 @@
     /// Returns whether the connection has been idle, its request head incomplete, or its response
     /// in progress for longer than allowed.
     fn is_timed_out(&self, now: Time, limits: &RequestLimits) -> bool {
-        if self.active_requests.load(Ordering::Relaxed) > 0 {
+        if self.active_requests.load(Ordering::Relaxed) > 0 || self.has_unsent() {
             return self.send_deadline().is_some_and(|deadline| now >= deadline);
         }
+        self.send_deadline.store(0, Ordering::Relaxed);
         let age = now.since(Time::from_micros(self.last_activity.load(Ordering::Relaxed)));
         match self.head_incomplete.load(Ordering::Relaxed) {
             true => age >= limits.header_timeout,
@@ -264,7 +265,9 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         self.0.active_requests.fetch_sub(1, Ordering::Relaxed);
-        self.0.send_deadline.store(0, Ordering::Relaxed);
+        if !self.0.has_unsent() {
+            self.0.send_deadline.store(0, Ordering::Relaxed);
+        }
         self.0.record_activity();
         self.0.request_ended.notify_one();
     }
