--- a/crates/fireflyhead-gateway/src/ingress.rs
+++ b/crates/fireflyhead-gateway/src/ingress.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,6 +18,7 @@
 use bytes::Bytes;
 use fireflyhead_policy::Time;
 use fireflyhead_policy::config::RequestLimits;
+use http::Extensions;
 use http::Version;
 use hyper::body::Body as _;
 use hyper::body::Frame;
@@ -42,6 +44,8 @@
 use crate::forward;
 use crate::forward::KeyWatch;
 use crate::lifecycle::Phase;
+use crate::response_memory::CountedResponse;
+use crate::response_memory::SendProgress;
 use crate::state::Shared;
 
 /// Interval at which the timeouts of a connection are checked.
@@ -87,6 +91,10 @@
     must_reset: AtomicBool,
     /// Notified when the response to a request has ended.
     request_ended: Notify,
+    /// Progress of the writes.
+    progress: Arc<SendProgress>,
+    /// Last response whose memory counts.
+    counted: Mutex<Option<CountedResponse>>,
 }
 
 impl Activity {
@@ -97,9 +105,28 @@
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(_))) {
             self.record_activity();
+            self.progress.record_write(clock::now());
         }
     }
 
+    /// Records the head of a response that is sent now.
+    fn begin_response(&self, extensions: &Extensions) {
+        if let Some(SendDeadline(deadline)) = extensions.get() {
+            self.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
+        }
+        let counted = extensions.get::<CountedResponse>().cloned();
+        if let Some(counted) = &counted {
+            counted.begin_send(clock::now(), &self.progress);
+        }
+        *self.counted.lock().unwrap_or_else(PoisonError::into_inner) = counted;
+    }
+
+    /// Returns whether a whole response that counts has not been written to its end.
+    fn has_unsent(&self) -> bool {
+        let counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        counted.as_ref().is_some_and(CountedResponse::is_unsent)
+    }
+
     /// Returns whether a request is arriving on the connection, or the caller is about to send the
     /// first one.
     fn expects_request(&self) -> bool {
@@ -130,9 +157,10 @@
     /// Returns whether the connection has been idle, its request head incomplete, or its response
     /// in progress for longer than allowed.
     fn is_timed_out(&self, now: Time, limits: &RequestLimits) -> bool {
-        if self.active_requests.load(Ordering::Relaxed) > 0 {
+        if self.active_requests.load(Ordering::Relaxed) > 0 || self.has_unsent() {
             return self.send_deadline().is_some_and(|deadline| now >= deadline);
         }
+        self.send_deadline.store(0, Ordering::Relaxed);
         let age = now.since(Time::from_micros(self.last_activity.load(Ordering::Relaxed)));
         match self.head_incomplete.load(Ordering::Relaxed) {
             true => age >= limits.header_timeout,
@@ -248,7 +276,9 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         self.0.active_requests.fetch_sub(1, Ordering::Relaxed);
-        self.0.send_deadline.store(0, Ordering::Relaxed);
+        if !self.0.has_unsent() {
+            self.0.send_deadline.store(0, Ordering::Relaxed);
+        }
         self.0.record_activity();
         self.0.request_ended.notify_one();
     }
@@ -341,6 +371,7 @@
         tracing::debug!(event = "connection_not_set_up", %error);
         return;
     }
+    let caller = stream.peer_addr().ok();
     let limits = || shared.config().map(|config| config.limits).unwrap_or_default();
     let activity = Arc::new(Activity::default());
     activity.record_activity();
@@ -354,9 +385,7 @@
             let response = response.await?;
             *open_key.lock().unwrap_or_else(PoisonError::into_inner) =
                 response.extensions().get().cloned();
-            if let Some(SendDeadline(deadline)) = response.extensions().get() {
-                active.0.send_deadline.store(deadline.as_micros(), Ordering::Relaxed);
-            }
+            active.0.begin_response(response.extensions());
             Ok::<_, Infallible>(response.map(|body| ActiveBody::new(body, active, version)))
         }
     });
@@ -375,8 +404,12 @@
     loop {
         tokio::select! {
             ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    tracing::debug!(event = "connection_ended", %error);
+                match ended {
+                    Err(error) if activity.has_unsent() => {
+                        log_not_sent(&activity, caller, &error.to_string());
+                    }
+                    Err(error) => tracing::debug!(event = "connection_ended", %error),
+                    Ok(()) => {}
                 }
                 return;
             }
@@ -390,15 +423,34 @@
                     activity.bring_forward(clock::now() + REVOCATION_SLACK);
                 }
                 if activity.is_timed_out(clock::now(), &limits()) {
-                    let cuts_response = activity.active_requests.load(Ordering::Relaxed) > 0;
+                    let is_active = activity.active_requests.load(Ordering::Relaxed) > 0;
+                    let cuts_response = is_active || activity.has_unsent();
                     activity.must_reset.store(cuts_response, Ordering::Relaxed);
+                    if cuts_response {
+                        log_not_sent(&activity, caller, "timeout");
+                    }
                     return;
                 }
             }
+            () = activity.progress.given_up() => {
+                activity.must_reset.store(true, Ordering::Relaxed);
+                log_not_sent(&activity, caller, "memory");
+                return;
+            }
         }
     }
 }
 
+/// Logs that a connection is closed before its response has been written to its end.
+fn log_not_sent(activity: &Activity, caller: Option<SocketAddr>, reason: &str) {
+    tracing::info!(
+        event = "response_not_sent",
+        caller = caller.map(|caller| caller.to_string()),
+        reason,
+        pause_ms = activity.progress.pause(clock::now()).as_millis() as u64
+    );
+}
+
 /// Waits until the node is closing and no request is in progress or expected on the connection.
 /// hyper would not read a request that the caller has sent after one in progress.
 async fn begin_closing(shared: &Shared, activity: &Activity) {
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -56,6 +56,7 @@
 use crate::protocol_versions::ProtocolVersions;
 use crate::quarantine::QuarantineState;
 use crate::quota::QuotaState;
+use crate::request_memory::RequestMemory;
 use crate::response_memory::ResponseMemory;
 use crate::serving::ServingState;
 use crate::settings::GatewaySettings;
@@ -68,6 +69,9 @@
 /// Part of the memory of the process, as its divisor, that responses may take which are held back.
 const RESPONSE_MEMORY_DIVISOR: usize = 8;
 
+/// Part of the memory of the process, as its divisor, that the bodies of requests may take.
+const REQUEST_MEMORY_DIVISOR: usize = 8;
+
 /// Shared state of a node. A lock is held for a single decision and never across an `await`.
 pub struct Shared {
     /// Settings with which the node was started, with the addresses that were bound.
@@ -90,6 +94,8 @@
     pub quota: QuotaState,
     /// Memory of the responses that are held back.
     pub response_memory: Arc<ResponseMemory>,
+    /// Memory of the bodies of requests.
+    pub request_memory: Arc<RequestMemory>,
     /// Exchange of the configuration with the other nodes.
     pub config_exchange: ConfigExchangeState,
     /// Whether this node serves callers.
@@ -146,6 +152,7 @@
         let fleet = Fleet::new(settings.upstream_heartbeat);
         let response_memory =
             Arc::new(ResponseMemory::new(settings.memory / RESPONSE_MEMORY_DIVISOR));
+        let request_memory = Arc::new(RequestMemory::new(settings.memory / REQUEST_MEMORY_DIVISOR));
         let config_exchange = ConfigExchangeState::new(settings.node.clone());
         let incarnation = clock::unix_millis();
         let quota = QuotaState::new(&settings, incarnation);
@@ -161,6 +168,7 @@
             quarantine: QuarantineState::default(),
             quota,
             response_memory,
+            request_memory,
             serving: ServingState::default(),
             heartbeat_now: Notify::new(),
             dispatch_now: Notify::new(),
--- a/src/bin/fireflyhead/commands.rs
+++ b/src/bin/fireflyhead/commands.rs
@@ -9,6 +9,7 @@
 mod accounts;
 mod completions;
 mod demo;
+mod explain;
 mod nodes;
 mod standin;
 mod table;
@@ -21,6 +22,7 @@
         accounts::cli(),
         nodes::cli(),
         upstreams::cli(),
+        explain::cli(),
         demo::cli(),
         standin::cli(),
         completions::cli(),
@@ -35,6 +37,7 @@
         "accounts" => accounts::exec(matches).await,
         "nodes" => nodes::exec(matches).await,
         "upstreams" => upstreams::exec(matches).await,
+        "explain" => explain::exec(matches).await,
         "demo" => demo::exec(matches).await,
         "standin" => standin::exec(matches).await,
         "completions" => completions::exec(matches),
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -2,5 +2,6 @@
 
 pub mod accounts;
 pub mod demo;
+pub mod explain;
 pub mod output;
 pub mod store;
