--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -337,16 +337,17 @@
             StoreRecord::Config(Some(config)) => {
                 let version = config.version;
                 let routes = config.route_count();
-                let accounts = config.accounts.clone();
                 if self.shared.set_config(*config) {
+                    let config = self.shared.config();
+                    let accounts = config.as_ref().and_then(|config| config.accounts.as_ref());
                     tracing::info!(
                         event = "config_in_force",
                         version,
                         routes,
-                        accounts = accounts.as_ref().map(Accounts::len),
+                        accounts = accounts.map(Accounts::len),
                         revision = item.revision
                     );
-                    accounts.iter().for_each(log_unusable_accounts);
+                    accounts.into_iter().for_each(log_unusable_accounts);
                 }
             }
             StoreRecord::Config(None) => {
