--- a/crates/fireflyhead-gateway/src/config_exchange.rs
+++ b/crates/fireflyhead-gateway/src/config_exchange.rs
@@ -63,17 +63,18 @@
 pub(crate) fn apply(shared: &Shared, item: &Item, era: Era, config: Config, source: Option<&Name>) {
     let version = config.version;
     let routes = config.route_count();
-    let accounts = config.accounts.clone();
     if shared.set_config(config) {
+        let config = shared.config();
+        let accounts = config.as_ref().and_then(|config| config.accounts.as_ref());
         tracing::info!(
             event = "config_in_force",
             version,
             routes,
-            accounts = accounts.as_ref().map(Accounts::len),
+            accounts = accounts.map(Accounts::len),
             revision = item.revision,
             source = source.map(Name::as_str)
         );
-        accounts.iter().for_each(log_unusable_accounts);
+        accounts.into_iter().for_each(log_unusable_accounts);
         shared.config_exchange.policy().set_own(version, era, item);
         shared.config_exchange.wake.notify_one();
     }
