Read the contract `pressure` and whether upstreams report their pace

Cause: decisions for insufficient capacity must be in effect only on nodes whose settings list the contract, and for services whose upstreams report a fourth value of their load.

Change: GatewaySettings::pressure, DispatchSettings::pressure, Dispatcher::is_under_pressure. Nothing depends on them yet.

--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -104,6 +104,7 @@
         let dispatcher = Dispatcher::new(DispatchSettings {
             zone: settings.zone.clone(),
             version_bound: settings.version_bound,
+            pressure: settings.pressure,
             seed: clock::unix_millis(),
         });
         let budget = RetryBudget::new(RetryBudgetSettings {
--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -58,6 +58,9 @@
     pub version_bound: Duration,
     /// Time for which callers may cache a response with node addresses.
     pub resolve_ttl: Duration,
+    /// Whether the decisions for insufficient capacity are in effect for all services, not only for
+    /// those whose upstreams report their pace.
+    pub pressure: bool,
 }
 
 impl Default for GatewaySettings {
@@ -85,6 +88,7 @@
             retry_window: Duration::from_secs(10),
             version_bound: Duration::from_secs(5),
             resolve_ttl: Duration::from_secs(2),
+            pressure: false,
         }
     }
 }
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -223,13 +223,21 @@
     /// Time from the naming of a new adapter version after which no request may begin on an older
     /// one.
     pub version_bound: Duration,
+    /// Whether the decisions for insufficient capacity are in effect for all services, not only for
+    /// those whose upstreams report their pace.
+    pub pressure: bool,
     /// Seed of the tie-breaking noise.
     pub seed: u64,
 }
 
 impl Default for DispatchSettings {
     fn default() -> DispatchSettings {
-        DispatchSettings { zone: Name::from(""), version_bound: Duration::from_secs(5), seed: 0 }
+        DispatchSettings {
+            zone: Name::from(""),
+            version_bound: Duration::from_secs(5),
+            pressure: false,
+            seed: 0,
+        }
     }
 }
 
@@ -249,6 +257,8 @@
     away: Vec<Name>,
     /// Shares of the routes in the requests sent recently.
     route_shares: RouteShares,
+    /// Whether one of its upstreams has reported its pace.
+    reports_pace: bool,
 }
 
 impl Default for Service {
@@ -259,6 +269,7 @@
             ejected: Vec::new(),
             away: Vec::new(),
             route_shares: RouteShares::default(),
+            reports_pace: false,
         }
     }
 }
@@ -488,9 +499,20 @@
     pub fn record_load_report(&mut self, now: Time, upstream: &str, load: LoadReport) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.load_report = Some((now, load));
+            if load.pace.is_some()
+                && let Some(service) = self.services.get_mut(&upstream.entry.service)
+            {
+                service.reports_pace = true;
+            }
         }
     }
 
+    /// Returns whether the decisions for insufficient capacity are in effect for `service`.
+    pub fn is_under_pressure(&self, service: &str) -> bool {
+        self.settings.pressure
+            || self.services.get(service).is_some_and(|service| service.reports_pace)
+    }
+
     /// Adds an upstream or updates its entry. One that restarted is removed and added anew. The
     /// requests that wait for one that drains return to the queue of the node.
     pub fn upsert_upstream(&mut self, entry: &Arc<UpstreamEntry>) {
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -78,6 +78,8 @@
     pub waiting: u32,
     /// Requests that the upstream runs concurrently.
     pub slots: u32,
+    /// How long work takes there now, where 100 is the usual duration; `None` if not reported.
+    pub pace: Option<u32>,
 }
 
 /// Parsed headers of an upstream's response.
