Choose and see adapter loads by what is known of the fleet under pressure

Cause: a request whose adapter is absent waits 437 ms in the median of a replay in virtual time although a load takes 288 ms: 133 ms pass until the holder sees the adapter. Reports lag by 100 ms, are requested each 50 ms from 200 ms after the order, and are ignored if the holder has sent another order since. Loads that have ended count as in progress until then, so that the limit on concurrent loads is reached at two thirds of what the adapter store sustains. All adapters that an engine ever held counted as fast to load.

Change, under pressure only: the holder learns when reports show a load and requests them around that time; a report that is older than the last order shows loads that were ordered before it; loads that have probably ended don't count; an adapter that an engine keeps for all goes last at the others; a slot counts as available if its adapter is cold; a load goes to an engine that already loads the adapter, held it, or has a cold slot.

Not measured on the deployments yet.

--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -6,6 +6,7 @@
 //! decide on, at most one call at a time to each engine.
 
 mod engine_calls;
+mod load_limits;
 pub mod membership;
 
 use std::collections::HashMap;
@@ -59,14 +60,6 @@
 /// Largest number of claimed records, and of removed ones, in one transaction. The store accepts
 /// up to 32 entries in a transaction.
 const MAX_RECORDS_PER_TRANSACTION: usize = 8;
-/// Number of concurrent loads from the adapter store, over all nodes, that is always allowed. The
-/// limit is the larger of this number and [`CONCURRENT_LOADS_PER_ENGINE`] times the number of
-/// engines; an engine without a load in progress may start one beyond the limit. Beyond it, loads
-/// take longer in proportion to their number. The platform specifies no limit; its deployments
-/// sustain 0.44 to 0.9 loads per engine.
-const MIN_CONCURRENT_LOADS: u32 = 8;
-/// Number of concurrent loads from the adapter store per engine; see [`MIN_CONCURRENT_LOADS`].
-const CONCURRENT_LOADS_PER_ENGINE: f64 = 0.5;
 /// Number of consecutive calls without a reply after which this node no longer counts as the active
 /// holder of an engine, so that other engines load the adapters. A crashed engine stays listed for
 /// some seconds.
@@ -318,7 +311,8 @@
                 let used = self.shared.admission().adapter_usage(entry.id.as_str());
                 if let Some(engine) = self.engines.get_mut(&entry.id) {
                     engine.residency.update_usage(now, &used);
-                    let available = engine.residency.available_slots();
+                    load_limits::update_pressure(&self.shared, now, entry, &mut engine.residency);
+                    let available = engine.residency.available_slots(now);
                     self.shared.admission().set_available_adapter_slots(&entry.id, available);
                     if entry.state == UpstreamState::Draining {
                         let model = engine.residency.model();
@@ -371,15 +365,15 @@
             return;
         }
         let loading = self.adapter_loads_in_progress(now);
-        let max_loads = MIN_CONCURRENT_LOADS
-            .max((self.engine_count as f64 * CONCURRENT_LOADS_PER_ENGINE) as u32);
+        let pressure = self.shared.dispatcher().is_under_pressure(entry.service.as_str());
+        let max_loads = load_limits::max_concurrent_loads(self.engine_count, pressure);
         let model_load_interval = self.model_load_interval();
         let Some(engine) = self.engines.get_mut(&entry.id) else { return };
         if engine.busy {
             return;
         }
         let permission = LoadPermission {
-            adapter_loads: loading < max_loads || engine.residency.loads_in_progress() == 0,
+            adapter_loads: loading < max_loads || engine.residency.loads_in_store(now) == 0,
             model_loads: now.since(self.last_model_load) >= model_load_interval,
         };
         let dispatcher = self.shared.dispatcher();
@@ -435,7 +429,7 @@
     /// doesn't serve callers hears of most peers too seldom and relies on one that does.
     fn adapter_loads_in_progress(&self, now: Time) -> u32 {
         let own: u32 =
-            self.engines.values().map(|engine| engine.residency.loads_in_progress()).sum();
+            self.engines.values().map(|engine| engine.residency.loads_in_store(now)).sum();
         let peers = self.shared.peers();
         match peers.fleet_adapter_loads(now) {
             Some(loads) if !self.shared.serving.is_serving() => loads.max(own),
@@ -493,7 +487,7 @@
             placement.adapters.sort_by(|a, b| a.adapter.cmp(&b.adapter));
         }
         let loading: u32 =
-            self.engines.values().map(|engine| engine.residency.loads_in_progress()).sum();
+            self.engines.values().map(|engine| engine.residency.loads_in_store(now)).sum();
         self.shared.set_adapter_loads_in_progress(usize::try_from(loading).unwrap_or(usize::MAX));
         let mut published = self.shared.placements();
         if *published == placements {
--- /dev/null
+++ b/crates/fireflyhead-gateway/src/engine_controller/load_limits.rs
@@ -0,0 +1,49 @@
+//! Limit on concurrent loads from the adapter store, over all nodes, and the inputs of the decisions
+//! under pressure.
+
+use fireflyhead_policy::Time;
+use fireflyhead_policy::fleet::UpstreamEntry;
+use fireflyhead_policy::residency::Residency;
+
+use crate::state::Shared;
+
+/// Number of concurrent loads from the adapter store, over all nodes, that is always allowed. The
+/// limit is the larger of this number and [`CONCURRENT_LOADS_PER_ENGINE`] times the number of
+/// engines; an engine without a load in progress may start one beyond the limit. Beyond it, loads
+/// take longer in proportion to their number. The platform specifies no limit; its deployments
+/// sustain 0.44 to 0.9 loads per engine.
+const MIN_CONCURRENT_LOADS: u32 = 8;
+/// Number of concurrent loads from the adapter store per engine; see [`MIN_CONCURRENT_LOADS`].
+const CONCURRENT_LOADS_PER_ENGINE: f64 = 0.5;
+/// Same as [`CONCURRENT_LOADS_PER_ENGINE`] under pressure, where only loads that the adapter store
+/// still transmits count. The store of these deployments sustains 0.53 and 0.67 loads per engine.
+const CONCURRENT_LOADS_PER_ENGINE_UNDER_PRESSURE: f64 = 0.55;
+
+/// Returns the number of concurrent loads from the adapter store that is allowed with `engines`
+/// engines.
+pub(super) fn max_concurrent_loads(engines: usize, pressure: bool) -> u32 {
+    let per_engine = match pressure {
+        true => CONCURRENT_LOADS_PER_ENGINE_UNDER_PRESSURE,
+        false => CONCURRENT_LOADS_PER_ENGINE,
+    };
+    MIN_CONCURRENT_LOADS.max((engines as f64 * per_engine) as u32)
+}
+
+/// Tells `residency` whether the decisions for insufficient capacity are in effect for its engine,
+/// and which adapters other engines keep.
+pub(super) fn update_pressure(
+    shared: &Shared,
+    now: Time,
+    entry: &UpstreamEntry,
+    residency: &mut Residency,
+) {
+    let dispatcher = shared.dispatcher();
+    let pressure = dispatcher.is_under_pressure(entry.service.as_str());
+    residency.set_pressure(pressure);
+    if pressure {
+        let model = residency.model().clone();
+        residency.update_spare_replicas(|adapter| {
+            dispatcher.is_spare_replica(now, &entry.id, &model, adapter)
+        });
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -21,6 +21,7 @@
 mod away;
 mod choice;
 pub(crate) mod load;
+mod load_targets;
 mod pending_admissions;
 pub(crate) mod queue;
 mod relocation;
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -252,6 +252,10 @@
             .map(|id| (rendezvous::weight(adapter_name, id.as_str()), id))
             .collect();
         engines.sort_unstable_by(|a, b| b.cmp(a));
+        if self.is_under_pressure(job.service.as_str()) {
+            let cost = |upstream: &Upstream| upstream.engine_cost(now, job);
+            return self.load_target(now, key, engines.iter().map(|(_, id)| *id), cost);
+        }
         engines
             .iter()
             .take(PREFERRED_ENGINES)
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -78,7 +78,8 @@
     pub waiting: u32,
     /// Requests that the upstream runs concurrently.
     pub slots: u32,
-    /// How long work takes there now, where 100 is the usual duration; `None` if not reported.
+    /// Time that work takes there now, in percent of the usual time; `None` if it is not reported or
+    /// not usable.
     pub pace: Option<u32>,
 }
 
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -8,6 +8,9 @@
 //! order carries the number of orders that the engine must have accepted before, and a slot counts
 //! as taken until a report shows that it is free.
 
+mod eviction;
+mod load_times;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -17,15 +20,12 @@
 use crate::protocol::EngineReport;
 use crate::protocol::OrderKind;
 
+use self::load_times::LoadTimes;
+
 /// Loads that one engine performs concurrently; the platform's engines accept four.
 const MAX_CONCURRENT_LOADS: usize = 4;
 /// Time after an order for which reports may not show its effect yet; reports lag by about 100 ms.
 const REPORT_LAG: Duration = Duration::from_millis(250);
-/// Delay between the order to load an adapter from the adapter store and the first report that is
-/// requested on it; no deployment loads an adapter in less than 250 ms.
-const FIRST_REPORT_DELAY: Duration = Duration::from_millis(200);
-/// Same as [`FIRST_REPORT_DELAY`] for an adapter that the engine held before, which loads faster.
-const FIRST_REPORT_DELAY_RELOAD: Duration = Duration::from_millis(30);
 /// Interval between reports while a load or an unload is in progress.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between reports during operations that take long, such as the unload of an adapter
@@ -34,17 +34,14 @@
 /// Time after which a request for an adapter lapses unless it is repeated; nodes repeat it more
 /// often.
 const REQUEST_TTL: Duration = Duration::from_millis(300);
-/// Minimum time for which a loaded adapter stays, so that two requested adapters don't keep
-/// evicting each other.
-const MIN_RESIDENCE: Duration = Duration::from_millis(400);
 /// Time for which an outdated version that is in use stays in place while another engine loads
 /// the new one.
 const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
+/// Time after the removal of an adapter for which the engine loads it faster than others. The
+/// platform only says "recently".
+const WARM_DURATION: Duration = Duration::from_secs(30);
 /// Factor by which the popularity of an adapter falls each second.
 const POPULARITY_DECAY_PER_S: f64 = 0.93;
-/// Popularity from which an adapter counts as used recently: a request of a tenth of a second is
-/// forgotten after about ten seconds.
-const MIN_POPULARITY: f64 = 0.05;
 
 /// State of an adapter in an engine, with the time at which it began.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -64,6 +61,13 @@
     /// Decaying sum of request-seconds, at most 8 requests counted at a time; the adapter with the
     /// lowest value is evicted first.
     popularity: f64,
+    /// Time at which a request last used the adapter or, before the first use, of its load.
+    last_used: Time,
+    /// Whether another engine holds the adapter and is to keep it rather than this one.
+    is_spare: bool,
+    /// Number of orders that the engine had accepted with the one that loads the adapter; the
+    /// largest number if unknown.
+    load_order: u64,
     /// Time at which a newer version was first seen; `None` if the version is current.
     outdated_since: Option<Time>,
 }
@@ -152,6 +156,10 @@
     popularity_updated_at: Time,
     /// Time before which no order is sent.
     blocked_until: Time,
+    /// Whether the decisions for insufficient capacity are in effect.
+    pressure: bool,
+    /// Time that loads from the adapter store take.
+    load_times: LoadTimes,
 }
 
 impl Residency {
@@ -171,6 +179,8 @@
             report_sent_at: Time::default(),
             popularity_updated_at: Time::default(),
             blocked_until: Time::default(),
+            pressure: false,
+            load_times: LoadTimes::default(),
         }
     }
 
@@ -190,6 +200,11 @@
         self.incarnation
     }
 
+    /// Sets whether the decisions for insufficient capacity are in effect.
+    pub fn set_pressure(&mut self, pressure: bool) {
+        self.pressure = pressure;
+    }
+
     /// Records that a node has `waiting` requests for `adapter`, the most urgent of which has
     /// `priority`.
     pub fn request_adapter(&mut self, now: Time, adapter: &Name, waiting: u32, priority: u8) {
@@ -212,6 +227,9 @@
         self.popularity_updated_at = now;
         for (adapter, slot) in &mut self.adapters {
             slot.active_requests = usage.get(adapter).copied().unwrap_or(0);
+            if slot.active_requests > 0 {
+                slot.last_used = now;
+            }
             slot.popularity =
                 slot.popularity * decay + f64::from(slot.active_requests.min(8)) * span;
         }
@@ -297,6 +315,9 @@
                     state: AdapterState::Loading { since: now },
                     active_requests: 0,
                     popularity,
+                    last_used: now,
+                    is_spare: false,
+                    load_order: self.accepted_orders.unwrap_or(u64::MAX),
                     outdated_since: None,
                 };
                 self.adapters.insert(adapter.clone(), slot);
@@ -323,7 +344,12 @@
     pub fn handle_report(&mut self, now: Time, sent: Time, report: &EngineReport) {
         match (self.accepted_orders, report.orders) {
             // The report is older than the last accepted order.
-            (Some(known), reported) if reported < known => return,
+            (Some(known), reported) if reported < known => {
+                if self.pressure {
+                    self.complete_earlier_loads(now, sent, report);
+                }
+                return;
+            }
             (Some(_), _) | (None, _) => self.accepted_orders = Some(report.orders),
         }
         let base = report.models.iter().find(|(model, _)| *model == self.model);
@@ -341,12 +367,17 @@
                 state: AdapterState::Resident { since: now },
                 active_requests: 0,
                 popularity: 0.0,
+                last_used: now,
+                is_spare: false,
+                load_order: u64::MAX,
                 outdated_since: None,
             });
             match slot.state {
                 AdapterState::Loading { since } if slot.version <= held.version => {
-                    slot.state = AdapterState::Resident { since };
-                    slot.version = held.version;
+                    if !held_before(&self.previously_held, self.pressure, since, &held.adapter) {
+                        self.load_times.record(sent.since(since));
+                    }
+                    slot.complete_load(now, since, held.version, self.pressure);
                 }
                 AdapterState::Loading { .. } | AdapterState::Unloading { .. } => {}
                 AdapterState::Resident { .. } => slot.version = held.version,
@@ -358,6 +389,9 @@
                 state: AdapterState::Loading { since: now },
                 active_requests: 0,
                 popularity: 0.0,
+                last_used: now,
+                is_spare: false,
+                load_order: u64::MAX,
                 outdated_since: None,
             });
         }
@@ -391,34 +425,11 @@
             .collect()
     }
 
-    /// Returns the loaded adapters that requests have used recently.
-    pub fn popular_adapters(&self) -> Vec<Name> {
-        self.adapters
-            .iter()
-            .filter(|(_, slot)| matches!(slot.state, AdapterState::Resident { .. }))
-            .filter(|(_, slot)| slot.popularity >= MIN_POPULARITY)
-            .map(|(adapter, _)| adapter.clone())
-            .collect()
-    }
-
     /// Returns the number of occupied adapter slots, including loads and unloads in progress.
     pub fn occupied_slots(&self) -> usize {
         self.adapters.len()
     }
 
-    /// Returns the number of adapter slots that another adapter can take now: free slots and those
-    /// of adapters that no request uses.
-    pub fn available_slots(&self) -> u32 {
-        let taken = self
-            .adapters
-            .values()
-            .filter(|slot| {
-                slot.active_requests > 0 || !matches!(slot.state, AdapterState::Resident { .. })
-            })
-            .count();
-        u32::try_from(self.slots.saturating_sub(taken)).unwrap_or(u32::MAX)
-    }
-
     /// Returns whether the engine loads something, or is asked to or unsure whether it does.
     pub fn has_pending_loads(&self) -> bool {
         self.loads_in_progress() > 0
@@ -467,6 +478,12 @@
         self.accepted_orders = self.accepted_orders.map(|orders| orders.saturating_add(1));
     }
 
+    /// Returns whether the engine loads `adapter` without the adapter store, because it held it
+    /// before.
+    fn reloads_fast(&self, now: Time, adapter: &Name) -> bool {
+        held_before(&self.previously_held, self.pressure, now, adapter)
+    }
+
     /// Returns the number of adapter loads in progress, including those of adapters that the engine
     /// held before.
     fn loading_count(&self) -> usize {
@@ -514,9 +531,7 @@
             .requested_adapters
             .iter()
             .filter(|(adapter, _)| !self.adapters.contains_key(*adapter))
-            .filter(|(adapter, _)| {
-                permission.adapter_loads || self.previously_held.contains_key(*adapter)
-            })
+            .filter(|(adapter, _)| permission.adapter_loads || self.reloads_fast(now, adapter))
             .min_by_key(|(_, request)| {
                 (request.priority, u32::MAX - request.waiting, request.first_seen)
             })?;
@@ -534,46 +549,19 @@
         let evicted = self.eviction_candidate(now)?;
         Some(order_call(OrderKind::Unload, Some(evicted), None, accepted_orders))
     }
+}
 
-    /// Returns the least popular adapter that is neither in use nor requested; `None` while an
-    /// unload is in progress.
-    fn eviction_candidate(&self, now: Time) -> Option<&Name> {
-        if self.adapters.values().any(|slot| matches!(slot.state, AdapterState::Unloading { .. })) {
-            return None;
-        }
-        self.adapters
-            .iter()
-            .filter(|(adapter, slot)| match slot.state {
-                AdapterState::Resident { since } => {
-                    slot.active_requests == 0
-                        && !self.requested_adapters.contains_key(*adapter)
-                        && now.since(since) >= MIN_RESIDENCE
-                }
-                AdapterState::Loading { .. } | AdapterState::Unloading { .. } => false,
-            })
-            .min_by(|(_, a), (_, b)| a.popularity.total_cmp(&b.popularity))
-            .map(|(adapter, _)| adapter)
-    }
-
-    /// Returns a call for a report if an operation is in progress whose state is due to be checked.
-    fn due_report(&self, now: Time) -> Option<EngineCall> {
-        let due = self.adapters.iter().any(|(adapter, slot)| match slot.state {
-            AdapterState::Loading { since } => {
-                let (first, interval) =
-                    match (self.previously_held.contains_key(adapter), now.since(since)) {
-                        (true, _) => (FIRST_REPORT_DELAY_RELOAD, REPORT_INTERVAL),
-                        (false, age) if age < Duration::from_secs(2) => {
-                            (FIRST_REPORT_DELAY, REPORT_INTERVAL)
-                        }
-                        (false, _) => (FIRST_REPORT_DELAY, REPORT_INTERVAL_SLOW),
-                    };
-                now.since(since) >= first && self.is_report_due(now, interval)
-            }
-            AdapterState::Unloading { .. } => self.is_report_due(now, REPORT_INTERVAL_SLOW),
-            AdapterState::Resident { .. } => false,
-        });
-        due.then_some(EngineCall::FetchReport)
-    }
+/// Returns whether an engine that removed the adapters in `previously_held` can load `adapter`
+/// without the adapter store at `now`. Under pressure this lapses after [`WARM_DURATION`].
+fn held_before(
+    previously_held: &HashMap<Name, Time>,
+    pressure: bool,
+    now: Time,
+    adapter: &Name,
+) -> bool {
+    previously_held
+        .get(adapter)
+        .is_some_and(|removed| !pressure || now.since(*removed) < WARM_DURATION)
 }
 
 /// Builds the call for an order.
--- /dev/null
+++ b/crates/fireflyhead-policy/src/residency/eviction.rs
@@ -0,0 +1,89 @@
+//! Adapters that an engine gives up for others.
+//!
+//! Handles many rare adapters beside popular ones: an adapter that another engine keeps goes first,
+//! then the least popular one. Under pressure the engine reports as available only slots whose
+//! adapter is unlikely to be requested again soon, so that loads go to the engines where they
+//! displace the least.
+
+use std::time::Duration;
+
+use crate::Name;
+use crate::Time;
+
+use super::AdapterSlot;
+use super::AdapterState;
+use super::Residency;
+
+/// Minimum time for which a loaded adapter stays, so that two requested adapters don't keep
+/// evicting each other.
+const MIN_RESIDENCE: Duration = Duration::from_millis(400);
+/// Popularity from which an adapter counts as used recently: a request of a tenth of a second is
+/// forgotten after about ten seconds.
+const MIN_POPULARITY: f64 = 0.05;
+/// Time without a request after which an adapter is unlikely to be requested again soon: the
+/// requests of a session follow each other within seconds.
+const COLD_AFTER: Duration = Duration::from_secs(3);
+
+impl AdapterSlot {
+    /// Returns whether the slot can be given to another adapter at little loss.
+    fn is_cold(&self, now: Time) -> bool {
+        self.is_spare || now.since(self.last_used) >= COLD_AFTER
+    }
+}
+
+impl Residency {
+    /// Sets for which adapters another engine holds the replica that is to be kept.
+    pub fn update_spare_replicas(&mut self, is_spare: impl Fn(&Name) -> bool) {
+        for (adapter, slot) in &mut self.adapters {
+            slot.is_spare = is_spare(adapter);
+        }
+    }
+
+    /// Returns the loaded adapters that requests have used recently.
+    pub fn popular_adapters(&self) -> Vec<Name> {
+        self.adapters
+            .iter()
+            .filter(|(_, slot)| matches!(slot.state, AdapterState::Resident { .. }))
+            .filter(|(_, slot)| slot.popularity >= MIN_POPULARITY)
+            .map(|(adapter, _)| adapter.clone())
+            .collect()
+    }
+
+    /// Returns the number of adapter slots that another adapter can take now: free slots and those
+    /// of adapters that no request uses, under pressure only of cold ones.
+    pub fn available_slots(&self, now: Time) -> u32 {
+        let taken = self
+            .adapters
+            .values()
+            .filter(|slot| {
+                slot.active_requests > 0
+                    || !matches!(slot.state, AdapterState::Resident { .. })
+                    || (self.pressure && !slot.is_cold(now))
+            })
+            .count();
+        u32::try_from(self.slots.saturating_sub(taken)).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the least popular adapter that is neither in use nor requested, under pressure one
+    /// that another engine keeps, if there is any; `None` while an unload is in progress.
+    pub(super) fn eviction_candidate(&self, now: Time) -> Option<&Name> {
+        if self.adapters.values().any(|slot| matches!(slot.state, AdapterState::Unloading { .. })) {
+            return None;
+        }
+        self.adapters
+            .iter()
+            .filter(|(adapter, slot)| match slot.state {
+                AdapterState::Resident { since } => {
+                    slot.active_requests == 0
+                        && !self.requested_adapters.contains_key(*adapter)
+                        && now.since(since) >= MIN_RESIDENCE
+                }
+                AdapterState::Loading { .. } | AdapterState::Unloading { .. } => false,
+            })
+            .min_by(|(_, a), (_, b)| {
+                let is_kept = |slot: &AdapterSlot| self.pressure && !slot.is_spare;
+                is_kept(a).cmp(&is_kept(b)).then(a.popularity.total_cmp(&b.popularity))
+            })
+            .map(|(adapter, _)| adapter)
+    }
+}
