Evict the adapter whose next request is expected last, under pressure

Cause: by its popularity, a sum of request-seconds that falls by 7% a second, the adapter of a session that has just begun is evicted before popular ones whose time has passed.

Change: under pressure the time since the last request, divided by one plus the popularity, decides.

--- a/crates/fireflyhead-policy/src/residency/eviction.rs
+++ b/crates/fireflyhead-policy/src/residency/eviction.rs
@@ -1,7 +1,7 @@
 //! Adapters that an engine gives up for others.
 //!
-//! Handles many rare adapters beside popular ones: an adapter that another engine keeps goes first,
-//! then the least popular one. Under pressure the engine reports as available only slots whose
+//! Handles many rare adapters beside popular ones, whose popularity changes within seconds: an adapter
+//! that another engine keeps goes first, then the one whose next request is expected last. Under pressure the engine reports as available only slots whose
 //! adapter is unlikely to be requested again soon, so that loads go to the engines where they
 //! displace the least.
 
@@ -25,6 +25,15 @@
 const COLD_AFTER: Duration = Duration::from_secs(3);
 
 impl AdapterSlot {
+    /// Returns a value that grows with the expected time to the next request, in seconds.
+    ///
+    /// Requests for an adapter come in sessions, so that the time without one tells more than their
+    /// number: by popularity alone, the adapter of a session that has just begun goes before one
+    /// whose sessions have ended. An adapter with many requests is expected back sooner.
+    fn expected_idle_s(&self, now: Time) -> f64 {
+        now.since(self.last_used).as_secs_f64() / (1.0 + self.popularity)
+    }
+
     /// Returns whether the slot can be given to another adapter at little loss.
     fn is_cold(&self, now: Time) -> bool {
         self.is_spare || now.since(self.last_used) >= COLD_AFTER
@@ -64,12 +73,17 @@
         u32::try_from(self.slots.saturating_sub(taken)).unwrap_or(u32::MAX)
     }
 
-    /// Returns the least popular adapter that is neither in use nor requested, under pressure one
-    /// that another engine keeps, if there is any; `None` while an unload is in progress.
+    /// Returns the least popular adapter that is neither in use nor requested; under pressure one that
+    /// another engine keeps or else the one whose next request is expected last. `None` while an
+    /// unload is in progress.
     pub(super) fn eviction_candidate(&self, now: Time) -> Option<&Name> {
         if self.adapters.values().any(|slot| matches!(slot.state, AdapterState::Unloading { .. })) {
             return None;
         }
+        let value = |slot: &AdapterSlot| match self.pressure {
+            true => -slot.expected_idle_s(now),
+            false => slot.popularity,
+        };
         self.adapters
             .iter()
             .filter(|(adapter, slot)| match slot.state {
@@ -82,7 +96,7 @@
             })
             .min_by(|(_, a), (_, b)| {
                 let is_kept = |slot: &AdapterSlot| self.pressure && !slot.is_spare;
-                is_kept(a).cmp(&is_kept(b)).then(a.popularity.total_cmp(&b.popularity))
+                is_kept(a).cmp(&is_kept(b)).then(value(a).total_cmp(&value(b)))
             })
             .map(|(adapter, _)| adapter)
     }
