Load an adapter at one engine at a time unless it is already held, under pressure

Cause: nodes that choose different engines for an adapter have it loaded twice, the more so the longer loads wait.

Change: a holder drops a request for an adapter while another engine loads it. Nodes that need a second replica ask again once the first one is loaded.

--- a/crates/fireflyhead-policy/src/dispatch/load_targets.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load_targets.rs
@@ -41,6 +41,20 @@
         )
     }
 
+    /// Returns whether an engine other than `id` is loading the newest version of `adapter`, and its
+    /// holder can see the load to its end.
+    pub fn is_loading_elsewhere(&self, id: &Name, model: &Name, adapter: &Name) -> bool {
+        let key = (model.clone(), adapter.clone());
+        let replicas = self.replicas.get(&key).into_iter().flatten();
+        replicas.filter(|replica| *replica != id).any(|replica| {
+            self.is_loading(replica, &key)
+                && self
+                    .upstreams
+                    .get(replica)
+                    .is_some_and(|upstream| upstream.holder_active && upstream.accepts_requests())
+        })
+    }
+
     /// Returns the engine that should load `key` under pressure, one of `engines`, which are in the
     /// adapter's order of preference; `cost` is the cost of a request there, in ms.
     pub(super) fn load_target<'a>(
--- a/crates/fireflyhead-policy/src/residency/eviction.rs
+++ b/crates/fireflyhead-policy/src/residency/eviction.rs
@@ -48,6 +48,15 @@
         }
     }
 
+    /// Drops the requests for adapters that another engine loads. Nodes that select different engines
+    /// for an adapter would otherwise have it loaded twice; those that need more than one replica ask
+    /// again once the first one is loaded.
+    pub fn withdraw_requests(&mut self, loads_elsewhere: impl Fn(&Name) -> bool) {
+        if self.pressure {
+            self.requested_adapters.retain(|adapter, _| !loads_elsewhere(adapter));
+        }
+    }
+
     /// Returns the loaded adapters that requests have used recently.
     pub fn popular_adapters(&self) -> Vec<Name> {
         self.adapters
