--- a/crates/fireflyhead-policy/src/dispatch/load_targets.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load_targets.rs
@@ -23,22 +23,27 @@
 /// displaced adapter is likely to be loaded again.
 const NO_ROOM_COST_MS: f64 = 300.0;
 /// Cost reduction for an engine that held the adapter recently, in ms: the time that it saves.
-const WARM_GAIN_MS: f64 = 260.0;
+const WARM_GAIN_MS: f64 = 450.0;
 
 impl Dispatcher {
     /// Returns whether another engine holds `adapter` and is to keep it rather than engine `id`: the
-    /// first one of those that hold it, in its rendezvous order.
+    /// first one of those that hold it, in its rendezvous order. If `id` holds an older version, any
+    /// engine that holds or loads the newest one is to keep it.
     pub fn is_spare_replica(&self, now: Time, id: &Name, model: &Name, adapter: &Name) -> bool {
         let key = (model.clone(), adapter.clone());
-        let own_weight = rendezvous::weight(adapter.as_str(), id.as_str());
         let newest = self.versions.get(&key).map_or(0, |named| named.version);
-        self.replicas.get(&key).into_iter().flatten().filter(|replica| *replica != id).any(
-            |replica| {
-                self.upstreams.get(replica).is_some_and(|upstream| {
-                    upstream.is_usable(now) && upstream.serves(now, &key, newest)
-                }) && rendezvous::weight(adapter.as_str(), replica.as_str()) > own_weight
-            },
-        )
+        let own = self.upstreams.get(id).and_then(|upstream| upstream.adapters.get(&key));
+        let is_outdated = own.is_some_and(|replica| replica.version < newest);
+        let own_weight = rendezvous::weight(adapter.as_str(), id.as_str());
+        let mut others =
+            self.replicas.get(&key).into_iter().flatten().filter(|replica| *replica != id);
+        others.any(|replica| {
+            let Some(upstream) = self.upstreams.get(replica) else { return false };
+            let precedes = rendezvous::weight(adapter.as_str(), replica.as_str()) > own_weight;
+            upstream.is_usable(now)
+                && (upstream.serves(now, &key, newest) && (is_outdated || precedes)
+                    || is_outdated && self.is_loading(replica, &key))
+        })
     }
 
     /// Returns whether an engine other than `id` is loading the newest version of `adapter`, and its
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -509,11 +509,14 @@
         if self.loading_count() >= MAX_CONCURRENT_LOADS {
             return None;
         }
-        let (adapter, _) = self.adapters.iter().find(|(_, slot)| {
+        let (adapter, _) = self.adapters.iter().find(|(adapter, slot)| {
             matches!(slot.state, AdapterState::Resident { .. })
                 && slot.outdated_since.is_some_and(|since| {
                     slot.active_requests == 0 || now.since(since) >= REPLACE_AFTER
                 })
+                && (!self.pressure
+                    || self.requested_adapters.contains_key(*adapter)
+                    || slot.is_replacement_likely_used(now))
         })?;
         Some(order_call(OrderKind::Load, Some(adapter), newest(Some(adapter)), accepted_orders))
     }
--- a/crates/fireflyhead-policy/src/residency/eviction.rs
+++ b/crates/fireflyhead-policy/src/residency/eviction.rs
@@ -24,6 +24,10 @@
 /// requests of a session follow each other within seconds.
 const COLD_AFTER: Duration = Duration::from_secs(3);
 
+/// Time since the last request up to which a new version of an adapter is loaded before a request
+/// needs it.
+const PREFETCH_WITHIN: Duration = Duration::from_secs(10);
+
 impl AdapterSlot {
     /// Returns a value that grows with the expected time to the next request, in seconds.
     ///
@@ -34,6 +38,12 @@
         now.since(self.last_used).as_secs_f64() / (1.0 + self.popularity)
     }
 
+    /// Returns whether a new version of the adapter, loaded before it is requested, would probably be
+    /// used: the adapter was used recently, and no other engine holds or loads the new version.
+    pub(super) fn is_replacement_likely_used(&self, now: Time) -> bool {
+        !self.is_spare && now.since(self.last_used) < PREFETCH_WITHIN
+    }
+
     /// Returns whether the slot can be given to another adapter at little loss.
     fn is_cold(&self, now: Time) -> bool {
         self.is_spare || now.since(self.last_used) >= COLD_AFTER
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -4,6 +4,8 @@
 //! `ownership`, and `loads` and `replay`, which test `dispatch` under load patterns. `setup` holds
 //! shared fixtures.
 
+mod adapter_fleet;
+mod adapters;
 mod admission;
 mod away;
 mod budget;
