--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -390,6 +390,11 @@
         let call = engine.residency.next_call(now, newest, permission);
         drop(dispatcher);
         let Some(call) = call else { return };
+        if pressure {
+            let loads = (loading, max_loads);
+            let (shared, residency) = (&self.shared, &engine.residency);
+            load_limits::record_adapter_order(shared, now, &entry.id, residency, &call, loads);
+        }
         engine.busy = true;
         match &call {
             EngineCall::FetchReport => {
--- a/crates/fireflyhead-gateway/src/engine_controller/load_limits.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/load_limits.rs
@@ -1,8 +1,12 @@
 //! Limit on concurrent loads from the adapter store, over all nodes, and the inputs of the decisions
 //! under pressure.
 
+use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::dispatch::AdapterPresence;
 use fireflyhead_policy::fleet::UpstreamEntry;
+use fireflyhead_policy::protocol::OrderKind;
+use fireflyhead_policy::residency::EngineCall;
 use fireflyhead_policy::residency::Residency;
 
 use crate::state::Shared;
@@ -43,3 +47,50 @@
         });
     }
 }
+
+/// Logs what an order for an adapter is based on, and counts a load by its cause. `loads` are the
+/// concurrent loads from the adapter store and their limit.
+pub(super) fn record_adapter_order(
+    shared: &Shared,
+    now: Time,
+    upstream: &Name,
+    residency: &Residency,
+    call: &EngineCall,
+    loads: (u32, u32),
+) {
+    let EngineCall::SendOrder { kind, adapter: Some(adapter), .. } = call else { return };
+    let inputs = residency.order_inputs(now, adapter);
+    let elsewhere =
+        shared.dispatcher().adapter_presence(residency.model(), adapter, Some(upstream));
+    match kind {
+        OrderKind::Load => {
+            let cause = match elsewhere {
+                _ if inputs.holds_earlier => "version",
+                AdapterPresence::Held | AdapterPresence::Loading => "replica",
+                AdapterPresence::Absent if inputs.is_warm => "reload",
+                AdapterPresence::Absent => "absent",
+            };
+            shared.metrics.record_adapter_load(cause);
+            let (loading, limit) = loads;
+            tracing::info!(
+                event = "adapter_load",
+                %upstream,
+                %adapter,
+                cause,
+                waiting = inputs.waiting,
+                requested_ms = inputs.requested_for.as_millis() as u64,
+                loading,
+                limit,
+            );
+        }
+        OrderKind::Unload => tracing::info!(
+            event = "adapter_evicted",
+            %upstream,
+            %adapter,
+            idle_ms = inputs.idle.map(|idle| idle.as_millis() as u64),
+            popularity = inputs.popularity,
+            spare = inputs.is_spare,
+            elsewhere = elsewhere.code(),
+        ),
+    }
+}
--- a/crates/fireflyhead-gateway/src/metrics.rs
+++ b/crates/fireflyhead-gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     sends: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
+    adapter_loads: Counter<u64>,
+    adapter_lookups: Counter<u64>,
     upstream_crashes: Counter<u64>,
     quarantined_parts: Gauge<u64>,
     first_output: Histogram<f64>,
@@ -61,6 +63,8 @@
             sends: meter.u64_counter("fireflyhead_sends").build(),
             store_calls: meter.u64_counter("fireflyhead_store_calls").build(),
             orders: meter.u64_counter("fireflyhead_orders").build(),
+            adapter_loads: meter.u64_counter("fireflyhead_adapter_loads").build(),
+            adapter_lookups: meter.u64_counter("fireflyhead_adapter_lookups").build(),
             upstream_crashes: meter.u64_counter("fireflyhead_upstream_crashes").build(),
             quarantined_parts: meter.u64_gauge("fireflyhead_quarantined_parts").build(),
             first_output: latency_histogram("fireflyhead_first_output"),
@@ -95,6 +99,16 @@
         self.store_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an order to load an adapter by what it is loaded for.
+    pub fn record_adapter_load(&self, cause: &'static str) {
+        self.adapter_loads.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a request that needs an adapter by whether an engine held it when it arrived.
+    pub fn record_adapter_lookup(&self, result: &'static str) {
+        self.adapter_lookups.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts an order to an engine.
     pub fn record_order(&self, kind: &'static str, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)]);
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -34,6 +34,7 @@
 use fireflyhead_policy::message::NodeState;
 use fireflyhead_policy::message::Placement;
 use fireflyhead_policy::peers::Peers;
+use fireflyhead_policy::protocol::ModelRef;
 use fireflyhead_policy::protocol::PlatformProtocol;
 use fireflyhead_policy::readers;
 use fireflyhead_policy::readers::Feed;
@@ -339,7 +340,16 @@
     pub fn submit(self: &Arc<Shared>, now: Time, job: Job) -> PendingJob {
         let id = job.id;
         let (tx, rx) = oneshot::channel();
-        let decision = self.dispatcher().submit(now, job);
+        let mut dispatcher = self.dispatcher();
+        if job.tried.is_empty()
+            && dispatcher.is_under_pressure(job.service.as_str())
+            && let Some(ModelRef { model, adapter: Some(adapter) }) = &job.model
+        {
+            let presence = dispatcher.adapter_presence(model, adapter, None);
+            self.metrics.record_adapter_lookup(presence.code());
+        }
+        let decision = dispatcher.submit(now, job);
+        drop(dispatcher);
         match decision {
             Some(decision) => {
                 // Can't fail: the receiver `rx` is still open.
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -49,6 +49,7 @@
 
 use self::adapter_requests::AdapterRequests;
 use self::choice::Choice;
+pub use self::load_targets::AdapterPresence;
 use self::pending_admissions::PendingAdmissions;
 pub use self::pending_admissions::UnresponsiveHolder;
 use self::queue::Queue;
--- a/crates/fireflyhead-policy/src/dispatch/load_targets.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load_targets.rs
@@ -28,7 +28,50 @@
 /// Cost reduction for an engine that held the adapter recently, in ms: the time that it saves.
 const WARM_GAIN_MS: f64 = 450.0;
 
+/// Where the adapter of a request is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdapterPresence {
+    /// An engine holds it, in any version.
+    Held,
+    /// An engine is loading it, and none holds it.
+    Loading,
+    /// No engine holds or loads it.
+    Absent,
+}
+
+impl AdapterPresence {
+    /// Returns the code that logs and metrics use.
+    pub const fn code(self) -> &'static str {
+        match self {
+            AdapterPresence::Held => "held",
+            AdapterPresence::Loading => "loading",
+            AdapterPresence::Absent => "absent",
+        }
+    }
+}
+
 impl Dispatcher {
+    /// Returns where `adapter` is among the engines besides `except`.
+    pub fn adapter_presence(
+        &self,
+        model: &Name,
+        adapter: &Name,
+        except: Option<&Name>,
+    ) -> AdapterPresence {
+        let key = (model.clone(), adapter.clone());
+        let replicas = self.replicas.get(&key).into_iter().flatten();
+        let ready = replicas
+            .filter(|id| Some(*id) != except)
+            .filter_map(|id| self.upstreams.get(id)?.adapters.get(&key))
+            .map(|replica| replica.ready)
+            .max();
+        match ready {
+            Some(true) => AdapterPresence::Held,
+            Some(false) => AdapterPresence::Loading,
+            None => AdapterPresence::Absent,
+        }
+    }
+
     /// Returns whether another engine holds `adapter` and is to keep it rather than engine `id`: the
     /// first one of those that hold it, in its rendezvous order. If `id` holds an older version, any
     /// engine that holds or loads the newest one is to keep it.
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -20,6 +20,7 @@
 use crate::protocol::EngineReport;
 use crate::protocol::OrderKind;
 
+pub use self::eviction::OrderInputs;
 use self::load_times::LoadTimes;
 
 /// Loads that one engine performs concurrently; the platform's engines accept four.
--- a/crates/fireflyhead-policy/src/residency/eviction.rs
+++ b/crates/fireflyhead-policy/src/residency/eviction.rs
@@ -50,7 +50,41 @@
     }
 }
 
+/// What the decision on an order for an adapter was based on, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OrderInputs {
+    /// Whether the engine holds an earlier version of the adapter.
+    pub holds_earlier: bool,
+    /// Whether the engine held the adapter recently, so that it is loaded fast.
+    pub is_warm: bool,
+    /// Whether another engine keeps the adapter.
+    pub is_spare: bool,
+    /// Time since the last request that used the adapter; `None` if the engine doesn't hold it.
+    pub idle: Option<Duration>,
+    /// Decaying sum of request-seconds of the adapter.
+    pub popularity: f64,
+    /// Requests that wait for it, the highest count that a node reported.
+    pub waiting: u32,
+    /// Time since the first of the requests for it that follow each other.
+    pub requested_for: Duration,
+}
+
 impl Residency {
+    /// Returns what a decision at `now` on an order for `adapter` is based on.
+    pub fn order_inputs(&self, now: Time, adapter: &Name) -> OrderInputs {
+        let slot = self.adapters.get(adapter);
+        let request = self.requested_adapters.get(adapter);
+        OrderInputs {
+            holds_earlier: slot.is_some_and(|slot| slot.outdated_since.is_some()),
+            is_warm: self.reloads_fast(now, adapter),
+            is_spare: slot.is_some_and(|slot| slot.is_spare),
+            idle: slot.map(|slot| now.since(slot.last_used)),
+            popularity: slot.map_or(0.0, |slot| slot.popularity),
+            waiting: request.map_or(0, |request| request.waiting),
+            requested_for: request.map_or(Duration::ZERO, |request| now.since(request.first_seen)),
+        }
+    }
+
     /// Sets for which adapters another engine holds the replica that is to be kept.
     pub fn update_spare_replicas(&mut self, is_spare: impl Fn(&Name) -> bool) {
         for (adapter, slot) in &mut self.adapters {
--- a/crates/fireflyhead-policy/src/residency/load_times.rs
+++ b/crates/fireflyhead-policy/src/residency/load_times.rs
@@ -28,8 +28,10 @@
 const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Interval between reports around the expected end of a load.
 const CLOSE_REPORT_INTERVAL: Duration = Duration::from_millis(20);
-/// Time before the expected one at which the first report on a load is requested.
-const REPORT_LEAD: Duration = Duration::from_millis(30);
+/// Share of the expected time, as a divisor, by which the first report on a load is requested
+/// earlier. While the adapter store is overloaded, the times of loads differ by more than that, and a
+/// load that is seen late holds back others.
+const REPORT_LEAD_DIVISOR: u32 = 8;
 /// Time after the expected one up to which reports are requested at short intervals.
 const REPORT_LAST: Duration = Duration::from_millis(60);
 /// Expected time from an order to the first report that shows the adapter, before the first sample:
@@ -108,7 +110,7 @@
             _ if age < LONG_LOAD => REPORT_INTERVAL,
             _ => REPORT_INTERVAL_SLOW,
         };
-        (self.visible.saturating_sub(REPORT_LEAD), interval)
+        (self.visible.saturating_sub(self.visible / REPORT_LEAD_DIVISOR), interval)
     }
 }
 
--- a/crates/fireflyhead-policy/tests/policy/adapter_fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/adapter_fleet.rs
@@ -510,9 +510,10 @@
     /// Runs the passes of the nodes and sends their messages.
     fn run_nodes(&mut self, dirty: &[bool]) {
         let now = ms(self.now);
-        for node in 0..self.nodes.len() {
+        for (node, dirty) in dirty.iter().enumerate() {
             let due = (self.now + node as u64).is_multiple_of(PASS_INTERVAL_MS);
-            if !dirty[node] && !(due && self.nodes[node].has_waiting()) {
+            let is_due = *dirty || due && self.nodes[node].has_waiting();
+            if !is_due {
                 continue;
             }
             let decisions = self.nodes[node].dispatch_waiting(now);
