--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -384,7 +384,7 @@
         let base = Name::from("");
         let newest =
             |adapter: Option<&Name>| dispatcher.newest_version(&model, adapter.unwrap_or(&base));
-        engine.residency.withdraw_requests(|adapter| {
+        engine.residency.update_loads_elsewhere(now, |adapter| {
             dispatcher.is_loading_elsewhere(&entry.id, &model, adapter)
         });
         let call = engine.residency.next_call(now, newest, permission);
--- a/crates/fireflyhead-policy/src/residency.rs
+++ b/crates/fireflyhead-policy/src/residency.rs
@@ -82,6 +82,8 @@
     waiting: u32,
     /// Priority of the most urgent of them; 0 is the most urgent.
     priority: u8,
+    /// Time at which another engine was first seen to load the adapter; `None` if none was.
+    deferred_since: Option<Time>,
 }
 
 /// Next call to the engine.
@@ -214,6 +216,7 @@
             last_seen: now,
             waiting,
             priority,
+            deferred_since: None,
         });
         request.last_seen = now;
         request.waiting = request.waiting.max(waiting);
@@ -539,6 +542,7 @@
             .requested_adapters
             .iter()
             .filter(|(adapter, _)| !self.adapters.contains_key(*adapter))
+            .filter(|(_, request)| !request.is_deferred(now))
             .filter(|(adapter, _)| permission.adapter_loads || self.reloads_fast(now, adapter))
             .min_by_key(|(_, request)| {
                 (request.priority, u32::MAX - request.waiting, request.first_seen)
--- a/crates/fireflyhead-policy/src/residency/eviction.rs
+++ b/crates/fireflyhead-policy/src/residency/eviction.rs
@@ -12,6 +12,7 @@
 
 use super::AdapterSlot;
 use super::AdapterState;
+use super::RequestedAdapter;
 use super::Residency;
 
 /// Minimum time for which a loaded adapter stays, so that two requested adapters don't keep
@@ -28,6 +29,17 @@
 /// needs it.
 const PREFETCH_WITHIN: Duration = Duration::from_secs(10);
 
+/// Longest time for which a request waits for the load at another engine, whose holder may have failed.
+/// Other nodes miss it after 1.2 to 11 s.
+const MAX_DEFERRAL: Duration = Duration::from_millis(1_000);
+
+impl RequestedAdapter {
+    /// Returns whether the adapter is left to another engine, which is loading it.
+    pub(super) fn is_deferred(&self, now: Time) -> bool {
+        self.deferred_since.is_some_and(|since| now.since(since) < MAX_DEFERRAL)
+    }
+}
+
 impl AdapterSlot {
     /// Returns a value that grows with the expected time to the next request, in seconds.
     ///
@@ -92,12 +104,17 @@
         }
     }
 
-    /// Drops the requests for adapters that another engine loads. Nodes that select different engines
-    /// for an adapter would otherwise have it loaded twice; those that need more than one replica ask
-    /// again once the first one is loaded.
-    pub fn withdraw_requests(&mut self, loads_elsewhere: impl Fn(&Name) -> bool) {
-        if self.pressure {
-            self.requested_adapters.retain(|adapter, _| !loads_elsewhere(adapter));
+    /// Records which requested adapters another engine loads. Nodes that select different engines for an
+    /// adapter would otherwise have it loaded twice. That holds for as long as the request is repeated,
+    /// because nodes repeat it until they learn that the load has ended.
+    pub fn update_loads_elsewhere(&mut self, now: Time, loads_elsewhere: impl Fn(&Name) -> bool) {
+        if !self.pressure {
+            return;
+        }
+        for (adapter, request) in &mut self.requested_adapters {
+            if request.deferred_since.is_none() && loads_elsewhere(adapter) {
+                request.deferred_since = Some(now);
+            }
         }
     }
 
--- a/crates/fireflyhead-policy/tests/policy/adapter_fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/adapter_fleet.rs
@@ -589,7 +589,7 @@
                 model_loads: true,
             };
             let (node, model) = (&self.nodes[0], Name::from(MODEL));
-            engine.residency.withdraw_requests(|adapter| {
+            engine.residency.update_loads_elsewhere(now, |adapter| {
                 node.is_loading_elsewhere(&engine.name, &model, adapter)
             });
             let newest = |adapter: Option<&Name>| node.newest_version(&model, adapter?);
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod config;
 mod custody;
+mod eviction;
 mod extremes;
 mod fleet;
 mod health;
