--- a/crates/fireflyhead-gateway/src/settings.rs
+++ b/crates/fireflyhead-gateway/src/settings.rs
@@ -64,6 +64,9 @@
     pub revoke_closes_streams: Option<Duration>,
     /// Settings of the quotas of client accounts; `None` to enforce none.
     pub quota: Option<QuotaSettings>,
+    /// Whether the decisions for insufficient capacity are in effect for all services, not only for
+    /// those whose upstreams report their pace.
+    pub pressure: bool,
 }
 
 impl Default for GatewaySettings {
@@ -93,6 +96,7 @@
             resolve_ttl: Duration::from_secs(2),
             revoke_closes_streams: None,
             quota: None,
+            pressure: false,
         }
     }
 }
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -6,6 +6,8 @@
 //! nodes with quotas.
 
 mod accounts;
+mod adapter_fleet;
+mod adapters;
 mod admission;
 mod authentication;
 mod away;
@@ -13,6 +15,7 @@
 mod config;
 mod config_exchange;
 mod custody;
+mod eviction;
 mod explain;
 mod extremes;
 mod fleet;
