Select upstreams by the speed that they report

Cause: engines of deployment B take 0.6, 1.0 or 1.6 times as long and 2.5 times of that in slow periods, but get equal numbers of requests; 23 to 71% of the streams on the slowest third are late.

Change: the fourth value of the load header is read. For services whose upstreams report it, the cost of an engine is the expected time to the first event and the expected pauses of all its streams, now and in a slow period; adapters are placed by weighted rendezvous in proportion to speed^1.5; the prompt window, the pace and the number of requests are scaled by the speed, at the holder too; plain upstreams are selected by expected completion. Services without the value keep their selection.

Result: not measured on the deployments yet.

--- a/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
@@ -45,7 +45,7 @@
     let http_call = shared.protocol.report_call();
     let memory = &shared.response_memory;
     let result = send_http_call(&http, memory, address, http_call, header, CALL_LIMITS).await;
-    observe_departure(&shared, &upstream, incarnation, &result);
+    observe_head(&shared, &upstream, incarnation, &result);
     let report = match result {
         Ok(HttpResponse { status: 200, body, .. }) => match shared.protocol.parse_report(&body) {
             Ok(report) => Some(report),
@@ -86,7 +86,7 @@
     let http_call = shared.protocol.order_call(&order);
     let memory = &shared.response_memory;
     let result = send_http_call(&http, memory, address, http_call, header, CALL_LIMITS).await;
-    observe_departure(&shared, &upstream, incarnation, &result);
+    observe_head(&shared, &upstream, incarnation, &result);
     let reply = match result.as_ref().map(|response| response.status) {
         Ok(202) => OrderReply::Accepted,
         Ok(200) => OrderReply::AlreadyApplied,
@@ -118,8 +118,9 @@
     }
 }
 
-/// Handles the announcement of an engine that leaves, unless another engine replied at its address.
-fn observe_departure(
+/// Handles what an engine says of itself in the head of a reply, unless another engine replied at its
+/// address: its load, and that it leaves.
+fn observe_head(
     shared: &Shared,
     upstream: &Name,
     incarnation: u64,
@@ -129,6 +130,9 @@
         Ok(response) if response.status != MISDIRECTED => {
             let head = shared.protocol.parse_response(&response.headers);
             departures::handle_response(shared, upstream, incarnation, &head);
+            if let Some(load) = head.load {
+                shared.record_load_report(clock::now(), upstream, load);
+            }
         }
         Ok(_) | Err(_) => {}
     }
--- a/crates/fireflyhead-gateway/src/forward/attempt.rs
+++ b/crates/fireflyhead-gateway/src/forward/attempt.rs
@@ -286,7 +286,7 @@
         }
         departures::handle_response(&self.shared, &upstream.id, upstream.incarnation, &info);
         if let Some(load) = info.load {
-            self.shared.dispatcher().record_load_report(clock::now(), upstream.id.as_str(), load);
+            self.shared.record_load_report(clock::now(), &upstream.id, load);
         }
         if kind == ResponseKind::Refusal {
             return self.handle_refusal(upstream, head.status, &info, body, in_flight).await;
--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -340,6 +340,7 @@
                 STOPPING
             }
             Ok(DispatchDecision::Send { upstream, version }) => {
+                self.log_selection(decided, &upstream.id);
                 Selection::Send { job: id, upstream, version }
             }
             Ok(DispatchDecision::Reject { reason, retry_after }) => {
@@ -438,6 +439,25 @@
         (!retry).then_some(Outcome::Unknown(error))
     }
 
+    /// Logs what the selection of `upstream` was based on, if its service reports speeds.
+    fn log_selection(&self, now: Time, upstream: &Name) {
+        let Some(inputs) = self.shared.dispatcher().selection_inputs(now, upstream) else { return };
+        let age_ms = |age: Option<Duration>| age.map(|age| age.as_millis() as u64);
+        tracing::info!(
+            event = "selected",
+            id = %self.id,
+            %upstream,
+            prompt_tokens = self.head.tokens.prompt,
+            base = inputs.base_percent,
+            pace = inputs.expected_percent,
+            pace_age_ms = age_ms(inputs.pace_age),
+            in_flight = inputs.in_flight,
+            backlog = inputs.backlog_tokens,
+            late_permille = inputs.late_streams_permille,
+            load_age_ms = age_ms(inputs.load_age),
+        );
+    }
+
     /// Counts the first refusal of `upstream`. Returns the outcome unless the request is sent once
     /// more.
     ///
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -34,6 +34,7 @@
 use fireflyhead_policy::message::NodeState;
 use fireflyhead_policy::message::Placement;
 use fireflyhead_policy::peers::Peers;
+use fireflyhead_policy::protocol::LoadReport;
 use fireflyhead_policy::protocol::PlatformProtocol;
 use fireflyhead_policy::readers;
 use fireflyhead_policy::readers::Feed;
@@ -370,6 +371,14 @@
         self.send_holder_messages(now);
     }
 
+    /// Records the load that an upstream reported with a response.
+    pub(crate) fn record_load_report(&self, now: Time, upstream: &Name, load: LoadReport) {
+        self.dispatcher().record_load_report(now, upstream.as_str(), load);
+        if let Some(percent) = load.pace {
+            self.admission().record_pace(now, upstream.as_str(), percent);
+        }
+    }
+
     /// Returns whether requests wait in this node, or at the engines that it owns.
     pub(crate) fn has_waiting(&self) -> bool {
         self.dispatcher().has_waiting() || self.admission().waiting() > 0
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::load::EngineLoad;
 use crate::dispatch::load::accepts_prompt;
 use crate::dispatch::load::max_in_flight;
+use crate::dispatch::pace::Pace;
 use crate::dispatch::queue::Queue;
 use crate::dispatch::queue::RouteShares;
 use crate::message::AdmissionDecision;
@@ -85,6 +86,8 @@
     /// Number of requests that the engine runs at once.
     slots: u32,
     load: EngineLoad,
+    /// Speed that the engine reported.
+    pace: Pace,
     /// Waiting requests, under ids of the holder.
     queue: Queue,
     /// Shares of the routes in the requests admitted recently.
@@ -164,6 +167,14 @@
         }
     }
 
+    /// Records the time that work takes at an engine, in percent of the usual time. Other upstreams
+    /// are ignored.
+    pub fn record_pace(&mut self, now: Time, upstream: &str, percent: u32) {
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.pace.record(now, f64::from(percent) / 100.0);
+        }
+    }
+
     /// Admits waiting requests that the engines can take now, and denies those that have waited for
     /// too long.
     pub fn admit_waiting(&mut self, now: Time) -> Vec<AddressedResponse> {
@@ -209,6 +220,7 @@
             incarnation,
             slots,
             load: EngineLoad::default(),
+            pace: Pace::default(),
             queue: Queue::default(),
             route_shares: RouteShares::default(),
             requests: HashMap::new(),
@@ -227,6 +239,7 @@
         node: &Name,
         request: &AdmissionRequest,
     ) -> AdmissionResponse {
+        self.update_work_factor(now);
         let origin = (node.clone(), request.job);
         let decision = match self.requests.get(&origin).map(|entry| &entry.state) {
             // The node asks again because the response was lost or is late.
@@ -248,6 +261,13 @@
         AdmissionResponse { job: request.job, decision, load: self.load_summary(now) }
     }
 
+    /// Applies the expected speed of the engine, if it reports one.
+    fn update_work_factor(&mut self, now: Time) {
+        if let Some(factor) = self.pace.expected(now) {
+            self.load.set_work_factor(now, factor);
+        }
+    }
+
     /// Queues a request, or denies it if its predicted wait is too long or the queue is full.
     fn enqueue(&mut self, now: Time, origin: Origin, job: Job) -> AdmissionDecision {
         let wait = self.predicted_wait(&job);
@@ -283,8 +303,14 @@
             false => self.load.paced_backlog(now),
         };
         now >= self.full_until
-            && f64::from(self.load.in_flight()) < max_in_flight(self.slots)
-            && accepts_prompt(backlog, self.load.late_stream_share(), job.prompt_tokens, unpaced)
+            && f64::from(self.load.in_flight()) < max_in_flight(self.slots, self.pace.base())
+            && accepts_prompt(
+                backlog,
+                self.load.late_stream_share(),
+                job.prompt_tokens,
+                unpaced,
+                self.load.work_factor(),
+            )
     }
 
     /// Records that `job` is admitted.
@@ -307,7 +333,7 @@
         });
         let backlog = self.load.pending_prompt_tokens();
         let prefill_s = (f64::from(tokens) + f64::from(backlog)) / self.load.prefill_tokens_per_s();
-        let max_in_flight = max_in_flight(self.slots);
+        let max_in_flight = max_in_flight(self.slots, self.pace.base());
         let busy = f64::from(self.load.in_flight()) >= max_in_flight;
         let slot_wait_s = match busy {
             true => f64::from(ahead + 1) * self.mean_service_time_s / max_in_flight,
@@ -385,6 +411,7 @@
     /// Admits or denies the waiting requests that can be decided now.
     fn admit_waiting(&mut self, now: Time) -> Vec<AddressedResponse> {
         self.expire_requests(now);
+        self.update_work_factor(now);
         if self.queue.len() == 0 {
             return Vec::new();
         }
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -21,6 +21,7 @@
 mod away;
 mod choice;
 pub(crate) mod load;
+pub(crate) mod pace;
 mod pending_admissions;
 pub(crate) mod queue;
 mod relocation;
@@ -48,6 +49,7 @@
 
 use self::adapter_requests::AdapterRequests;
 use self::choice::Choice;
+use self::pace::ServicePace;
 use self::pending_admissions::PendingAdmissions;
 pub use self::pending_admissions::UnresponsiveHolder;
 use self::queue::Queue;
@@ -215,6 +217,25 @@
     Abandoned,
 }
 
+/// What the selection of an upstream was based on, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SelectionInputs {
+    /// Time that work takes at the upstream outside slow periods, in percent of the usual time.
+    pub base_percent: u32,
+    /// Time that work is expected to take there now, in percent of the usual time.
+    pub expected_percent: u32,
+    /// Age of the newest value that the upstream reported; `None` if it has reported none.
+    pub pace_age: Option<Duration>,
+    /// Requests in flight from all nodes.
+    pub in_flight: u32,
+    /// Prompt tokens from all nodes that the engine has yet to process.
+    pub backlog_tokens: u32,
+    /// Streams that paused for too long, in thousandths of the recent ones.
+    pub late_streams_permille: u32,
+    /// Age of the load that the holder reported; `None` if there is no usable report.
+    pub load_age: Option<Duration>,
+}
+
 /// Settings of a [`Dispatcher`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatchSettings {
@@ -249,6 +270,8 @@
     away: Vec<Name>,
     /// Shares of the routes in the requests sent recently.
     route_shares: RouteShares,
+    /// Speed of its upstreams; `None` if none of them has reported one.
+    pace: Option<ServicePace>,
 }
 
 impl Default for Service {
@@ -259,6 +282,7 @@
             ejected: Vec::new(),
             away: Vec::new(),
             route_shares: RouteShares::default(),
+            pace: None,
         }
     }
 }
@@ -486,11 +510,50 @@
 
     /// Records the load that an upstream reported with a response.
     pub fn record_load_report(&mut self, now: Time, upstream: &str, load: LoadReport) {
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.load_report = Some((now, load));
+        let Some(known) = self.upstreams.get_mut(upstream) else { return };
+        known.load_report = Some((now, load));
+        if let Some(percent) = load.pace {
+            self.record_pace_report(now, upstream, percent);
+        }
+    }
+
+    /// Records the time that work takes at an upstream, in percent of the usual time.
+    fn record_pace_report(&mut self, now: Time, upstream: &str, percent: u32) {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
+        let factor = f64::from(percent) / 100.0;
+        let changed = upstream.pace.record(now, factor);
+        let base = upstream.pace.base().unwrap_or(factor);
+        upstream.own_load.set_work_factor(now, base);
+        let Some(service) = self.services.get_mut(&upstream.entry.service) else { return };
+        let pace = service.pace.get_or_insert_default();
+        pace.record(factor, base);
+        if changed {
+            let members = service.members.iter().filter_map(|id| self.upstreams.get(id));
+            pace.set_median(members.filter_map(|upstream| upstream.pace.base()).collect());
         }
     }
 
+    /// Returns the speed of the upstreams of `service`; `None` if they don't report it.
+    fn service_pace(&self, service: &Name) -> Option<ServicePace> {
+        self.services.get(service)?.pace
+    }
+
+    /// Returns what the selection of `upstream` was based on; `None` unless the upstreams of its
+    /// service report their speed.
+    pub fn selection_inputs(&self, now: Time, upstream: &Name) -> Option<SelectionInputs> {
+        let upstream = self.upstreams.get(upstream)?;
+        let pace = self.service_pace(&upstream.entry.service)?;
+        Some(SelectionInputs {
+            base_percent: (upstream.base_factor(&pace) * 100.0).round() as u32,
+            expected_percent: (upstream.work_factor(now, &pace) * 100.0).round() as u32,
+            pace_age: upstream.pace.age(now),
+            in_flight: upstream.in_flight(now),
+            backlog_tokens: upstream.backlog(now),
+            late_streams_permille: (upstream.late_stream_share(now) * 1_000.0) as u32,
+            load_age: upstream.holder_load_age(now),
+        })
+    }
+
     /// Adds an upstream or updates its entry. One that restarted is removed and added anew. The
     /// requests that wait for one that drains return to the queue of the node.
     pub fn upsert_upstream(&mut self, entry: &Arc<UpstreamEntry>) {
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -16,9 +16,13 @@
 use super::AdapterKey;
 use super::Dispatcher;
 use super::Job;
+use super::load::PAUSE_OBJECTIVE_MS;
+use super::load::PREFILL_TOKENS_PER_MS;
 use super::load::accepts_prompt;
 use super::load::avoids_large_prompt;
+use super::load::expected_pause_ms;
 use super::load::max_in_flight;
+use super::pace::ServicePace;
 use super::upstreams::Upstream;
 
 /// Cost of a prompt token that an engine has not processed yet, in ms. Engines process about 20
@@ -69,6 +73,17 @@
 /// that older versions are excluded by then ([`OLD_VERSION_SHARE`]).
 const EXPECT_VERSION_SHARE: f64 = 0.3;
 
+/// Extra cost of each further engine in the adapter's order, in ms, if engines report their speed.
+/// The costs then contain expected times, and half of a load's duration makes up for them.
+const PACED_PREFERENCE_STEP_MS: f64 = 100.0;
+/// Exponent of the speed in the share of adapters that an engine gets. Above 1, because a long
+/// prompt in a slow period of a slow engine delays all streams there beyond their objective.
+const PLACEMENT_SPEED_EXPONENT: f64 = 1.5;
+/// Cost per ms of an expected pause beyond the margin, for each stream that it affects.
+const LATE_PAUSE_COST: f64 = 0.5;
+/// Share of the pause objective above which an expected pause has a cost.
+const PAUSE_MARGIN_SHARE: f64 = 0.8;
+
 /// Why a request can't be sent now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum WaitReason {
@@ -181,7 +196,8 @@
                 self.choice_for(now, &id, expected)
             }
             Some((id, _, false)) => {
-                let avoided = self.upstreams[&id].should_avoid_for(now, job);
+                let pace = self.service_pace(&job.service);
+                let avoided = self.upstreams[&id].should_avoid_for(now, job, pace.as_ref());
                 if avoided || self.is_hot(now, key) {
                     self.request_adapter(now, job, key, ignore_ejections);
                 }
@@ -242,27 +258,44 @@
     ) -> Option<Name> {
         let adapter_name = key.1.as_str();
         let failed = self.adapter_requests.failed_target(now, key);
+        let pace = self.service_pace(&job.service);
         let mut engines: Vec<(u64, &Name)> = self.services[&job.service]
             .members
             .iter()
             .filter(|id| {
                 self.can_load(now, id, key, ignore_ejections) && Some(*id) != failed.as_ref()
             })
-            .filter(|id| !job.tried.contains(id) && !self.upstreams[*id].should_avoid_for(now, job))
-            .map(|id| (rendezvous::weight(adapter_name, id.as_str()), id))
+            .filter(|id| {
+                !job.tried.contains(id)
+                    && !self.upstreams[*id].should_avoid_for(now, job, pace.as_ref())
+            })
+            .map(|id| match &pace {
+                Some(pace) => {
+                    let speed = 1.0 / self.upstreams[id].base_factor(pace);
+                    let share = speed.powf(PLACEMENT_SPEED_EXPONENT);
+                    // The bits of positive floats sort like the floats.
+                    let score = rendezvous::weighted_score(adapter_name, id.as_str(), share);
+                    (score.to_bits(), id)
+                }
+                None => (rendezvous::weight(adapter_name, id.as_str()), id),
+            })
             .collect();
         engines.sort_unstable_by(|a, b| b.cmp(a));
+        let step = if pace.is_some() { PACED_PREFERENCE_STEP_MS } else { PREFERENCE_STEP_MS };
         engines
             .iter()
             .take(PREFERRED_ENGINES)
             .enumerate()
             .map(|(rank, (_, id))| {
                 let upstream = &self.upstreams[*id];
-                let penalty = PREFERENCE_STEP_MS * rank as f64;
+                let penalty = step * rank as f64;
                 let warm_gain = if upstream.held_recently(now, key) { WARM_GAIN_MS } else { 0.0 };
                 let slot_cost =
                     if upstream.has_no_free_adapter_slot(now) { NO_FREE_SLOT_COST_MS } else { 0.0 };
-                (upstream.engine_cost(now, job) + penalty + slot_cost - warm_gain, *id)
+                (
+                    upstream.engine_cost(now, job, pace.as_ref()) + penalty + slot_cost - warm_gain,
+                    *id,
+                )
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, id)| id.clone())
@@ -313,6 +346,9 @@
     ) -> Vec<Candidate> {
         let is_engine = job.model.is_some();
         let unpaced = job.is_exempt_from_pacing(now);
+        let service = self.services.get(&job.service);
+        let pace = service.and_then(|service| service.pace);
+        let work_s = service.map_or(0.0, |service| service.mean_service_time_s);
         let mut candidates = Vec::with_capacity(ids.len());
         for id in ids {
             let noise = self.rng.random::<f64>() * NOISE_MS;
@@ -324,18 +360,21 @@
             let zone_cost =
                 if upstream.entry.zone == self.settings.zone { 0.0 } else { ZONE_COST_MS };
             let load_cost = match is_engine {
-                true => upstream.engine_cost(now, job),
-                false => upstream.plain_cost(now),
+                true => upstream.engine_cost(now, job, pace.as_ref()),
+                false => match &pace {
+                    Some(pace) => upstream.paced_plain_cost(now, pace, work_s),
+                    None => upstream.plain_cost(now),
+                },
             };
             let slots = upstream.entry.slots;
             let max_in_flight = match is_engine {
-                true => max_in_flight(slots),
+                true => max_in_flight(slots, pace.map(|pace| upstream.base_factor(&pace))),
                 false => (f64::from(slots) * PLAIN_OVERCOMMIT).max(1.0),
             };
             let holder_decides = upstream.active_holder(now).is_some();
             let has_capacity = holder_decides
                 || f64::from(upstream.in_flight(now)) < max_in_flight
-                    && (!is_engine || upstream.accepts_prompt(now, job, unpaced));
+                    && (!is_engine || upstream.accepts_prompt(now, job, unpaced, pace.as_ref()));
             let failure_cost = upstream.health.failure_rate() * FAILURE_COST_MS;
             candidates.push(Candidate {
                 id: id.clone(),
@@ -375,17 +414,34 @@
 impl Upstream {
     /// Returns whether the engine may be sent a further prompt, based on the load that this node
     /// knows of.
-    fn accepts_prompt(&self, now: Time, job: &Job, unpaced: bool) -> bool {
-        accepts_prompt(self.backlog(now), self.late_stream_share(now), job.prompt_tokens, unpaced)
+    fn accepts_prompt(
+        &self,
+        now: Time,
+        job: &Job,
+        unpaced: bool,
+        pace: Option<&ServicePace>,
+    ) -> bool {
+        let factor = pace.map(|pace| self.work_factor(now, pace));
+        let late = self.late_stream_share(now);
+        accepts_prompt(self.backlog(now), late, job.prompt_tokens, unpaced, factor)
     }
 
     /// Returns whether `job` has a large prompt that should go to a different engine.
-    fn should_avoid_for(&self, now: Time, job: &Job) -> bool {
-        avoids_large_prompt(self.late_stream_share(now), job.prompt_tokens)
+    fn should_avoid_for(&self, now: Time, job: &Job, pace: Option<&ServicePace>) -> bool {
+        match pace {
+            Some(pace) => {
+                let factor = self.base_factor(pace);
+                expected_pause_ms(factor, f64::from(job.prompt_tokens)) > PAUSE_OBJECTIVE_MS
+            }
+            None => avoids_large_prompt(self.late_stream_share(now), job.prompt_tokens),
+        }
     }
 
     /// Cost of sending `job` to this engine, in ms.
-    fn engine_cost(&self, now: Time, job: &Job) -> f64 {
+    fn engine_cost(&self, now: Time, job: &Job, pace: Option<&ServicePace>) -> f64 {
+        if let Some(pace) = pace {
+            return self.paced_engine_cost(now, job, pace);
+        }
         let prompt = f64::from(job.prompt_tokens) / 1_000.0;
         let output = f64::from(job.output_tokens);
         let running = f64::from(self.in_flight(now));
@@ -395,10 +451,45 @@
             + self.late_stream_share(now) * (LATE_STREAMS_COST_MS + output * SLOW_TOKEN_COST_MS)
     }
 
+    /// Cost of sending `job` to this engine, which reports its speed, in ms: the expected time to
+    /// the first event, and the pauses that its prompt adds to all streams there, now and in a slow
+    /// period.
+    fn paced_engine_cost(&self, now: Time, job: &Job, pace: &ServicePace) -> f64 {
+        let factor = self.work_factor(now, pace);
+        let slow_factor = self.base_factor(pace) * pace.slow_ratio;
+        let running = f64::from(self.in_flight(now));
+        let tokens = f64::from(self.backlog(now)) + f64::from(job.prompt_tokens);
+        let margin = PAUSE_OBJECTIVE_MS * PAUSE_MARGIN_SHARE;
+        let excess = |factor: f64| (expected_pause_ms(factor, tokens) - margin).max(0.0);
+        let expected_excess =
+            (1.0 - pace.slow_share) * excess(factor) + pace.slow_share * excess(slow_factor);
+        factor * (tokens / PREFILL_TOKENS_PER_MS + running * ENGINE_REQUEST_COST_MS)
+            + (running + 1.0) * expected_excess * LATE_PAUSE_COST
+            + self.late_stream_share(now) * LATE_STREAMS_COST_MS
+    }
+
+    /// Cost of a request to this plain upstream, which reports its speed, in ms: the expected time
+    /// until it is complete. `work_s` is the service time at usual speed.
+    fn paced_plain_cost(&self, now: Time, pace: &ServicePace, work_s: f64) -> f64 {
+        let slots = f64::from(self.entry.slots.max(1));
+        let load = f64::from(self.plain_load(now));
+        let waiting = (load + 1.0 - slots).max(0.0);
+        let factor = self.work_factor(now, pace);
+        work_s * 1_000.0 * factor * (1.0 + waiting / slots)
+            + load / slots * 6.0 * PLAIN_REQUEST_COST_MS
+    }
+
     /// Cost of a request to this plain upstream, in ms: it grows with the share of slots in use and
     /// with the number of requests that would wait there, this one included.
     fn plain_cost(&self, now: Time) -> f64 {
         let slots = self.entry.slots.max(1);
+        let load = self.plain_load(now);
+        let excess = load.saturating_sub(slots.saturating_sub(1));
+        f64::from(load) / f64::from(slots) * 6.0 * PLAIN_REQUEST_COST_MS + f64::from(excess) * 20.0
+    }
+
+    /// Returns the number of requests at this plain upstream.
+    fn plain_load(&self, now: Time) -> u32 {
         // The upstream's own report includes requests of nodes whose heartbeats are late. It is
         // used for half a second, at half its value.
         let reported = match self.load_report {
@@ -407,9 +498,7 @@
             }
             Some(_) | None => 0,
         };
-        let load = self.in_flight(now).max(reported / 2);
-        let excess = load.saturating_sub(slots.saturating_sub(1));
-        f64::from(load) / f64::from(slots) * 6.0 * PLAIN_REQUEST_COST_MS + f64::from(excess) * 20.0
+        self.in_flight(now).max(reported / 2)
     }
 }
 
--- a/crates/fireflyhead-policy/src/dispatch/load.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load.rs
@@ -42,6 +42,12 @@
 /// and a late one. About six streams end per second at an engine, so the pace doubles in 12 s and
 /// falls by a sixth in a second of late streams.
 const PACE_FACTORS: (f64, f64, f64) = (1.01, 0.995, 0.97);
+/// Duration of the steps of one event in ms at an engine of usual speed: three steps of 10.5 ms.
+const EVENT_MS: f64 = 32.0;
+/// Prompt tokens that an engine of usual speed processes per ms.
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 19.2;
+/// Longest pause of a stream that counts as on time, in ms.
+pub(crate) const PAUSE_OBJECTIVE_MS: f64 = 300.0;
 /// Weight that older prompts keep in the measured prefill rate with each new one.
 const PREFILL_RATE_DECAY: f64 = 0.95;
 /// Lower bound of the measured prefill rate, in tokens per second, so that a stuck engine does not
@@ -67,6 +73,9 @@
     pace: f64,
     /// Measured rate at which the engine processes prompts.
     prefill_rate: PrefillRate,
+    /// Time that work takes at the engine, where 1 is the usual time; `None` if it doesn't report
+    /// its speed. The pace is divided by it.
+    work_factor: Option<f64>,
 }
 
 impl Default for EngineLoad {
@@ -80,6 +89,7 @@
             late_stream_share: 0.0,
             pace: INITIAL_PACE_TOKENS_PER_S,
             prefill_rate: PrefillRate::default(),
+            work_factor: None,
         }
     }
 }
@@ -182,9 +192,21 @@
             (self.pace * factor).clamp(PACE_RANGE_TOKENS_PER_S.0, PACE_RANGE_TOKENS_PER_S.1);
     }
 
-    /// Returns the number of prompt tokens per second that the engine is sent.
-    pub(crate) fn pace(&self) -> f64 {
-        self.pace
+    /// Sets the time that work takes at the engine, where 1 is the usual time.
+    pub(crate) fn set_work_factor(&mut self, now: Time, factor: f64) {
+        self.bucket_level = self.current_bucket_level(now);
+        self.bucket_updated = now;
+        self.work_factor = Some(factor);
+    }
+
+    /// Returns the time that work takes at the engine; `None` if it doesn't report its speed.
+    pub(crate) fn work_factor(&self) -> Option<f64> {
+        self.work_factor
+    }
+
+    /// Returns the number of prompt tokens per second that the engine is sent at its speed.
+    pub(crate) fn effective_pace(&self) -> f64 {
+        self.pace / self.work_factor.unwrap_or(1.0)
     }
 
     /// Returns the number of requests in flight.
@@ -221,7 +243,7 @@
 
     /// Returns the fill level of the leaky bucket at `now`.
     fn current_bucket_level(&self, now: Time) -> f64 {
-        drain(self.bucket_level, now.since(self.bucket_updated), self.pace)
+        drain(self.bucket_level, now.since(self.bucket_updated), self.effective_pace())
     }
 }
 
@@ -230,9 +252,16 @@
     (tokens - elapsed.as_secs_f64() * pace).max(0.0)
 }
 
-/// Returns the number of requests that an engine with `slots` is sent at once.
-pub(crate) fn max_in_flight(slots: u32) -> f64 {
-    (f64::from(slots) * ENGINE_FILL_SHARE).max(1.0)
+/// Returns the number of requests that an engine with `slots` is sent at once. One whose work takes
+/// longer than usual is sent fewer, because its steps grow with the number of requests.
+pub(crate) fn max_in_flight(slots: u32, work_factor: Option<f64>) -> f64 {
+    (f64::from(slots) * ENGINE_FILL_SHARE / work_factor.unwrap_or(1.0).max(1.0)).max(1.0)
+}
+
+/// Returns the pause in ms that the streams of an engine have while it processes `tokens` of
+/// prompts.
+pub(crate) fn expected_pause_ms(work_factor: f64, tokens: f64) -> f64 {
+    work_factor * (EVENT_MS + tokens / PREFILL_TOKENS_PER_MS)
 }
 
 /// Returns whether a prompt of `tokens` may be added to a backlog. An `unpaced` request, which has
@@ -242,11 +271,16 @@
     late_stream_share: f64,
     tokens: u32,
     unpaced: bool,
+    work_factor: Option<f64>,
 ) -> bool {
-    let avoided = !unpaced && avoids_large_prompt(late_stream_share, tokens);
+    let avoided = !unpaced
+        && match work_factor {
+            Some(factor) => expected_pause_ms(factor, f64::from(tokens)) > PAUSE_OBJECTIVE_MS,
+            None => avoids_large_prompt(late_stream_share, tokens),
+        };
+    let window = f64::from(PREFILL_WINDOW_TOKENS) / work_factor.unwrap_or(1.0);
     !avoided
-        && (backlog < SMALL_BACKLOG_TOKENS
-            || backlog.saturating_add(tokens) <= PREFILL_WINDOW_TOKENS)
+        && (backlog < SMALL_BACKLOG_TOKENS || f64::from(backlog.saturating_add(tokens)) <= window)
 }
 
 /// Returns whether the prompt is large and the engine has too many late streams for it.
--- /dev/null
+++ b/crates/fireflyhead-policy/src/dispatch/pace.rs
@@ -0,0 +1,134 @@
+//! Speed of upstreams, learned from the values that they report with their responses.
+//!
+//! Handles upstreams that differ in speed and slow down for short periods. A reported value is the
+//! time that work takes there now, relative to the usual time. It is split into a base factor, which
+//! lasts, and a momentary factor, which is worthless once a slow period has passed.
+
+use std::time::Duration;
+
+use crate::Time;
+
+/// Duration of a slow period. Upstreams report values of 2.5 times their base for some 600 ms.
+const SLOW_PERIOD: Duration = Duration::from_millis(600);
+/// Reported value, relative to the base factor, above which an upstream counts as slowed down.
+const SLOW_RATIO: f64 = 1.15;
+/// Time during which all values must be above the base factor before it rises. It exceeds
+/// [`SLOW_PERIOD`], and a lasting change is learned within one second.
+const RAISE_DURATION: Duration = Duration::from_millis(800);
+/// Number of values above the base factor before it rises. A node that rarely uses an upstream sees
+/// values of several slow periods in a row: three in 0.3% of the cases if 15% of the time is slow.
+const RAISE_SAMPLES: u32 = 3;
+/// Weight of the newest value near the base factor.
+const BASE_ALPHA: f64 = 0.25;
+/// Weight of the newest value in the averages over a service. It averages over the last hundred
+/// values, some seconds of a busy service.
+const SLOW_ALPHA: f64 = 0.01;
+
+/// Speed of one upstream. Factors are the time that work takes there, where 1 is the usual time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    base: Option<f64>,
+    /// Newest value, with its time.
+    newest: Option<(Time, f64)>,
+    /// Values above the base factor since the last one near it.
+    above: Option<Above>,
+}
+
+/// Values above the base factor, without a value near it between them.
+#[derive(Clone, Copy, Debug)]
+struct Above {
+    since: Time,
+    lowest: f64,
+    count: u32,
+}
+
+impl Pace {
+    /// Records a value that the upstream reported. Returns whether the base factor changed.
+    pub(crate) fn record(&mut self, now: Time, factor: f64) -> bool {
+        self.newest = Some((now, factor));
+        let Some(base) = self.base else {
+            self.base = Some(factor);
+            return true;
+        };
+        // Slow periods only lengthen work, so a lower value is valid at once.
+        if factor < base {
+            self.above = None;
+            self.base = Some(factor);
+            return true;
+        }
+        if factor <= base * SLOW_RATIO {
+            self.above = None;
+            self.base = Some(base + BASE_ALPHA * (factor - base));
+            return factor > base;
+        }
+        let above = self.above.get_or_insert(Above { since: now, lowest: factor, count: 0 });
+        above.lowest = above.lowest.min(factor);
+        above.count += 1;
+        let raised = above.count >= RAISE_SAMPLES && now.since(above.since) >= RAISE_DURATION;
+        if raised {
+            self.base = Some(above.lowest);
+            self.above = None;
+        }
+        raised
+    }
+
+    /// Returns the base factor; `None` before the first value.
+    pub(crate) fn base(&self) -> Option<f64> {
+        self.base
+    }
+
+    /// Returns the expected factor at `now`; `None` before the first value. The newest value counts
+    /// less the older it is, because the remaining duration of a slow period at a random moment is
+    /// distributed evenly.
+    pub(crate) fn expected(&self, now: Time) -> Option<f64> {
+        let base = self.base?;
+        let (at, factor) = self.newest?;
+        let age = now.since(at).as_secs_f64() / SLOW_PERIOD.as_secs_f64();
+        Some(base + (factor - base) * (1.0 - age).max(0.0))
+    }
+
+    /// Returns the age of the newest value; `None` before the first one.
+    pub(crate) fn age(&self, now: Time) -> Option<Duration> {
+        self.newest.map(|(at, _)| now.since(at))
+    }
+}
+
+/// Speed of the upstreams of one service, for those that reported nothing yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServicePace {
+    /// Median of the base factors.
+    pub(crate) median: f64,
+    /// Share of the time in which an upstream is slowed down.
+    pub(crate) slow_share: f64,
+    /// Factor of a slowed upstream relative to its base factor.
+    pub(crate) slow_ratio: f64,
+}
+
+impl Default for ServicePace {
+    fn default() -> ServicePace {
+        ServicePace { median: 1.0, slow_share: 0.0, slow_ratio: 1.0 }
+    }
+}
+
+impl ServicePace {
+    /// Records the value of an upstream with the factor `base`.
+    pub(crate) fn record(&mut self, factor: f64, base: f64) {
+        let ratio = factor / base.max(f64::MIN_POSITIVE);
+        let slow = ratio > SLOW_RATIO;
+        self.slow_share += SLOW_ALPHA * (f64::from(u8::from(slow)) - self.slow_share);
+        if slow {
+            // Slow values are rare, so that the first ones count more.
+            let weight = if self.slow_ratio <= 1.0 { 1.0 } else { 0.1 };
+            self.slow_ratio += weight * (ratio - self.slow_ratio);
+        }
+    }
+
+    /// Sets the median from the base factors of the upstreams.
+    pub(crate) fn set_median(&mut self, mut bases: Vec<f64>) {
+        if !bases.is_empty() {
+            let middle = bases.len() / 2;
+            let (_, median, _) = bases.select_nth_unstable_by(middle, f64::total_cmp);
+            self.median = *median;
+        }
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -17,6 +17,8 @@
 use super::FULL_BACKOFF;
 use super::load::EngineLoad;
 use super::load::drain;
+use super::pace::Pace;
+use super::pace::ServicePace;
 
 /// Time during which an engine is not selected for an adapter that it reported absent.
 const ABSENT_ADAPTER_BACKOFF: Duration = Duration::from_millis(150);
@@ -52,6 +54,8 @@
     pub(super) misdirected: bool,
     /// Newest load that the upstream reported itself, with its time.
     pub(super) load_report: Option<(Time, LoadReport)>,
+    /// Speed that the upstream reported.
+    pub(super) pace: Pace,
     /// Load from the requests of this node.
     pub(super) own_load: EngineLoad,
     /// Requests in flight from the other nodes; only counted at a plain upstream.
@@ -85,6 +89,7 @@
             holder_active: false,
             misdirected: false,
             load_report: None,
+            pace: Pace::default(),
             own_load: EngineLoad::default(),
             peer_in_flight: 0,
             holder: None,
@@ -134,7 +139,7 @@
         let from_holder = self.fresh_holder_load(now).map_or(0, |(at, load)| {
             let tokens =
                 f64::from(load.pending_prompt_tokens) + f64::from(load.queued_prompt_tokens);
-            drain(tokens, now.since(at), self.own_load.pace()) as u32
+            drain(tokens, now.since(at), self.own_load.effective_pace()) as u32
         });
         from_holder.max(self.own_load.paced_backlog(now))
     }
@@ -166,6 +171,22 @@
         self.fresh_holder_load(now).is_some_and(|(_, load)| load.available_adapter_slots > 0)
     }
 
+    /// Returns the expected time that work takes at the upstream at `now`, where 1 is the usual
+    /// time; the median of its service before the first report.
+    pub(super) fn work_factor(&self, now: Time, service: &ServicePace) -> f64 {
+        self.pace.expected(now).unwrap_or(service.median)
+    }
+
+    /// Returns the time that work takes at the upstream outside slow periods.
+    pub(super) fn base_factor(&self, service: &ServicePace) -> f64 {
+        self.pace.base().unwrap_or(service.median)
+    }
+
+    /// Returns the age of the load that the holder reported, unless it is too old.
+    pub(super) fn holder_load_age(&self, now: Time) -> Option<Duration> {
+        self.fresh_holder_load(now).map(|(at, _)| now.since(at))
+    }
+
     /// Returns the load that the holder reported, with its time, unless it is too old.
     fn fresh_holder_load(&self, now: Time) -> Option<(Time, &UpstreamLoad)> {
         let (at, load) = self.holder_load.as_ref()?;
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -78,6 +78,9 @@
     pub waiting: u32,
     /// Requests that the upstream runs concurrently.
     pub slots: u32,
+    /// Time that work takes there now, in percent of the usual time; `None` if it is not reported or
+    /// not usable.
+    pub pace: Option<u32>,
 }
 
 /// Parsed headers of an upstream's response.
--- a/crates/fireflyhead-policy/src/rendezvous.rs
+++ b/crates/fireflyhead-policy/src/rendezvous.rs
@@ -10,6 +10,14 @@
 /// Keys of the hash, fixed because all nodes must compute the same ranking.
 const HASH_KEYS: (u64, u64) = (0x6669_7265, 0x666c_7968);
 
+/// Returns the score of `member` for `subject`; the member with the highest score ranks first. Of
+/// many subjects, each member ranks first for a share in proportion to its `share`.
+pub fn weighted_score(subject: &str, member: &str, share: f64) -> f64 {
+    // Uniform in (0, 1): the upper 53 bits are exact as a float.
+    let uniform = ((weight(subject, member) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    share.max(f64::MIN_POSITIVE) / -uniform.ln()
+}
+
 /// Returns the weight of `member` for `subject`; the member with the highest weight ranks first.
 pub fn weight(subject: &str, member: &str) -> u64 {
     let mut hasher = SipHasher13::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
--- a/crates/fireflyhead-policy/tests/policy/extremes.rs
+++ b/crates/fireflyhead-policy/tests/policy/extremes.rs
@@ -33,7 +33,7 @@
         node.upsert_upstream(&Arc::new(entry));
     }
     let max = u32::MAX;
-    let load = LoadReport { running: max, waiting: max, slots: max };
+    let load = LoadReport { running: max, waiting: max, slots: max, pace: Some(max) };
     for id in ["desk-0", "huge-0"] {
         node.record_load_report(ms(0), id, load);
         for peer in ["node-2", "node-3"] {
