Share the speed of engines through their holders

Cause: a node sees an engine about once in two seconds, which is longer than a slow period of 600 ms, and the holder, which paces prompts, sees no responses of other nodes.

Change: a node reports the value of a response to the engine's holder (event `pace`, in the datagram with the other events). The holder tells the serving nodes (`engine_models`) when the base factor of an engine changes and when a slow period begins or ends. Both need protocol version 6, and are sent only for engines that report their speed.

--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -98,6 +98,7 @@
     loop {
         let now = clock::now();
         shared.dispatch_waiting(now);
+        shared.send_engine_models(now);
         let requests = shared.dispatcher().due_adapter_requests(now, &shared.settings.node);
         if !requests.is_empty() {
             send_adapter_requests(&shared, &controller, requests).await;
@@ -229,6 +230,9 @@
                 shared.handle_admission_responses(clock::now(), &holder, responses);
             }
             Ok(Datagram::CrashReports(reports)) => quarantine::handle_reports(&shared, &reports),
+            Ok(Datagram::EngineModels(models)) => {
+                shared.apply_engine_models(clock::now(), &models);
+            }
             Ok(Datagram::Departures(departures)) => departures::handle_notice(&shared, &departures),
             Err(error) => tracing::warn!(event = "bad_datagram", error, len),
         }
--- a/crates/fireflyhead-gateway/src/node.rs
+++ b/crates/fireflyhead-gateway/src/node.rs
@@ -105,6 +105,7 @@
             zone: settings.zone.clone(),
             version_bound: settings.version_bound,
             seed: clock::unix_millis(),
+            ..DispatchSettings::default()
         });
         let budget = RetryBudget::new(RetryBudgetSettings {
             ratio: settings.retry_ratio,
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -30,8 +30,10 @@
 use fireflyhead_policy::message::AdmissionResponse;
 use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::message::ERA_PROTOCOL;
+use fireflyhead_policy::message::EngineModel;
 use fireflyhead_policy::message::HolderMessage;
 use fireflyhead_policy::message::NodeState;
+use fireflyhead_policy::message::PACE_PROTOCOL;
 use fireflyhead_policy::message::Placement;
 use fireflyhead_policy::peers::Peers;
 use fireflyhead_policy::protocol::LoadReport;
@@ -374,8 +376,51 @@
     /// Records the load that an upstream reported with a response.
     pub(crate) fn record_load_report(&self, now: Time, upstream: &Name, load: LoadReport) {
         self.dispatcher().record_load_report(now, upstream.as_str(), load);
-        if let Some(percent) = load.pace {
-            self.admission().record_pace(now, upstream.as_str(), percent);
+    }
+
+    /// Applies the speeds of engines that a holder knows.
+    pub(crate) fn apply_engine_models(&self, now: Time, models: &[EngineModel]) {
+        for model in models {
+            let valid = self.dispatcher().apply_engine_model(now, model);
+            if !valid {
+                tracing::warn!(event = "bad_engine_model", ?model);
+            }
+        }
+    }
+
+    /// Tells the nodes that serve callers, this one included, which engines of this node have changed
+    /// their speed.
+    pub(crate) fn send_engine_models(&self, now: Time) {
+        let models = self.admission().take_changed_models(now);
+        if models.is_empty() {
+            return;
+        }
+        self.apply_engine_models(now, &models);
+        let targets: Vec<SocketAddr> = self
+            .peers()
+            .live(now)
+            .map(|peer| &peer.heartbeat)
+            .filter(|heartbeat| heartbeat.is_serving())
+            .filter(|heartbeat| self.protocol_versions.understands(heartbeat, PACE_PROTOCOL))
+            .map(|heartbeat| heartbeat.peer_address)
+            .collect();
+        self.datagrams.send_all(&targets, &Datagram::EngineModels(models));
+    }
+
+    /// Returns whether `node` announced at least protocol version `version`.
+    fn node_understands(&self, node: &Name, version: u32) -> bool {
+        let peers = self.peers();
+        let heartbeat = peers.all().map(|peer| &peer.heartbeat).find(|beat| beat.node == *node);
+        heartbeat.is_some_and(|heartbeat| self.protocol_versions.understands(heartbeat, version))
+    }
+
+    /// Replaces the messages that `holder` doesn't understand because it is of an earlier build.
+    fn adapt_messages(&self, holder: &Name, messages: Vec<HolderMessage>) -> Vec<HolderMessage> {
+        let current = !messages.iter().any(HolderMessage::needs_pace_protocol)
+            || self.node_understands(holder, PACE_PROTOCOL);
+        match current {
+            true => messages,
+            false => messages.into_iter().filter_map(HolderMessage::for_earlier_build).collect(),
         }
     }
 
@@ -447,7 +492,11 @@
                 match holder == node {
                     true => self.handle_holder_messages(now, &node, messages),
                     false => {
-                        self.send_to_node(&holder, &Datagram::HolderMessages { node, messages })
+                        let messages = self.adapt_messages(&holder, messages);
+                        if !messages.is_empty() {
+                            let datagram = Datagram::HolderMessages { node, messages };
+                            self.send_to_node(&holder, &datagram);
+                        }
                     }
                 }
             }
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -20,11 +20,13 @@
 use crate::dispatch::load::accepts_prompt;
 use crate::dispatch::load::max_in_flight;
 use crate::dispatch::pace::Pace;
+use crate::dispatch::pace::USABLE_PERCENT;
 use crate::dispatch::queue::Queue;
 use crate::dispatch::queue::RouteShares;
 use crate::message::AdmissionDecision;
 use crate::message::AdmissionRequest;
 use crate::message::AdmissionResponse;
+use crate::message::EngineModel;
 use crate::message::ProgressEvent;
 use crate::message::ProgressReport;
 use crate::message::UpstreamLoad;
@@ -88,6 +90,8 @@
     load: EngineLoad,
     /// Speed that the engine reported.
     pace: Pace,
+    /// Base factor in percent, and whether the engine was slow, as the other nodes know it.
+    published_pace: Option<(u32, bool)>,
     /// Waiting requests, under ids of the holder.
     queue: Queue,
     /// Shares of the routes in the requests admitted recently.
@@ -167,12 +171,10 @@
         }
     }
 
-    /// Records the time that work takes at an engine, in percent of the usual time. Other upstreams
-    /// are ignored.
-    pub fn record_pace(&mut self, now: Time, upstream: &str, percent: u32) {
-        if let Some(engine) = self.engines.get_mut(upstream) {
-            engine.pace.record(now, f64::from(percent) / 100.0);
-        }
+    /// Returns the speeds of the engines whose base factor has changed, or which have entered or left
+    /// a slow period, since the last call.
+    pub fn take_changed_models(&mut self, now: Time) -> Vec<EngineModel> {
+        self.engines.values_mut().filter_map(|engine| engine.take_changed_model(now)).collect()
     }
 
     /// Admits waiting requests that the engines can take now, and denies those that have waited for
@@ -221,6 +223,7 @@
             slots,
             load: EngineLoad::default(),
             pace: Pace::default(),
+            published_pace: None,
             queue: Queue::default(),
             route_shares: RouteShares::default(),
             requests: HashMap::new(),
@@ -261,6 +264,24 @@
         AdmissionResponse { job: request.job, decision, load: self.load_summary(now) }
     }
 
+    /// Returns the speed of the engine if the other nodes should know it.
+    fn take_changed_model(&mut self, now: Time) -> Option<EngineModel> {
+        let base_percent = (self.pace.base()? * 100.0).round() as u32;
+        let (newest, age) = self.pace.newest(now)?;
+        let published = Some((base_percent, self.pace.is_slow()));
+        if self.published_pace == published {
+            return None;
+        }
+        self.published_pace = published;
+        Some(EngineModel {
+            upstream: self.upstream.clone(),
+            incarnation: self.incarnation,
+            base_percent,
+            newest_percent: (newest * 100.0).round() as u32,
+            age,
+        })
+    }
+
     /// Applies the expected speed of the engine, if it reports one.
     fn update_work_factor(&mut self, now: Time) {
         if let Some(factor) = self.pace.expected(now) {
@@ -364,6 +385,11 @@
                 let waiting = self.queue.len() > 0;
                 self.load.record_pause(now, *permille, waiting);
             }
+            ProgressEvent::Pace { percent } if USABLE_PERCENT.contains(percent) => {
+                self.pace.record(now, f64::from(*percent) / 100.0);
+            }
+            // The node that received the value logs it.
+            ProgressEvent::Pace { .. } => {}
             ProgressEvent::Running { job, adapter, time_left } => {
                 let origin = (node.clone(), *job);
                 if self.requests.contains_key(&origin) {
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -41,6 +41,7 @@
 use crate::fleet::UpstreamState;
 use crate::health::Failure;
 use crate::message::AdapterRequest;
+use crate::message::EngineModel;
 use crate::message::Placement;
 use crate::message::ProgressEvent;
 use crate::message::UpstreamLoad;
@@ -50,6 +51,7 @@
 use self::adapter_requests::AdapterRequests;
 use self::choice::Choice;
 use self::pace::ServicePace;
+pub use self::pace::USABLE_PERCENT;
 use self::pending_admissions::PendingAdmissions;
 pub use self::pending_admissions::UnresponsiveHolder;
 use self::queue::Queue;
@@ -246,11 +248,19 @@
     pub version_bound: Duration,
     /// Seed of the tie-breaking noise.
     pub seed: u64,
+    /// Whether the limits on long prompts and on the memory of engines apply although the engines
+    /// don't report their speed.
+    pub pressure: bool,
 }
 
 impl Default for DispatchSettings {
     fn default() -> DispatchSettings {
-        DispatchSettings { zone: Name::from(""), version_bound: Duration::from_secs(5), seed: 0 }
+        DispatchSettings {
+            zone: Name::from(""),
+            version_bound: Duration::from_secs(5),
+            seed: 0,
+            pressure: false,
+        }
     }
 }
 
@@ -512,11 +522,33 @@
     pub fn record_load_report(&mut self, now: Time, upstream: &str, load: LoadReport) {
         let Some(known) = self.upstreams.get_mut(upstream) else { return };
         known.load_report = Some((now, load));
+        let name = known.entry.id.clone();
+        let has_holder = known.holder.is_some();
         if let Some(percent) = load.pace {
             self.record_pace_report(now, upstream, percent);
+            if has_holder {
+                self.report_progress(&name, ProgressEvent::Pace { percent });
+            }
         }
     }
 
+    /// Takes over the speed of an engine from its holder. Returns `false` if it is out of range.
+    pub fn apply_engine_model(&mut self, now: Time, model: &EngineModel) -> bool {
+        let EngineModel { upstream, incarnation, base_percent, newest_percent, age } = model;
+        if ![base_percent, newest_percent].into_iter().all(|value| USABLE_PERCENT.contains(value)) {
+            return false;
+        }
+        let Some(known) = self.upstreams.get_mut(upstream) else { return true };
+        if known.entry.incarnation == *incarnation {
+            let base = f64::from(*base_percent) / 100.0;
+            let changed = known.pace.adopt(now - *age, base, f64::from(*newest_percent) / 100.0);
+            known.own_load.set_work_factor(now, base);
+            let service = known.entry.service.clone();
+            self.update_service_pace(&service, changed);
+        }
+        true
+    }
+
     /// Records the time that work takes at an upstream, in percent of the usual time.
     fn record_pace_report(&mut self, now: Time, upstream: &str, percent: u32) {
         let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
@@ -524,13 +556,22 @@
         let changed = upstream.pace.record(now, factor);
         let base = upstream.pace.base().unwrap_or(factor);
         upstream.own_load.set_work_factor(now, base);
-        let Some(service) = self.services.get_mut(&upstream.entry.service) else { return };
+        let service = upstream.entry.service.clone();
+        if let Some(pace) = self.update_service_pace(&service, changed) {
+            pace.record(factor, base);
+        }
+    }
+
+    /// Returns the speed of `service`, whose upstreams report it, after an update of the median if
+    /// the base factor of an upstream changed.
+    fn update_service_pace(&mut self, service: &Name, changed: bool) -> Option<&mut ServicePace> {
+        let service = self.services.get_mut(service)?;
         let pace = service.pace.get_or_insert_default();
-        pace.record(factor, base);
         if changed {
             let members = service.members.iter().filter_map(|id| self.upstreams.get(id));
             pace.set_median(members.filter_map(|upstream| upstream.pace.base()).collect());
         }
+        Some(pace)
     }
 
     /// Returns the speed of the upstreams of `service`; `None` if they don't report it.
@@ -546,7 +587,7 @@
         Some(SelectionInputs {
             base_percent: (upstream.base_factor(&pace) * 100.0).round() as u32,
             expected_percent: (upstream.work_factor(now, &pace) * 100.0).round() as u32,
-            pace_age: upstream.pace.age(now),
+            pace_age: upstream.pace.newest(now).map(|(_, age)| age),
             in_flight: upstream.in_flight(now),
             backlog_tokens: upstream.backlog(now),
             late_streams_permille: (upstream.late_stream_share(now) * 1_000.0) as u32,
--- a/crates/fireflyhead-policy/src/dispatch/pace.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pace.rs
@@ -4,6 +4,7 @@
 //! time that work takes there now, relative to the usual time. It is split into a base factor, which
 //! lasts, and a momentary factor, which is worthless once a slow period has passed.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use crate::Time;
@@ -18,6 +19,9 @@
 /// Number of values above the base factor before it rises. A node that rarely uses an upstream sees
 /// values of several slow periods in a row: three in 0.3% of the cases if 15% of the time is slow.
 const RAISE_SAMPLES: u32 = 3;
+/// Usable values in percent. Work that takes a hundred times as long as usual exceeds all deadlines,
+/// so a higher value is an error.
+pub const USABLE_PERCENT: RangeInclusive<u32> = 1..=10_000;
 /// Weight of the newest value near the base factor.
 const BASE_ALPHA: f64 = 0.25;
 /// Weight of the newest value in the averages over a service. It averages over the last hundred
@@ -72,6 +76,27 @@
         raised
     }
 
+    /// Takes over the base factor and the newest value, from `at`, that the engine's holder knows.
+    /// Returns whether the base factor changed.
+    pub(crate) fn adopt(&mut self, at: Time, base: f64, newest: f64) -> bool {
+        if self.newest.is_none_or(|(own, _)| own < at) {
+            self.newest = Some((at, newest));
+        }
+        self.above = None;
+        self.base.replace(base) != Some(base)
+    }
+
+    /// Returns the newest value with its age; `None` before the first one.
+    pub(crate) fn newest(&self, now: Time) -> Option<(f64, Duration)> {
+        self.newest.map(|(at, factor)| (factor, now.since(at)))
+    }
+
+    /// Returns whether the newest value was above the base factor.
+    pub(crate) fn is_slow(&self) -> bool {
+        let (Some(base), Some((_, newest))) = (self.base, self.newest) else { return false };
+        newest > base * SLOW_RATIO
+    }
+
     /// Returns the base factor; `None` before the first value.
     pub(crate) fn base(&self) -> Option<f64> {
         self.base
@@ -86,11 +111,6 @@
         let age = now.since(at).as_secs_f64() / SLOW_PERIOD.as_secs_f64();
         Some(base + (factor - base) * (1.0 - age).max(0.0))
     }
-
-    /// Returns the age of the newest value; `None` before the first one.
-    pub(crate) fn age(&self, now: Time) -> Option<Duration> {
-        self.newest.map(|(at, _)| now.since(at))
-    }
 }
 
 /// Speed of the upstreams of one service, for those that reported nothing yet.
--- a/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
@@ -188,7 +188,11 @@
             self.waiting.insert(job);
             return;
         };
-        let message = HolderMessage::AdmissionRequest(AdmissionRequest::new(now, upstream, &job));
+        let mut request = AdmissionRequest::new(now, upstream, &job);
+        if self.settings.pressure || self.service_pace(&job.service).is_some() {
+            request.output_tokens = job.output_tokens;
+        }
+        let message = HolderMessage::AdmissionRequest(request);
         self.pending_admissions.outbox.push((holder.clone(), message));
         let pending =
             PendingAdmission { upstream: upstream.clone(), sent_at: now, has_response: false, job };
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -11,6 +11,8 @@
 //!   restored, sent only to nodes that announced at least [`ERA_PROTOCOL`].
 //! - [`Departure`]: an upstream that leaves, before the store says so. Sent only to nodes that
 //!   announced at least [`DEPARTURE_PROTOCOL`].
+//! - [`EngineModel`]: the speed of an engine, from its holder. Sent only to nodes that announced at
+//!   least [`PACE_PROTOCOL`], and only for engines that report their speed.
 //! - [`Activity`]: part of a heartbeat, sent only to nodes that announced at least
 //!   [`ACTIVITY_PROTOCOL`].
 //!
@@ -33,7 +35,7 @@
 
 /// Version of the protocol between nodes, which each node announces in the store. Nodes without an
 /// announcement have version 1.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 /// Lowest version of nodes that understand [`Datagram::CrashReports`].
 pub const EVIDENCE_PROTOCOL: u32 = 2;
 /// Lowest version of nodes that understand a [`Feed`] of a later era than the first one.
@@ -42,6 +44,9 @@
 pub const DEPARTURE_PROTOCOL: u32 = 4;
 /// Lowest version of nodes that understand a [`Heartbeat`] with an [`Activity`].
 pub const ACTIVITY_PROTOCOL: u32 = 5;
+/// Lowest version of nodes that understand [`Datagram::EngineModels`], [`ProgressEvent::Pace`] and
+/// an [`AdmissionRequest`] with output tokens.
+pub const PACE_PROTOCOL: u32 = 6;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -210,6 +215,9 @@
     pub deadline: Duration,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
+    /// Largest number of tokens in the output; 0 if the holder doesn't need it or is of an earlier
+    /// build.
+    pub output_tokens: u32,
 }
 
 impl AdmissionRequest {
@@ -229,6 +237,7 @@
             first_output_deadline: job.first_output_deadline.since(job.arrived),
             deadline: job.deadline.since(job.arrived),
             prompt_tokens: job.prompt_tokens,
+            output_tokens: 0,
         }
     }
 
@@ -248,7 +257,7 @@
             first_output_deadline: arrived + self.first_output_deadline,
             deadline: arrived + self.deadline,
             prompt_tokens: self.prompt_tokens,
-            output_tokens: 0,
+            output_tokens: self.output_tokens,
             tried: Vec::new(),
             possibly_executed: false,
         }
@@ -296,6 +305,11 @@
         /// Duration of the pause in thousandths of the stream's objective.
         permille: u32,
     },
+    /// The engine reported how long work takes there now.
+    Pace {
+        /// Time that work takes, in percent of the usual time.
+        percent: u32,
+    },
     /// The request is running without this holder's admission: a previous holder admitted it, or
     /// none did.
     Running {
@@ -335,6 +349,52 @@
     pub incarnation: u64,
 }
 
+impl HolderMessage {
+    /// Returns the message in a form that nodes understand which announced no more than the version
+    /// before [`PACE_PROTOCOL`]; `None` if there is none.
+    pub fn for_earlier_build(self) -> Option<HolderMessage> {
+        match self {
+            HolderMessage::AdmissionRequest(request) => {
+                let request = AdmissionRequest { output_tokens: 0, ..request };
+                Some(HolderMessage::AdmissionRequest(request))
+            }
+            HolderMessage::ProgressReport(report) => match report.event {
+                ProgressEvent::Pace { .. } => None,
+                ProgressEvent::FirstOutput(_)
+                | ProgressEvent::Ended(_)
+                | ProgressEvent::EngineFull(_)
+                | ProgressEvent::LongestPause { .. }
+                | ProgressEvent::Running { .. } => Some(HolderMessage::ProgressReport(report)),
+            },
+        }
+    }
+
+    /// Returns whether only nodes that announced [`PACE_PROTOCOL`] understand the message.
+    pub fn needs_pace_protocol(&self) -> bool {
+        match self {
+            HolderMessage::AdmissionRequest(request) => request.output_tokens > 0,
+            HolderMessage::ProgressReport(report) => {
+                matches!(report.event, ProgressEvent::Pace { .. })
+            }
+        }
+    }
+}
+
+/// Speed of an engine as its holder knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineModel {
+    /// Id of the engine.
+    pub upstream: Name,
+    /// Start of the engine in milliseconds of Unix time.
+    pub incarnation: u64,
+    /// Time that work takes there outside slow periods, in percent of the usual time.
+    pub base_percent: u32,
+    /// Newest value that the engine reported, in percent of the usual time.
+    pub newest_percent: u32,
+    /// Age of that value.
+    pub age: Duration,
+}
+
 /// Content of one datagram between nodes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Datagram {
@@ -362,4 +422,6 @@
     CrashReports(Vec<CrashReport>),
     /// Upstreams that leave.
     Departures(Vec<Departure>),
+    /// Speeds of engines.
+    EngineModels(Vec<EngineModel>),
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -14,6 +14,7 @@
 //! | `Progress` | [`ProgressReport`] |
 //! | `Crash`, `Evidence` | [`CrashReport`], [`Datagram::CrashReports`] |
 //! | `Departure`, `Departures` | [`Departure`], [`Datagram::Departures`] |
+//! | `SizedAsk` | [`AdmissionRequest`] with output tokens |
 //!
 //! Some fields and events differ in name as well; the conversions below pair them.
 
@@ -32,6 +33,7 @@
 use crate::message::AdmissionResponse;
 use crate::message::Datagram;
 use crate::message::Departure;
+use crate::message::EngineModel;
 use crate::message::Heartbeat;
 use crate::message::HolderMessage;
 use crate::message::NodeState;
@@ -111,6 +113,10 @@
                 let departures = departures.iter().map(wire::Departure::from).collect();
                 wire::datagram::Body::Departures(wire::Departures { departures })
             }
+            Datagram::EngineModels(models) => {
+                let models = models.iter().map(wire::EngineModel::from).collect();
+                wire::datagram::Body::EngineModels(wire::EngineModels { models })
+            }
         };
         wire::Datagram { body: Some(body) }
     }
@@ -164,11 +170,38 @@
             Some(wire::datagram::Body::Departures(wire::Departures { departures })) => {
                 Ok(Datagram::Departures(departures.into_iter().map(Departure::from).collect()))
             }
+            Some(wire::datagram::Body::EngineModels(wire::EngineModels { models })) => {
+                Ok(Datagram::EngineModels(models.into_iter().map(EngineModel::from).collect()))
+            }
             None => Err(WireError::Empty),
         }
     }
 }
 
+impl From<&EngineModel> for wire::EngineModel {
+    fn from(model: &EngineModel) -> wire::EngineModel {
+        wire::EngineModel {
+            upstream: model.upstream.to_string(),
+            born: model.incarnation,
+            base_percent: model.base_percent,
+            newest_percent: model.newest_percent,
+            age_ms: u32::try_from(model.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<wire::EngineModel> for EngineModel {
+    fn from(model: wire::EngineModel) -> EngineModel {
+        EngineModel {
+            upstream: Name::from(model.upstream),
+            incarnation: model.born,
+            base_percent: model.base_percent,
+            newest_percent: model.newest_percent,
+            age: Duration::from_millis(u64::from(model.age_ms)),
+        }
+    }
+}
+
 impl From<&Departure> for wire::Departure {
     fn from(departure: &Departure) -> wire::Departure {
         wire::Departure { upstream: departure.upstream.to_string(), born: departure.incarnation }
@@ -210,6 +243,12 @@
 impl From<&HolderMessage> for wire::HolderMessage {
     fn from(message: &HolderMessage) -> wire::HolderMessage {
         let body = match message {
+            HolderMessage::AdmissionRequest(request) if request.output_tokens > 0 => {
+                wire::holder_message::Body::SizedAsk(wire::SizedAsk {
+                    ask: Some(request.into()),
+                    output_tokens: request.output_tokens,
+                })
+            }
             HolderMessage::AdmissionRequest(request) => {
                 wire::holder_message::Body::Ask(request.into())
             }
@@ -229,6 +268,11 @@
             Some(wire::holder_message::Body::Ask(ask)) => {
                 Ok(HolderMessage::AdmissionRequest(ask.try_into()?))
             }
+            Some(wire::holder_message::Body::SizedAsk(wire::SizedAsk { ask, output_tokens })) => {
+                let request = AdmissionRequest::try_from(ask.ok_or(WireError::Empty)?)?;
+                let request = AdmissionRequest { output_tokens, ..request };
+                Ok(HolderMessage::AdmissionRequest(request))
+            }
             Some(wire::holder_message::Body::Progress(progress)) => {
                 Ok(HolderMessage::ProgressReport(progress.try_into()?))
             }
@@ -284,6 +328,7 @@
             first_output_deadline: Duration::from_micros(ask.leaves_us),
             deadline: Duration::from_micros(ask.deadline_us),
             prompt_tokens: ask.prompt_tokens,
+            output_tokens: 0,
         })
     }
 }
@@ -329,6 +374,7 @@
             ProgressEvent::Ended(job) => wire::progress::Event::Ended(job.0),
             ProgressEvent::EngineFull(job) => wire::progress::Event::Full(job.0),
             ProgressEvent::LongestPause { permille } => wire::progress::Event::Paused(*permille),
+            ProgressEvent::Pace { percent } => wire::progress::Event::Pace(*percent),
             ProgressEvent::Running { job, adapter, time_left } => {
                 wire::progress::Event::Running(wire::Running {
                     job: job.0,
@@ -350,6 +396,7 @@
             wire::progress::Event::Ended(job) => ProgressEvent::Ended(JobId(job)),
             wire::progress::Event::Full(job) => ProgressEvent::EngineFull(JobId(job)),
             wire::progress::Event::Paused(permille) => ProgressEvent::LongestPause { permille },
+            wire::progress::Event::Pace(percent) => ProgressEvent::Pace { percent },
             wire::progress::Event::Running(wire::Running { job, adapter, left_us }) => {
                 ProgressEvent::Running {
                     job: JobId(job),
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -12,6 +12,7 @@
 use fireflyhead_policy::message::AdmissionResponse;
 use fireflyhead_policy::message::Datagram;
 use fireflyhead_policy::message::Departure;
+use fireflyhead_policy::message::EngineModel;
 use fireflyhead_policy::message::Heartbeat;
 use fireflyhead_policy::message::HolderMessage;
 use fireflyhead_policy::message::NodeState;
@@ -87,16 +88,17 @@
 /// heartbeats with and without placements, and a feed.
 fn sample_datagrams() -> Vec<Datagram> {
     let id = JobId(u64::MAX - 1);
+    let job = adapter_job(4, ms(500), "a1", 900);
+    let request = AdmissionRequest::new(ms(700), &Name::from("engine-1"), &job);
+    let sized = AdmissionRequest { output_tokens: 170, ..request.clone() };
     let messages = vec![
-        HolderMessage::AdmissionRequest(AdmissionRequest::new(
-            ms(700),
-            &Name::from("engine-1"),
-            &adapter_job(4, ms(500), "a1", 900),
-        )),
+        HolderMessage::AdmissionRequest(request),
+        HolderMessage::AdmissionRequest(sized),
         progress_report(ProgressEvent::FirstOutput(id)),
         progress_report(ProgressEvent::Ended(id)),
         progress_report(ProgressEvent::EngineFull(id)),
         progress_report(ProgressEvent::LongestPause { permille: 1_400 }),
+        progress_report(ProgressEvent::Pace { percent: 250 }),
         progress_report(ProgressEvent::Running {
             job: id,
             adapter: None,
@@ -131,6 +133,13 @@
         Datagram::Feed(feed.clone()),
         Datagram::Feed(Feed { era: Era::new(3), ..feed }),
         Datagram::Departures(vec![Departure { upstream: Name::from("desk-1"), incarnation: 7 }]),
+        Datagram::EngineModels(vec![EngineModel {
+            upstream: Name::from("engine-1"),
+            incarnation: 7,
+            base_percent: 160,
+            newest_percent: 400,
+            age: Duration::from_millis(120),
+        }]),
         Datagram::CrashReports(vec![CrashReport {
             crash: CrashId(77),
             age: Duration::from_millis(1_234),
