--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -25,3 +25,4 @@
 mod serving;
 mod setup;
 mod table;
+mod uneven;
