--- a/crates/fireflyhead-policy/tests/policy/uneven.rs
+++ b/crates/fireflyhead-policy/tests/policy/uneven.rs
@@ -100,6 +100,9 @@
     /// At the engine that is first for the adapter in an order weighted by the speed to the power of
     /// `exponent`, which is given, without regard to the state of the engines.
     Fixed { exponent: f64 },
+    /// At the engine with the least work left among those with the adapter, or among all if none has
+    /// it, with the exact work and the exact speed at the moment.
+    LeastWork,
 }
 
 struct Request {
@@ -131,6 +134,15 @@
         if now < self.slow_until { self.factor * SLOW_RATIO } else { self.factor }
     }
 
+    /// Returns the time in us for the prompts and the output of all requests here.
+    fn work_left(&self, now: u64) -> f64 {
+        let work = |request: &Request| {
+            f64::from(request.pending_tokens) / PROMPT_TOKENS_PER_MS * 1_000.0 + STEP_US
+        };
+        let requests = self.running.iter().chain(&self.waiting);
+        requests.map(work).sum::<f64>() * self.current_factor(now)
+    }
+
     /// Makes room for `adapter` and loads it. Returns `false` if all adapters are in use.
     fn load(&mut self, now: u64, adapter: &Name, in_use: impl Fn(&Name) -> bool) -> bool {
         if self.adapters.contains_key(adapter) {
@@ -319,6 +331,14 @@
                 let decision = self.node.submit(time, job);
                 self.deliver(decision.map(|decision| (JobId(id), decision)));
             }
+            Placing::LeastWork => {
+                let work = |index: &usize| self.cluster[*index].work_left(now);
+                let holds = |index: &usize| self.cluster[*index].adapters.contains_key(&adapter);
+                let all = 0..self.cluster.len();
+                let best = all.clone().filter(holds).min_by(|a, b| work(a).total_cmp(&work(b)));
+                let best = best.or_else(|| all.min_by(|a, b| work(a).total_cmp(&work(b))));
+                self.cluster[best.expect("an engine")].waiting.push(request);
+            }
             Placing::Fixed { exponent } => {
                 let score = |index: &usize| {
                     let share = self.cluster[*index].factor.powf(-exponent);
@@ -350,7 +370,7 @@
                 self.load_requested(now);
                 self.deliver(decided);
             }
-            Placing::Fixed { .. } => {
+            Placing::Fixed { .. } | Placing::LeastWork => {
                 for (index, engine) in self.cluster.iter_mut().enumerate() {
                     for request in std::mem::take(&mut engine.waiting) {
                         let running = &engine.running;
@@ -483,9 +503,11 @@
 fn compare(name: &str, scenario: Scenario) -> (Outcome, Outcome, Outcome) {
     let with = simulate(scenario, Placing::Dispatcher { reports: true });
     let without = simulate(scenario, Placing::Dispatcher { reports: false });
-    let fixed = [0.0, 1.0, 1.5, 2.0, 3.0]
-        .map(|exponent| simulate(scenario, Placing::Fixed { exponent }))
+    let fixed = [0.0, 1.0, 1.5, 2.0, 3.0].map(|exponent| Placing::Fixed { exponent });
+    let fixed = fixed
         .into_iter()
+        .chain([Placing::LeastWork])
+        .map(|placing| simulate(scenario, placing))
         .max_by(|a, b| a.value().total_cmp(&b.value()))
         .expect("a placement");
     println!("{name}\n  with: {}", with.figures());
