--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -314,6 +314,9 @@
         for entry in &owned {
             self.ensure_engine(entry);
             self.shared.admission().upsert_engine(&entry.id, entry.slots, entry.incarnation);
+            if let Some(tokens) = self.kv_capacity(entry) {
+                self.shared.admission().set_kv_capacity(&entry.id, tokens);
+            }
             if usage_due {
                 let used = self.shared.admission().adapter_usage(entry.id.as_str());
                 if let Some(engine) = self.engines.get_mut(&entry.id) {
@@ -340,6 +343,12 @@
         self.publish_placements(now);
     }
 
+    /// Returns the number of tokens that fit into the KV cache of an engine.
+    fn kv_capacity(&self, entry: &UpstreamEntry) -> Option<u64> {
+        let config = self.shared.config()?;
+        Some(config.service(entry.service.as_str())?.engine.as_ref()?.kv_capacity)
+    }
+
     /// Creates the state of an owned engine, unless it exists for this run of the engine.
     fn ensure_engine(&mut self, entry: &UpstreamEntry) {
         let known = self.engines.get(&entry.id);
--- a/crates/fireflyhead-gateway/src/forward.rs
+++ b/crates/fireflyhead-gateway/src/forward.rs
@@ -19,7 +19,9 @@
 
 use fireflyhead_policy::Name;
 use fireflyhead_policy::Time;
+use fireflyhead_policy::config::Config;
 use fireflyhead_policy::config::Route;
+use fireflyhead_policy::protocol::RequestHead;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -182,6 +184,11 @@
     let Some(service) = route.service_for(id.as_str()).cloned() else {
         return service_unavailable(NO_CONFIG_RETRY_AFTER);
     };
+    if exceeds_engine_memory(shared, &config, &service, &head) {
+        shared.metrics.record_rejection("too_large");
+        tracing::info!(event = "too_large", %id, prompt = head.tokens.prompt, output = head.tokens.output);
+        return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     let end = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
     *deadline = Some(end);
     let left = end.since(clock::now());
@@ -222,6 +229,22 @@
     request.forward(guard).await
 }
 
+/// Returns whether the tokens of a request don't fit into the KV cache of any engine of `service`.
+fn exceeds_engine_memory(
+    shared: &Shared,
+    config: &Config,
+    service: &Name,
+    head: &RequestHead,
+) -> bool {
+    let engine = config.service(service.as_str()).and_then(|service| service.engine.as_ref());
+    let Some(capacity) = engine.map(|engine| engine.kv_capacity).filter(|tokens| *tokens > 0)
+    else {
+        return false;
+    };
+    let tokens = u64::from(head.tokens.prompt) + u64::from(head.tokens.output);
+    tokens > capacity && shared.dispatcher().limits_engine_memory(service)
+}
+
 /// Returns the time up to which the response meets the latency objective of the route.
 fn objective(arrived: Time, route: &Route) -> Time {
     arrived + route.objective
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -37,6 +37,11 @@
 const SERVICE_TIME_ALPHA: f64 = 0.05;
 /// Mean service time of a request before the first sample, in seconds.
 const INITIAL_SERVICE_TIME_S: f64 = 1.0;
+/// Share of an engine's KV cache that admitted requests may take together. The rest is for requests
+/// that nodes send without admission while the holder does not respond.
+const KV_FILL_SHARE: f64 = 0.95;
+/// Weight of the newest request in the moving average of the tokens that a request takes.
+const KV_ALPHA: f64 = 0.05;
 /// Time after which a prompt counts as processed although no output was reported: the report may
 /// have been lost. Slow engines process a full prefill window in half of that.
 const PREFILL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -64,6 +69,8 @@
     /// Admitted to the engine, and not known to have ended.
     Running {
         prompt_tokens: u32,
+        /// Tokens that the request takes in the KV cache; 0 if its node doesn't name its output.
+        kv_tokens: u64,
         /// Whether the prompt counts as processed.
         has_output: bool,
         started_at: Time,
@@ -108,6 +115,12 @@
     mean_service_time_s: f64,
     /// Adapter slots that a different adapter can take now.
     available_adapter_slots: u32,
+    /// Tokens that fit into the KV cache; `None` if that is not known.
+    kv_capacity: Option<u64>,
+    /// Tokens of the prompts and expected outputs of the running requests.
+    kv_tokens: u64,
+    /// Moving average of the tokens that a request takes, for those of unknown size.
+    mean_kv_tokens: f64,
 }
 
 /// Admits requests to the engines that this node owns.
@@ -131,6 +144,13 @@
         }
     }
 
+    /// Sets the number of tokens that fit into the KV cache of an engine.
+    pub fn set_kv_capacity(&mut self, upstream: &Name, tokens: u64) {
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.kv_capacity = (tokens > 0).then_some(tokens);
+        }
+    }
+
     /// Sets the number of adapter slots of an engine that a different adapter can take.
     pub fn set_available_adapter_slots(&mut self, upstream: &Name, slots: u32) {
         if let Some(engine) = self.engines.get_mut(upstream) {
@@ -232,6 +252,9 @@
             full_until: Time::default(),
             mean_service_time_s: INITIAL_SERVICE_TIME_S,
             available_adapter_slots: slots,
+            kv_capacity: None,
+            kv_tokens: 0,
+            mean_kv_tokens: 0.0,
         }
     }
 
@@ -324,6 +347,7 @@
             false => self.load.paced_backlog(now),
         };
         now >= self.full_until
+            && self.fits_memory(kv_tokens(job))
             && f64::from(self.load.in_flight()) < max_in_flight(self.slots, self.pace.base())
             && accepts_prompt(
                 backlog,
@@ -334,12 +358,25 @@
             )
     }
 
+    /// Returns whether a request of `tokens` fits into the KV cache beside the running ones. One that
+    /// needs more than [`KV_FILL_SHARE`] runs alone.
+    fn fits_memory(&self, tokens: u64) -> bool {
+        let Some(capacity) = self.kv_capacity.filter(|_| tokens > 0) else { return true };
+        let limit = (capacity as f64 * KV_FILL_SHARE) as u64;
+        self.kv_tokens.saturating_add(tokens) <= limit
+            || tokens <= capacity && self.load.in_flight() == 0
+    }
+
     /// Records that `job` is admitted.
     fn grant(&mut self, now: Time, origin: Origin, job: &Job) {
+        let kv_tokens = kv_tokens(job);
+        self.kv_tokens += kv_tokens;
+        self.mean_kv_tokens += KV_ALPHA * (kv_tokens as f64 - self.mean_kv_tokens);
         self.load.record_send(now, job.adapter(), job.prompt_tokens);
         self.route_shares.record(&job.route);
         let state = RequestState::Running {
             prompt_tokens: job.prompt_tokens,
+            kv_tokens,
             has_output: false,
             started_at: now,
         };
@@ -355,7 +392,8 @@
         let backlog = self.load.pending_prompt_tokens();
         let prefill_s = (f64::from(tokens) + f64::from(backlog)) / self.load.prefill_tokens_per_s();
         let max_in_flight = max_in_flight(self.slots, self.pace.base());
-        let busy = f64::from(self.load.in_flight()) >= max_in_flight;
+        let busy =
+            f64::from(self.load.in_flight()) >= max_in_flight || !self.fits_memory(kv_tokens(job));
         let slot_wait_s = match busy {
             true => f64::from(ahead + 1) * self.mean_service_time_s / max_in_flight,
             false => 0.0,
@@ -396,8 +434,14 @@
                     return;
                 }
                 self.load.add_running(adapter.as_ref());
-                let state =
-                    RequestState::Running { prompt_tokens: 0, has_output: true, started_at: now };
+                let kv_tokens = self.mean_kv_tokens as u64;
+                self.kv_tokens += kv_tokens;
+                let state = RequestState::Running {
+                    prompt_tokens: 0,
+                    kv_tokens,
+                    has_output: true,
+                    started_at: now,
+                };
                 self.insert_request(origin, state, adapter.as_ref(), now + *time_left);
             }
         }
@@ -411,7 +455,8 @@
                 self.origins.remove(&local_id);
                 self.queue.cancel(local_id);
             }
-            RequestState::Running { prompt_tokens, has_output, started_at } => {
+            RequestState::Running { prompt_tokens, kv_tokens, has_output, started_at } => {
+                self.kv_tokens = self.kv_tokens.saturating_sub(kv_tokens);
                 if !has_output {
                     self.load.discard_pending(prompt_tokens);
                 }
@@ -486,7 +531,7 @@
         expired.iter().for_each(|origin| self.end_request(origin, None));
         for entry in self.requests.values_mut() {
             match &mut entry.state {
-                RequestState::Running { prompt_tokens, has_output, started_at }
+                RequestState::Running { prompt_tokens, has_output, started_at, .. }
                     if !*has_output && now.since(*started_at) >= PREFILL_TIMEOUT =>
                 {
                     *has_output = true;
@@ -514,3 +559,11 @@
         }
     }
 }
+
+/// Returns the tokens that `job` takes in the KV cache; 0 if its output is not known.
+fn kv_tokens(job: &Job) -> u64 {
+    match job.output_tokens {
+        0 => 0,
+        output => u64::from(job.prompt_tokens) + u64::from(output),
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -41,7 +41,6 @@
 use crate::fleet::UpstreamState;
 use crate::health::Failure;
 use crate::message::AdapterRequest;
-use crate::message::EngineModel;
 use crate::message::Placement;
 use crate::message::ProgressEvent;
 use crate::message::UpstreamLoad;
@@ -50,6 +49,7 @@
 
 use self::adapter_requests::AdapterRequests;
 use self::choice::Choice;
+pub use self::pace::SelectionInputs;
 use self::pace::ServicePace;
 pub use self::pace::USABLE_PERCENT;
 use self::pending_admissions::PendingAdmissions;
@@ -219,25 +219,6 @@
     Abandoned,
 }
 
-/// What the selection of an upstream was based on, for the log.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SelectionInputs {
-    /// Time that work takes at the upstream outside slow periods, in percent of the usual time.
-    pub base_percent: u32,
-    /// Time that work is expected to take there now, in percent of the usual time.
-    pub expected_percent: u32,
-    /// Age of the newest value that the upstream reported; `None` if it has reported none.
-    pub pace_age: Option<Duration>,
-    /// Requests in flight from all nodes.
-    pub in_flight: u32,
-    /// Prompt tokens from all nodes that the engine has yet to process.
-    pub backlog_tokens: u32,
-    /// Streams that paused for too long, in thousandths of the recent ones.
-    pub late_streams_permille: u32,
-    /// Age of the load that the holder reported; `None` if there is no usable report.
-    pub load_age: Option<Duration>,
-}
-
 /// Settings of a [`Dispatcher`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatchSettings {
@@ -532,69 +513,6 @@
         }
     }
 
-    /// Takes over the speed of an engine from its holder. Returns `false` if it is out of range.
-    pub fn apply_engine_model(&mut self, now: Time, model: &EngineModel) -> bool {
-        let EngineModel { upstream, incarnation, base_percent, newest_percent, age } = model;
-        if ![base_percent, newest_percent].into_iter().all(|value| USABLE_PERCENT.contains(value)) {
-            return false;
-        }
-        let Some(known) = self.upstreams.get_mut(upstream) else { return true };
-        if known.entry.incarnation == *incarnation {
-            let base = f64::from(*base_percent) / 100.0;
-            let changed = known.pace.adopt(now - *age, base, f64::from(*newest_percent) / 100.0);
-            known.own_load.set_work_factor(now, base);
-            let service = known.entry.service.clone();
-            self.update_service_pace(&service, changed);
-        }
-        true
-    }
-
-    /// Records the time that work takes at an upstream, in percent of the usual time.
-    fn record_pace_report(&mut self, now: Time, upstream: &str, percent: u32) {
-        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
-        let factor = f64::from(percent) / 100.0;
-        let changed = upstream.pace.record(now, factor);
-        let base = upstream.pace.base().unwrap_or(factor);
-        upstream.own_load.set_work_factor(now, base);
-        let service = upstream.entry.service.clone();
-        if let Some(pace) = self.update_service_pace(&service, changed) {
-            pace.record(factor, base);
-        }
-    }
-
-    /// Returns the speed of `service`, whose upstreams report it, after an update of the median if
-    /// the base factor of an upstream changed.
-    fn update_service_pace(&mut self, service: &Name, changed: bool) -> Option<&mut ServicePace> {
-        let service = self.services.get_mut(service)?;
-        let pace = service.pace.get_or_insert_default();
-        if changed {
-            let members = service.members.iter().filter_map(|id| self.upstreams.get(id));
-            pace.set_median(members.filter_map(|upstream| upstream.pace.base()).collect());
-        }
-        Some(pace)
-    }
-
-    /// Returns the speed of the upstreams of `service`; `None` if they don't report it.
-    fn service_pace(&self, service: &Name) -> Option<ServicePace> {
-        self.services.get(service)?.pace
-    }
-
-    /// Returns what the selection of `upstream` was based on; `None` unless the upstreams of its
-    /// service report their speed.
-    pub fn selection_inputs(&self, now: Time, upstream: &Name) -> Option<SelectionInputs> {
-        let upstream = self.upstreams.get(upstream)?;
-        let pace = self.service_pace(&upstream.entry.service)?;
-        Some(SelectionInputs {
-            base_percent: (upstream.base_factor(&pace) * 100.0).round() as u32,
-            expected_percent: (upstream.work_factor(now, &pace) * 100.0).round() as u32,
-            pace_age: upstream.pace.newest(now).map(|(_, age)| age),
-            in_flight: upstream.in_flight(now),
-            backlog_tokens: upstream.backlog(now),
-            late_streams_permille: (upstream.late_stream_share(now) * 1_000.0) as u32,
-            load_age: upstream.holder_load_age(now),
-        })
-    }
-
     /// Adds an upstream or updates its entry. One that restarted is removed and added anew. The
     /// requests that wait for one that drains return to the queue of the node.
     pub fn upsert_upstream(&mut self, entry: &Arc<UpstreamEntry>) {
--- a/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
@@ -189,7 +189,7 @@
             return;
         };
         let mut request = AdmissionRequest::new(now, upstream, &job);
-        if self.settings.pressure || self.service_pace(&job.service).is_some() {
+        if self.limits_engine_memory(&job.service) {
             request.output_tokens = job.output_tokens;
         }
         let message = HolderMessage::AdmissionRequest(request);
