Place adapters by speed in constant-size work per engine

Cause: the first request for an adapter took 356 us with 1,700 engines, because the name of each was hashed, and a prompt that is too long for all engines was placed nowhere. Change: the hashes of the engines are kept with their shares; the state of the first twelve is examined.

--- a/crates/fireflyhead-policy/benches/dispatch.rs
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -28,6 +28,7 @@
 use fireflyhead_policy::message::PlacedAdapter;
 use fireflyhead_policy::message::Placement;
 use fireflyhead_policy::message::UpstreamLoad;
+use fireflyhead_policy::protocol::LoadReport;
 use fireflyhead_policy::protocol::ModelRef;
 use fireflyhead_schema::codec;
 use fireflyhead_schema::messages as wire;
@@ -118,6 +119,34 @@
         });
     }
     group.finish();
+    let mut group = c.benchmark_group("decision with reported speeds");
+    for engines in [18, 1_700] {
+        let mut dispatcher = dispatcher(engines);
+        for n in 0..engines {
+            let load = LoadReport { pace: Some([60, 100, 160][n % 3]), ..LoadReport::default() };
+            dispatcher.record_load_report(now, &format!("i-{n:010}"), load);
+        }
+        dispatcher.take_holder_messages();
+        let mut id = 0;
+        for adapter in ["a7", "absent"] {
+            group.bench_function(BenchmarkId::new(adapter, engines), |b| {
+                b.iter(|| {
+                    id += 1;
+                    black_box(dispatcher.submit(now, job(id, adapter)));
+                    dispatcher.record_outcome(now, JobId(id), SendOutcome::Abandoned);
+                    dispatcher.cancel(JobId(id));
+                });
+            });
+        }
+        group.bench_function(BenchmarkId::new("first request for an adapter", engines), |b| {
+            b.iter(|| {
+                id += 1;
+                black_box(dispatcher.submit(now, job(id, &format!("new{id}"))));
+                dispatcher.cancel(JobId(id));
+            });
+        });
+    }
+    group.finish();
     c.bench_function("pass over 2,000 waiting", |b| {
         b.iter_batched_ref(
             || {
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -23,6 +23,7 @@
 pub(crate) mod load;
 pub(crate) mod pace;
 mod pending_admissions;
+mod placement;
 pub(crate) mod queue;
 mod relocation;
 mod stop;
@@ -54,6 +55,7 @@
 pub use self::pace::USABLE_PERCENT;
 use self::pending_admissions::PendingAdmissions;
 pub use self::pending_admissions::UnresponsiveHolder;
+use self::placement::PlacementOrder;
 use self::queue::Queue;
 use self::queue::RouteShares;
 use self::upstreams::Upstream;
@@ -263,6 +265,8 @@
     route_shares: RouteShares,
     /// Speed of its upstreams; `None` if none of them has reported one.
     pace: Option<ServicePace>,
+    /// Order in which adapters are placed; `None` if it is not up to date or not used.
+    placement_order: Option<PlacementOrder>,
 }
 
 impl Default for Service {
@@ -274,6 +278,7 @@
             away: Vec::new(),
             route_shares: RouteShares::default(),
             pace: None,
+            placement_order: None,
         }
     }
 }
@@ -527,6 +532,7 @@
                 self.remove_upstream(&entry.id);
                 let service = self.services.entry(entry.service.clone()).or_default();
                 service.members.push(entry.id.clone());
+                service.placement_order = None;
                 let mut upstream = Upstream::new(Arc::clone(entry));
                 for loads in self.peer_loads.values() {
                     loads
@@ -547,6 +553,7 @@
         let Some(upstream) = self.upstreams.remove(id) else { return };
         if let Some(service) = self.services.get_mut(&upstream.entry.service) {
             service.members.retain(|member| member != id);
+            service.placement_order = None;
         }
         for key in upstream.adapters.keys() {
             if let Some(replicas) = self.replicas.get_mut(key) {
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -76,9 +76,6 @@
 /// Extra cost of each further engine in the adapter's order, in ms, if engines report their speed.
 /// The costs then contain expected times, and half of a load's duration makes up for them.
 const PACED_PREFERENCE_STEP_MS: f64 = 100.0;
-/// Exponent of the speed in the share of adapters that an engine gets. Above 1, because a long
-/// prompt in a slow period of a slow engine delays all streams there beyond their objective.
-const PLACEMENT_SPEED_EXPONENT: f64 = 1.5;
 /// Cost per ms of an expected pause beyond the margin, for each stream that it affects.
 const LATE_PAUSE_COST: f64 = 0.5;
 /// Share of the pause objective above which an expected pause has a cost.
@@ -231,6 +228,7 @@
         key: &AdapterKey,
         ignore_ejections: bool,
     ) -> bool {
+        self.update_placement_order(&job.service);
         let target = match self.adapter_requests.target(now, key) {
             Some(target)
                 if !job.tried.contains(&target)
@@ -256,49 +254,54 @@
         key: &AdapterKey,
         ignore_ejections: bool,
     ) -> Option<Name> {
-        let adapter_name = key.1.as_str();
-        let failed = self.adapter_requests.failed_target(now, key);
         let pace = self.service_pace(&job.service);
-        let mut engines: Vec<(u64, &Name)> = self.services[&job.service]
-            .members
-            .iter()
-            .filter(|id| {
-                self.can_load(now, id, key, ignore_ejections) && Some(*id) != failed.as_ref()
-            })
-            .filter(|id| {
-                !job.tried.contains(id)
-                    && !self.upstreams[*id].should_avoid_for(now, job, pace.as_ref())
-            })
-            .map(|id| match &pace {
-                Some(pace) => {
-                    let speed = 1.0 / self.upstreams[id].base_factor(pace);
-                    let share = speed.powf(PLACEMENT_SPEED_EXPONENT);
-                    // The bits of positive floats sort like the floats.
-                    let score = rendezvous::weighted_score(adapter_name, id.as_str(), share);
-                    (score.to_bits(), id)
-                }
-                None => (rendezvous::weight(adapter_name, id.as_str()), id),
-            })
-            .collect();
-        engines.sort_unstable_by(|a, b| b.cmp(a));
+        let by_speed = self.engines_by_speed(now, job, key, ignore_ejections, PREFERRED_ENGINES);
+        let engines = match by_speed {
+            Some(engines) => engines,
+            None => self.engines_by_name(now, job, key, ignore_ejections),
+        };
         let step = if pace.is_some() { PACED_PREFERENCE_STEP_MS } else { PREFERENCE_STEP_MS };
         engines
-            .iter()
-            .take(PREFERRED_ENGINES)
+            .into_iter()
             .enumerate()
-            .map(|(rank, (_, id))| {
-                let upstream = &self.upstreams[*id];
+            .map(|(rank, id)| {
+                let upstream = &self.upstreams[&id];
                 let penalty = step * rank as f64;
                 let warm_gain = if upstream.held_recently(now, key) { WARM_GAIN_MS } else { 0.0 };
                 let slot_cost =
                     if upstream.has_no_free_adapter_slot(now) { NO_FREE_SLOT_COST_MS } else { 0.0 };
                 (
                     upstream.engine_cost(now, job, pace.as_ref()) + penalty + slot_cost - warm_gain,
-                    *id,
+                    id,
                 )
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, id)| id.clone())
+            .map(|(_, id)| id)
+    }
+
+    /// Returns the engines in the rendezvous order of `key` that can load it and that `job` may use.
+    fn engines_by_name(
+        &self,
+        now: Time,
+        job: &Job,
+        key: &AdapterKey,
+        ignore_ejections: bool,
+    ) -> Vec<Name> {
+        let adapter_name = key.1.as_str();
+        let failed = self.adapter_requests.failed_target(now, key);
+        let mut engines: Vec<(u64, &Name)> = self.services[&job.service]
+            .members
+            .iter()
+            .filter(|id| {
+                self.can_load(now, id, key, ignore_ejections) && Some(*id) != failed.as_ref()
+            })
+            .filter(|id| {
+                !job.tried.contains(id) && !self.upstreams[*id].should_avoid_for(now, job, None)
+            })
+            .map(|id| (rendezvous::weight(adapter_name, id.as_str()), id))
+            .collect();
+        engines.sort_unstable_by(|a, b| b.cmp(a));
+        engines.into_iter().take(PREFERRED_ENGINES).map(|(_, id)| id.clone()).collect()
     }
 
     /// Returns whether the replicas of `key` have enough requests to justify a further one.
@@ -427,7 +430,12 @@
     }
 
     /// Returns whether `job` has a large prompt that should go to a different engine.
-    fn should_avoid_for(&self, now: Time, job: &Job, pace: Option<&ServicePace>) -> bool {
+    pub(super) fn should_avoid_for(
+        &self,
+        now: Time,
+        job: &Job,
+        pace: Option<&ServicePace>,
+    ) -> bool {
         match pace {
             Some(pace) => {
                 let factor = self.base_factor(pace);
--- a/crates/fireflyhead-policy/src/dispatch/pace.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pace.rs
@@ -213,6 +213,7 @@
         let service = self.services.get_mut(service)?;
         let pace = service.pace.get_or_insert_default();
         if changed {
+            service.placement_order = None;
             let members = service.members.iter().filter_map(|id| self.upstreams.get(id));
             pace.set_median(members.filter_map(|upstream| upstream.pace.base()).collect());
         }
--- a/crates/fireflyhead-policy/src/rendezvous.rs
+++ b/crates/fireflyhead-policy/src/rendezvous.rs
@@ -10,12 +10,21 @@
 /// Keys of the hash, fixed because all nodes must compute the same ranking.
 const HASH_KEYS: (u64, u64) = (0x6669_7265, 0x666c_7968);
 
-/// Returns the score of `member` for `subject`; the member with the highest score ranks first. Of
-/// many subjects, each member ranks first for a share in proportion to its `share`.
-pub fn weighted_score(subject: &str, member: &str, share: f64) -> f64 {
+/// Returns the score of a member for a subject, given their hashes; the member with the highest score
+/// ranks first. Of many subjects, a member ranks first for a share in proportion to its `share`, nearly
+/// so if there are only a few members.
+pub fn weighted_score(subject: u64, member: u64, share: f64) -> f64 {
+    let hash = mix(subject ^ member.rotate_left(32));
     // Uniform in (0, 1): the upper 53 bits are exact as a float.
-    let uniform = ((weight(subject, member) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    share.max(f64::MIN_POSITIVE) / -uniform.ln()
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    share / uniform
+}
+
+/// Distributes the bits of `value` evenly, with the finalizer of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
 }
 
 /// Returns the weight of `member` for `subject`; the member with the highest weight ranks first.
--- a/crates/fireflyhead-policy/tests/policy/pace.rs
+++ b/crates/fireflyhead-policy/tests/policy/pace.rs
@@ -1,5 +1,6 @@
 //! Selection by the speed that upstreams report.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -186,3 +187,51 @@
 
 /// Hash of the decisions on the sequence above, from the code before speeds were used.
 const RECORDED_DECISIONS: u64 = 0x73ef_442d_cda3_7173;
+
+/// Guards against adapters that are placed without regard to the speed of engines, and against an
+/// order that moves the adapters of other engines when one is lost.
+#[test]
+fn adapters_are_placed_in_proportion_to_speed() {
+    const SPEEDS: [u32; 3] = [60, 100, 160];
+    let place = |lost: Option<usize>| {
+        let mut node = test_node(12, 0);
+        for n in 0..12 {
+            report(&mut node, ms(0), &format!("engine-{n}"), SPEEDS[n % 3]);
+        }
+        if let Some(lost) = lost {
+            node.remove_upstream(&Name::from(format!("engine-{lost}")));
+        }
+        for id in 0..1_200 {
+            node.submit(ms(1), adapter_job(id, ms(1), &format!("a{id}"), 100));
+        }
+        let requests = node.due_adapter_requests(ms(1), &Name::from("node-1"));
+        requests.into_iter().map(|r| (r.adapter, r.upstream)).collect::<HashMap<_, _>>()
+    };
+    let all = place(None);
+    let count = |group: usize| {
+        let index = |name: &Name| name.as_str()["engine-".len()..].parse::<usize>().expect("index");
+        all.values().filter(|engine| index(engine) % 3 == group).count() as f64
+    };
+    // The shares are in proportion to the speed to the power of 1.5.
+    let (fast, usual, slow) = (count(0) / 1_200.0, count(1) / 1_200.0, count(2) / 1_200.0);
+    assert!((0.54..0.65).contains(&fast), "{fast} {usual} {slow}");
+    assert!((0.22..0.33).contains(&usual), "{fast} {usual} {slow}");
+    assert!((0.09..0.18).contains(&slow), "{fast} {usual} {slow}");
+    let without = place(Some(4));
+    let moved = all
+        .iter()
+        .filter(|(_, engine)| engine.as_str() != "engine-4")
+        .filter(|(adapter, engine)| without.get(*adapter) != Some(engine));
+    assert!(moved.count() < 24);
+}
+
+/// Guards against a prompt that no engine accepts because it delays streams everywhere.
+#[test]
+fn a_prompt_too_long_for_all_engines_is_placed() {
+    let mut node = test_node(3, 0);
+    for n in 0..3 {
+        report(&mut node, ms(0), &format!("engine-{n}"), 160);
+    }
+    node.submit(ms(1), adapter_job(1, ms(1), "a1", 40_000));
+    assert_eq!(node.due_adapter_requests(ms(1), &Name::from("node-1")).len(), 1);
+}
--- a/crates/fireflyhead-policy/tests/policy/uneven.rs
+++ b/crates/fireflyhead-policy/tests/policy/uneven.rs
@@ -343,7 +343,9 @@
                 let score = |index: &usize| {
                     let share = self.cluster[*index].factor.powf(-exponent);
                     let name = engine_name(*index);
-                    rendezvous::weighted_score(adapter.as_str(), name.as_str(), share)
+                    let subject = rendezvous::weight(adapter.as_str(), "");
+                    let member = rendezvous::weight("", name.as_str());
+                    rendezvous::weighted_score(subject, member, share)
                 };
                 let best = (0..self.cluster.len()).max_by(|a, b| score(a).total_cmp(&score(b)));
                 self.cluster[best.expect("an engine")].waiting.push(request);
