--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -442,6 +442,7 @@
     /// Logs what the selection of `upstream` was based on, if its service reports speeds.
     fn log_selection(&self, now: Time, upstream: &Name) {
         let Some(inputs) = self.shared.dispatcher().selection_inputs(now, upstream) else { return };
+        self.shared.metrics.record_selected_slowness(f64::from(inputs.expected_percent) / 100.0);
         let age_ms = |age: Option<Duration>| age.map(|age| age.as_millis() as u64);
         tracing::info!(
             event = "selected",
--- a/crates/fireflyhead-gateway/src/metrics.rs
+++ b/crates/fireflyhead-gateway/src/metrics.rs
@@ -16,6 +16,9 @@
 const LATENCY_BUCKETS: [f64; 12] =
     [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0];
 
+/// Upper bounds of the buckets of the time that work takes at an upstream, where 1 is the usual time.
+const SLOWNESS_BUCKETS: [f64; 8] = [0.5, 0.7, 0.9, 1.1, 1.5, 2.0, 3.0, 5.0];
+
 /// Counters, gauges and histograms of a node.
 pub struct Metrics {
     registry: Registry,
@@ -23,6 +26,8 @@
     requests: Counter<u64>,
     rejections: Counter<u64>,
     sends: Counter<u64>,
+    selected_slowness: Histogram<f64>,
+    engine_models: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
     upstream_crashes: Counter<u64>,
@@ -58,6 +63,11 @@
         Metrics {
             requests: meter.u64_counter("fireflyhead_requests").build(),
             rejections: meter.u64_counter("fireflyhead_rejections").build(),
+            selected_slowness: meter
+                .f64_histogram("fireflyhead_selected_slowness")
+                .with_boundaries(SLOWNESS_BUCKETS.to_vec())
+                .build(),
+            engine_models: meter.u64_counter("fireflyhead_engine_models").build(),
             sends: meter.u64_counter("fireflyhead_sends").build(),
             store_calls: meter.u64_counter("fireflyhead_store_calls").build(),
             orders: meter.u64_counter("fireflyhead_orders").build(),
@@ -73,6 +83,16 @@
         }
     }
 
+    /// Records the expected time that work takes at a selected upstream, where 1 is the usual time.
+    pub fn record_selected_slowness(&self, factor: f64) {
+        self.selected_slowness.record(factor, &[]);
+    }
+
+    /// Counts speeds of engines that this node told other nodes of.
+    pub fn record_engine_models(&self, models: usize) {
+        self.engine_models.add(models as u64, &[]);
+    }
+
     /// Counts a finished request and records its total time.
     pub fn record_request(&self, route: &str, outcome: &'static str, total: Duration) {
         let labels = [KeyValue::new("route", route.to_owned()), KeyValue::new("outcome", outcome)];
--- a/crates/fireflyhead-gateway/src/state.rs
+++ b/crates/fireflyhead-gateway/src/state.rs
@@ -395,6 +395,7 @@
         if models.is_empty() {
             return;
         }
+        self.metrics.record_engine_models(models.len());
         self.apply_engine_models(now, &models);
         let targets: Vec<SocketAddr> = self
             .peers()
