--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -100,6 +100,7 @@
     loop {
         let now = clock::now();
         shared.dispatch_waiting(now);
+        shared.send_engine_models(now);
         let requests = shared.dispatcher().due_adapter_requests(now, &shared.settings.node);
         if !requests.is_empty() {
             send_adapter_requests(&shared, &controller, requests).await;
@@ -231,6 +232,9 @@
                 shared.handle_admission_responses(clock::now(), &holder, responses);
             }
             Ok(Datagram::CrashReports(reports)) => quarantine::handle_reports(&shared, &reports),
+            Ok(Datagram::EngineModels(models)) => {
+                shared.apply_engine_models(clock::now(), &models);
+            }
             Ok(Datagram::Departures(departures)) => departures::handle_notice(&shared, &departures),
             Ok(Datagram::QuotaRequest(request)) => quota::handle_request(&shared, &request),
             Ok(Datagram::QuotaGrant(grant)) => quota::handle_grant(&shared, &grant),
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -19,11 +19,14 @@
 use crate::dispatch::load::EngineLoad;
 use crate::dispatch::load::accepts_prompt;
 use crate::dispatch::load::max_in_flight;
+use crate::dispatch::pace::Pace;
+use crate::dispatch::pace::USABLE_PERCENT;
 use crate::dispatch::queue::Queue;
 use crate::dispatch::queue::RouteShares;
 use crate::message::AdmissionDecision;
 use crate::message::AdmissionRequest;
 use crate::message::AdmissionResponse;
+use crate::message::EngineModel;
 use crate::message::ProgressEvent;
 use crate::message::ProgressReport;
 use crate::message::UpstreamLoad;
@@ -34,6 +37,11 @@
 const SERVICE_TIME_ALPHA: f64 = 0.05;
 /// Mean service time of a request before the first sample, in seconds.
 const INITIAL_SERVICE_TIME_S: f64 = 1.0;
+/// Share of an engine's KV cache that admitted requests may take together. The rest is for requests
+/// that nodes send without admission while the holder does not respond.
+const KV_FILL_SHARE: f64 = 0.95;
+/// Weight of the newest request in the moving average of the tokens that a request takes.
+const KV_ALPHA: f64 = 0.05;
 /// Time after which a prompt counts as processed although no output was reported: the report may
 /// have been lost. Slow engines process a full prefill window in half of that.
 const PREFILL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -61,6 +69,8 @@
     /// Admitted to the engine, and not known to have ended.
     Running {
         prompt_tokens: u32,
+        /// Tokens that the request takes in the KV cache; 0 if its node doesn't name its output.
+        kv_tokens: u64,
         /// Whether the prompt counts as processed.
         has_output: bool,
         started_at: Time,
@@ -85,6 +95,10 @@
     /// Number of requests that the engine runs at once.
     slots: u32,
     load: EngineLoad,
+    /// Speed that the engine reported.
+    pace: Pace,
+    /// Base factor in percent, and whether the engine was slow, as the other nodes know it.
+    published_pace: Option<(u32, bool)>,
     /// Waiting requests, under ids of the holder.
     queue: Queue,
     /// Shares of the routes in the requests admitted recently.
@@ -101,6 +115,12 @@
     mean_service_time_s: f64,
     /// Adapter slots that a different adapter can take now.
     available_adapter_slots: u32,
+    /// Tokens that fit into the KV cache; `None` if that is not known.
+    kv_capacity: Option<u64>,
+    /// Tokens of the prompts and expected outputs of the running requests.
+    kv_tokens: u64,
+    /// Moving average of the tokens that a request takes, for those of unknown size.
+    mean_kv_tokens: f64,
 }
 
 /// Admits requests to the engines that this node owns.
@@ -124,6 +144,13 @@
         }
     }
 
+    /// Sets the number of tokens that fit into the KV cache of an engine.
+    pub fn set_kv_capacity(&mut self, upstream: &Name, tokens: u64) {
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.kv_capacity = (tokens > 0).then_some(tokens);
+        }
+    }
+
     /// Sets the number of adapter slots of an engine that a different adapter can take.
     pub fn set_available_adapter_slots(&mut self, upstream: &Name, slots: u32) {
         if let Some(engine) = self.engines.get_mut(upstream) {
@@ -164,6 +191,12 @@
         }
     }
 
+    /// Returns the speeds of the engines whose base factor has changed, or which have entered or left
+    /// a slow period, since the last call.
+    pub fn take_changed_models(&mut self, now: Time) -> Vec<EngineModel> {
+        self.engines.values_mut().filter_map(|engine| engine.take_changed_model(now)).collect()
+    }
+
     /// Admits waiting requests that the engines can take now, and denies those that have waited for
     /// too long.
     pub fn admit_waiting(&mut self, now: Time) -> Vec<AddressedResponse> {
@@ -209,6 +242,8 @@
             incarnation,
             slots,
             load: EngineLoad::default(),
+            pace: Pace::default(),
+            published_pace: None,
             queue: Queue::default(),
             route_shares: RouteShares::default(),
             requests: HashMap::new(),
@@ -217,6 +252,9 @@
             full_until: Time::default(),
             mean_service_time_s: INITIAL_SERVICE_TIME_S,
             available_adapter_slots: slots,
+            kv_capacity: None,
+            kv_tokens: 0,
+            mean_kv_tokens: 0.0,
         }
     }
 
@@ -227,6 +265,7 @@
         node: &Name,
         request: &AdmissionRequest,
     ) -> AdmissionResponse {
+        self.update_work_factor(now);
         let origin = (node.clone(), request.job);
         let decision = match self.requests.get(&origin).map(|entry| &entry.state) {
             // The node asks again because the response was lost or is late.
@@ -248,6 +287,31 @@
         AdmissionResponse { job: request.job, decision, load: self.load_summary(now) }
     }
 
+    /// Returns the speed of the engine if the other nodes should know it.
+    fn take_changed_model(&mut self, now: Time) -> Option<EngineModel> {
+        let base_percent = (self.pace.base()? * 100.0).round() as u32;
+        let (newest, age) = self.pace.newest(now)?;
+        let published = Some((base_percent, self.pace.is_slow()));
+        if self.published_pace == published {
+            return None;
+        }
+        self.published_pace = published;
+        Some(EngineModel {
+            upstream: self.upstream.clone(),
+            incarnation: self.incarnation,
+            base_percent,
+            newest_percent: (newest * 100.0).round() as u32,
+            age,
+        })
+    }
+
+    /// Applies the expected speed of the engine, if it reports one.
+    fn update_work_factor(&mut self, now: Time) {
+        if let Some(factor) = self.pace.expected(now) {
+            self.load.set_work_factor(now, factor);
+        }
+    }
+
     /// Queues a request, or denies it if its predicted wait is too long or the queue is full.
     fn enqueue(&mut self, now: Time, origin: Origin, job: Job) -> AdmissionDecision {
         let wait = self.predicted_wait(&job);
@@ -283,16 +347,36 @@
             false => self.load.paced_backlog(now),
         };
         now >= self.full_until
-            && f64::from(self.load.in_flight()) < max_in_flight(self.slots)
-            && accepts_prompt(backlog, self.load.late_stream_share(), job.prompt_tokens, unpaced)
+            && self.fits_memory(kv_tokens(job))
+            && f64::from(self.load.in_flight()) < max_in_flight(self.slots, self.pace.base())
+            && accepts_prompt(
+                backlog,
+                self.load.late_stream_share(),
+                job.prompt_tokens,
+                unpaced,
+                self.load.work_factor(),
+            )
+    }
+
+    /// Returns whether a request of `tokens` fits into the KV cache beside the running ones. One that
+    /// needs more than [`KV_FILL_SHARE`] runs alone.
+    fn fits_memory(&self, tokens: u64) -> bool {
+        let Some(capacity) = self.kv_capacity.filter(|_| tokens > 0) else { return true };
+        let limit = (capacity as f64 * KV_FILL_SHARE) as u64;
+        self.kv_tokens.saturating_add(tokens) <= limit
+            || tokens <= capacity && self.load.in_flight() == 0
     }
 
     /// Records that `job` is admitted.
     fn grant(&mut self, now: Time, origin: Origin, job: &Job) {
+        let kv_tokens = kv_tokens(job);
+        self.kv_tokens += kv_tokens;
+        self.mean_kv_tokens += KV_ALPHA * (kv_tokens as f64 - self.mean_kv_tokens);
         self.load.record_send(now, job.adapter(), job.prompt_tokens);
         self.route_shares.record(&job.route);
         let state = RequestState::Running {
             prompt_tokens: job.prompt_tokens,
+            kv_tokens,
             has_output: false,
             started_at: now,
         };
@@ -307,8 +391,9 @@
         });
         let backlog = self.load.pending_prompt_tokens();
         let prefill_s = (f64::from(tokens) + f64::from(backlog)) / self.load.prefill_tokens_per_s();
-        let max_in_flight = max_in_flight(self.slots);
-        let busy = f64::from(self.load.in_flight()) >= max_in_flight;
+        let max_in_flight = max_in_flight(self.slots, self.pace.base());
+        let busy =
+            f64::from(self.load.in_flight()) >= max_in_flight || !self.fits_memory(kv_tokens(job));
         let slot_wait_s = match busy {
             true => f64::from(ahead + 1) * self.mean_service_time_s / max_in_flight,
             false => 0.0,
@@ -338,14 +423,25 @@
                 let waiting = self.queue.len() > 0;
                 self.load.record_pause(now, *permille, waiting);
             }
+            ProgressEvent::Pace { percent } if USABLE_PERCENT.contains(percent) => {
+                self.pace.record(now, f64::from(*percent) / 100.0);
+            }
+            // The node that received the value logs it.
+            ProgressEvent::Pace { .. } => {}
             ProgressEvent::Running { job, adapter, time_left } => {
                 let origin = (node.clone(), *job);
                 if self.requests.contains_key(&origin) {
                     return;
                 }
                 self.load.add_running(adapter.as_ref());
-                let state =
-                    RequestState::Running { prompt_tokens: 0, has_output: true, started_at: now };
+                let kv_tokens = self.mean_kv_tokens as u64;
+                self.kv_tokens += kv_tokens;
+                let state = RequestState::Running {
+                    prompt_tokens: 0,
+                    kv_tokens,
+                    has_output: true,
+                    started_at: now,
+                };
                 self.insert_request(origin, state, adapter.as_ref(), now + *time_left);
             }
         }
@@ -359,7 +455,8 @@
                 self.origins.remove(&local_id);
                 self.queue.cancel(local_id);
             }
-            RequestState::Running { prompt_tokens, has_output, started_at } => {
+            RequestState::Running { prompt_tokens, kv_tokens, has_output, started_at } => {
+                self.kv_tokens = self.kv_tokens.saturating_sub(kv_tokens);
                 if !has_output {
                     self.load.discard_pending(prompt_tokens);
                 }
@@ -385,6 +482,7 @@
     /// Admits or denies the waiting requests that can be decided now.
     fn admit_waiting(&mut self, now: Time) -> Vec<AddressedResponse> {
         self.expire_requests(now);
+        self.update_work_factor(now);
         if self.queue.len() == 0 {
             return Vec::new();
         }
@@ -433,7 +531,7 @@
         expired.iter().for_each(|origin| self.end_request(origin, None));
         for entry in self.requests.values_mut() {
             match &mut entry.state {
-                RequestState::Running { prompt_tokens, has_output, started_at }
+                RequestState::Running { prompt_tokens, has_output, started_at, .. }
                     if !*has_output && now.since(*started_at) >= PREFILL_TIMEOUT =>
                 {
                     *has_output = true;
@@ -461,3 +559,11 @@
         }
     }
 }
+
+/// Returns the tokens that `job` takes in the KV cache; 0 if its output is not known.
+fn kv_tokens(job: &Job) -> u64 {
+    match job.output_tokens {
+        0 => 0,
+        output => u64::from(job.prompt_tokens) + u64::from(output),
+    }
+}
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -23,7 +23,9 @@
 pub mod explain;
 pub(crate) mod load;
 mod load_targets;
+pub(crate) mod pace;
 mod pending_admissions;
+mod placement;
 pub(crate) mod queue;
 mod relocation;
 mod stop;
@@ -51,8 +53,12 @@
 use self::adapter_requests::AdapterRequests;
 use self::choice::Choice;
 pub use self::load_targets::AdapterPresence;
+pub use self::pace::SelectionInputs;
+use self::pace::ServicePace;
+pub use self::pace::USABLE_PERCENT;
 use self::pending_admissions::PendingAdmissions;
 pub use self::pending_admissions::UnresponsiveHolder;
+use self::placement::PlacementOrder;
 use self::queue::Queue;
 use self::queue::RouteShares;
 use self::upstreams::Upstream;
@@ -260,8 +266,10 @@
     away: Vec<Name>,
     /// Shares of the routes in the requests sent recently.
     route_shares: RouteShares,
-    /// Whether one of its upstreams has reported its pace.
-    reports_pace: bool,
+    /// Speed of its upstreams; `None` if none of them has reported one.
+    pace: Option<ServicePace>,
+    /// Order in which adapters are placed; `None` if it is not up to date or not used.
+    placement_order: Option<PlacementOrder>,
 }
 
 impl Default for Service {
@@ -272,7 +280,8 @@
             ejected: Vec::new(),
             away: Vec::new(),
             route_shares: RouteShares::default(),
-            reports_pace: false,
+            pace: None,
+            placement_order: None,
         }
     }
 }
@@ -519,12 +528,14 @@
 
     /// Records the load that an upstream reported with a response.
     pub fn record_load_report(&mut self, now: Time, upstream: &str, load: LoadReport) {
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.load_report = Some((now, load));
-            if load.pace.is_some()
-                && let Some(service) = self.services.get_mut(&upstream.entry.service)
-            {
-                service.reports_pace = true;
+        let Some(known) = self.upstreams.get_mut(upstream) else { return };
+        known.load_report = Some((now, load));
+        let name = known.entry.id.clone();
+        let has_holder = known.holder.is_some();
+        if let Some(percent) = load.pace {
+            self.record_pace_report(now, upstream, percent);
+            if has_holder {
+                self.report_progress(&name, ProgressEvent::Pace { percent });
             }
         }
     }
@@ -532,7 +543,7 @@
     /// Returns whether the decisions for insufficient capacity are in effect for `service`.
     pub fn is_under_pressure(&self, service: &str) -> bool {
         self.settings.pressure
-            || self.services.get(service).is_some_and(|service| service.reports_pace)
+            || self.services.get(service).is_some_and(|service| service.pace.is_some())
     }
 
     /// Adds an upstream or updates its entry. One that restarted is removed and added anew. The
@@ -549,6 +560,7 @@
                 self.remove_upstream(&entry.id);
                 let service = self.services.entry(entry.service.clone()).or_default();
                 service.members.push(entry.id.clone());
+                service.placement_order = None;
                 let mut upstream = Upstream::new(Arc::clone(entry));
                 for loads in self.peer_loads.values() {
                     loads
@@ -569,6 +581,7 @@
         let Some(upstream) = self.upstreams.remove(id) else { return };
         if let Some(service) = self.services.get_mut(&upstream.entry.service) {
             service.members.retain(|member| member != id);
+            service.placement_order = None;
         }
         for key in upstream.adapters.keys() {
             if let Some(replicas) = self.replicas.get_mut(key) {
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -11,6 +11,8 @@
 //!   restored, sent only to nodes that announced at least [`ERA_PROTOCOL`].
 //! - [`Departure`]: an upstream that leaves, before the store says so. Sent only to nodes that
 //!   announced at least [`DEPARTURE_PROTOCOL`].
+//! - [`EngineModel`]: the speed of an engine, from its holder. Sent only to nodes that announced at
+//!   least [`PACE_PROTOCOL`], and only for engines that report their speed.
 //! - [`Activity`]: part of a heartbeat, sent only to nodes that announced at least
 //!   [`ACTIVITY_PROTOCOL`].
 //! - [`QuotaRequest`]: asks the owner of a quota slot for tokens of accounts. [`QuotaGrant`] is the
@@ -53,6 +55,9 @@
 pub const ACTIVITY_PROTOCOL: u32 = 5;
 /// Lowest version of nodes that understand messages about client accounts.
 pub const ACCOUNT_PROTOCOL: u32 = 6;
+/// Lowest version of nodes that understand [`Datagram::EngineModels`], [`ProgressEvent::Pace`] and
+/// an [`AdmissionRequest`] with output tokens.
+pub const PACE_PROTOCOL: u32 = 6;
 
 /// State of a node towards callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -221,6 +226,9 @@
     pub deadline: Duration,
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
+    /// Largest number of tokens in the output; 0 if the holder doesn't need it or is of an earlier
+    /// build.
+    pub output_tokens: u32,
 }
 
 impl AdmissionRequest {
@@ -240,6 +248,7 @@
             first_output_deadline: job.first_output_deadline.since(job.arrived),
             deadline: job.deadline.since(job.arrived),
             prompt_tokens: job.prompt_tokens,
+            output_tokens: 0,
         }
     }
 
@@ -259,7 +268,7 @@
             first_output_deadline: arrived + self.first_output_deadline,
             deadline: arrived + self.deadline,
             prompt_tokens: self.prompt_tokens,
-            output_tokens: 0,
+            output_tokens: self.output_tokens,
             tried: Vec::new(),
             possibly_executed: false,
         }
@@ -307,6 +316,11 @@
         /// Duration of the pause in thousandths of the stream's objective.
         permille: u32,
     },
+    /// The engine reported how long work takes there now.
+    Pace {
+        /// Time that work takes, in percent of the usual time.
+        percent: u32,
+    },
     /// The request is running without this holder's admission: a previous holder admitted it, or
     /// none did.
     Running {
@@ -346,6 +360,52 @@
     pub incarnation: u64,
 }
 
+impl HolderMessage {
+    /// Returns the message in a form that nodes understand which announced no more than the version
+    /// before [`PACE_PROTOCOL`]; `None` if there is none.
+    pub fn for_earlier_build(self) -> Option<HolderMessage> {
+        match self {
+            HolderMessage::AdmissionRequest(request) => {
+                let request = AdmissionRequest { output_tokens: 0, ..request };
+                Some(HolderMessage::AdmissionRequest(request))
+            }
+            HolderMessage::ProgressReport(report) => match report.event {
+                ProgressEvent::Pace { .. } => None,
+                ProgressEvent::FirstOutput(_)
+                | ProgressEvent::Ended(_)
+                | ProgressEvent::EngineFull(_)
+                | ProgressEvent::LongestPause { .. }
+                | ProgressEvent::Running { .. } => Some(HolderMessage::ProgressReport(report)),
+            },
+        }
+    }
+
+    /// Returns whether only nodes that announced [`PACE_PROTOCOL`] understand the message.
+    pub fn needs_pace_protocol(&self) -> bool {
+        match self {
+            HolderMessage::AdmissionRequest(request) => request.output_tokens > 0,
+            HolderMessage::ProgressReport(report) => {
+                matches!(report.event, ProgressEvent::Pace { .. })
+            }
+        }
+    }
+}
+
+/// Speed of an engine as its holder knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineModel {
+    /// Id of the engine.
+    pub upstream: Name,
+    /// Start of the engine in milliseconds of Unix time.
+    pub incarnation: u64,
+    /// Time that work takes there outside slow periods, in percent of the usual time.
+    pub base_percent: u32,
+    /// Newest value that the engine reported, in percent of the usual time.
+    pub newest_percent: u32,
+    /// Age of that value.
+    pub age: Duration,
+}
+
 /// Content of one datagram between nodes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Datagram {
@@ -383,4 +443,6 @@
     ConfigRequest(ConfigRequest),
     /// Part of a configuration.
     ConfigPart(ConfigPart),
+    /// Speeds of engines.
+    EngineModels(Vec<EngineModel>),
 }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -14,6 +14,7 @@
 //! | `Progress` | [`ProgressReport`] |
 //! | `Crash`, `Evidence` | [`CrashReport`], [`Datagram::CrashReports`] |
 //! | `Departure`, `Departures` | [`Departure`], [`Datagram::Departures`] |
+//! | `SizedAsk` | [`AdmissionRequest`] with output tokens |
 //!
 //! Some fields and events differ in name as well; the conversions below pair them.
 
@@ -39,6 +40,7 @@
 use crate::message::AdmissionResponse;
 use crate::message::Datagram;
 use crate::message::Departure;
+use crate::message::EngineModel;
 use crate::message::Heartbeat;
 use crate::message::HolderMessage;
 use crate::message::NodeState;
@@ -127,6 +129,10 @@
                 wire::datagram::Body::ConfigRequests(request.into())
             }
             Datagram::ConfigPart(part) => wire::datagram::Body::ConfigParts(part.into()),
+            Datagram::EngineModels(models) => {
+                let models = models.iter().map(wire::EngineModel::from).collect();
+                wire::datagram::Body::EngineModels(wire::EngineModels { models })
+            }
         };
         wire::Datagram { body: Some(body) }
     }
@@ -195,6 +201,9 @@
             Some(wire::datagram::Body::ConfigParts(part)) => {
                 Ok(Datagram::ConfigPart(part.try_into()?))
             }
+            Some(wire::datagram::Body::EngineModels(wire::EngineModels { models })) => {
+                Ok(Datagram::EngineModels(models.into_iter().map(EngineModel::from).collect()))
+            }
             None => Err(WireError::Empty),
         }
     }
@@ -280,6 +289,30 @@
     }
 }
 
+impl From<&EngineModel> for wire::EngineModel {
+    fn from(model: &EngineModel) -> wire::EngineModel {
+        wire::EngineModel {
+            upstream: model.upstream.to_string(),
+            born: model.incarnation,
+            base_percent: model.base_percent,
+            newest_percent: model.newest_percent,
+            age_ms: u32::try_from(model.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<wire::EngineModel> for EngineModel {
+    fn from(model: wire::EngineModel) -> EngineModel {
+        EngineModel {
+            upstream: Name::from(model.upstream),
+            incarnation: model.born,
+            base_percent: model.base_percent,
+            newest_percent: model.newest_percent,
+            age: Duration::from_millis(u64::from(model.age_ms)),
+        }
+    }
+}
+
 impl From<&Departure> for wire::Departure {
     fn from(departure: &Departure) -> wire::Departure {
         wire::Departure { upstream: departure.upstream.to_string(), born: departure.incarnation }
@@ -321,6 +354,12 @@
 impl From<&HolderMessage> for wire::HolderMessage {
     fn from(message: &HolderMessage) -> wire::HolderMessage {
         let body = match message {
+            HolderMessage::AdmissionRequest(request) if request.output_tokens > 0 => {
+                wire::holder_message::Body::SizedAsk(wire::SizedAsk {
+                    ask: Some(request.into()),
+                    output_tokens: request.output_tokens,
+                })
+            }
             HolderMessage::AdmissionRequest(request) => {
                 wire::holder_message::Body::Ask(request.into())
             }
@@ -340,6 +379,11 @@
             Some(wire::holder_message::Body::Ask(ask)) => {
                 Ok(HolderMessage::AdmissionRequest(ask.try_into()?))
             }
+            Some(wire::holder_message::Body::SizedAsk(wire::SizedAsk { ask, output_tokens })) => {
+                let request = AdmissionRequest::try_from(ask.ok_or(WireError::Empty)?)?;
+                let request = AdmissionRequest { output_tokens, ..request };
+                Ok(HolderMessage::AdmissionRequest(request))
+            }
             Some(wire::holder_message::Body::Progress(progress)) => {
                 Ok(HolderMessage::ProgressReport(progress.try_into()?))
             }
@@ -395,6 +439,7 @@
             first_output_deadline: Duration::from_micros(ask.leaves_us),
             deadline: Duration::from_micros(ask.deadline_us),
             prompt_tokens: ask.prompt_tokens,
+            output_tokens: 0,
         })
     }
 }
@@ -440,6 +485,7 @@
             ProgressEvent::Ended(job) => wire::progress::Event::Ended(job.0),
             ProgressEvent::EngineFull(job) => wire::progress::Event::Full(job.0),
             ProgressEvent::LongestPause { permille } => wire::progress::Event::Paused(*permille),
+            ProgressEvent::Pace { percent } => wire::progress::Event::Pace(*percent),
             ProgressEvent::Running { job, adapter, time_left } => {
                 wire::progress::Event::Running(wire::Running {
                     job: job.0,
@@ -461,6 +507,7 @@
             wire::progress::Event::Ended(job) => ProgressEvent::Ended(JobId(job)),
             wire::progress::Event::Full(job) => ProgressEvent::EngineFull(JobId(job)),
             wire::progress::Event::Paused(permille) => ProgressEvent::LongestPause { permille },
+            wire::progress::Event::Pace(percent) => ProgressEvent::Pace { percent },
             wire::progress::Event::Running(wire::Running { job, adapter, left_us }) => {
                 ProgressEvent::Running {
                     job: JobId(job),
