Let a reader's watch begin at once after an empty reply

Cause: with a wait of 200 ms a reader saw a change of a quiet store only at its next call; an engine that had restarted got a request before its new start was known (serving::adapters_are_loaded_again_after_an_engine_restart failed in 6 of 6 runs). Change: after a reply without changes the next watch begins at once and waits for the watch interval.

--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -60,8 +60,8 @@
 const CONFIRMING_WAIT_SHARE: f64 = 0.5;
 /// Time beyond the watch interval for which a node waits for a feed.
 const FEED_MARGIN: Duration = Duration::from_millis(400);
-/// Wait of a reader's watch. It follows the watch interval since the last feed, so that both end
-/// before the other nodes stop waiting for a feed, also while nothing changes.
+/// Wait of a reader's watch that follows the watch interval since the last feed, so that both end
+/// before the other nodes stop waiting for a feed.
 const READER_WATCH_WAIT: Duration = Duration::from_millis(200);
 /// If a wait for a feed lasts longer than its timeout by this time, the process was suspended, and
 /// the feeds in the queue are outdated.
@@ -182,6 +182,7 @@
         let mut unsent = Unsent::after(position);
         let mut sent = clock::now();
         let mut last_complete = sent;
+        let mut last_reply_empty = false;
         loop {
             if !progress.is_behind() {
                 let known = self.apply_feeds(position).await;
@@ -198,13 +199,14 @@
             let Position { era, revision: after } = position;
             let wait = match progress.is_behind() {
                 true => CATCH_UP_WAIT,
-                false => self.watch_wait(),
+                false => self.watch_wait(last_reply_empty),
             };
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
             match self.store.call_in(era, &call).await {
                 Ok(StoreReply::Items { items, revision, .. }) => {
                     self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
+                    last_reply_empty = items.is_empty();
                     let is_complete = progress.record_reply(items.len());
                     let view = if is_complete { View::Complete } else { View::Partial };
                     unsent.items.extend(self.apply_changes(&items, era, view).await);
@@ -219,7 +221,11 @@
                         let Unsent { after, items } =
                             std::mem::replace(&mut unsent, Unsent::after(position));
                         self.forward_changes(after, position.revision, items);
-                        sleep(self.watch_interval().saturating_sub(clock::now().since(sent))).await;
+                        // Without changes, the wait of the watch limits the rate of calls.
+                        if !last_reply_empty {
+                            let elapsed = clock::now().since(sent);
+                            sleep(self.watch_interval().saturating_sub(elapsed)).await;
+                        }
                     }
                 }
                 Ok(StoreReply::Compacted) => {
@@ -243,9 +249,11 @@
         }
     }
 
-    /// Returns the time for which the store may hold a watch.
-    fn watch_wait(&self) -> Duration {
+    /// Returns the time for which the store may hold a watch. A reader's watch begins at once after an
+    /// empty reply, and otherwise at the end of the watch interval.
+    fn watch_wait(&self, last_reply_empty: bool) -> Duration {
         match self.shared.is_reader(clock::now()) {
+            true if last_reply_empty => self.watch_interval(),
             true => READER_WATCH_WAIT,
             false => self.max_watch_wait(),
         }
