Test the terms, buckets and stocks of quotas with extreme values

Cause: a quota with a rate near 0 would have caused a panic in the random addition to Retry-After, and the slack, which is in tokens, was applied to quotas in requests.

--- a/crates/fireflyhead-gateway/src/forward/local_responses.rs
+++ b/crates/fireflyhead-gateway/src/forward/local_responses.rs
@@ -16,6 +16,9 @@
 /// What is left of the quota, and when it is available again.
 const RATE_LIMIT: header::HeaderName = header::HeaderName::from_static("ratelimit");
 
+/// Longest window of a policy in seconds, for quotas with tiny rates.
+const MAX_POLICY_WINDOW_S: f64 = 1e9;
+
 /// Returns a response with `status` and an empty body.
 pub(super) fn empty_response(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(body::full(""));
@@ -43,7 +46,7 @@
     let rounded_up = format!("{:.2}", (seconds * 100.0).ceil() / 100.0);
     set_header(&mut response, header::RETRY_AFTER, &rounded_up);
     // The burst is available again after a window of this length without requests.
-    let window = (quota.burst / quota.rate).ceil().max(1.0);
+    let window = (quota.burst / quota.rate).ceil().clamp(1.0, MAX_POLICY_WINDOW_S);
     let policy = format!("\"account\";q={:.0};w={window:.0}", quota.burst);
     set_header(&mut response, RATE_LIMIT_POLICY, &policy);
     set_header(&mut response, RATE_LIMIT, &format!("\"account\";r=0;t={:.0}", seconds.ceil()));
--- a/crates/fireflyhead-gateway/src/quota.rs
+++ b/crates/fireflyhead-gateway/src/quota.rs
@@ -55,6 +55,8 @@
 /// Number of accounts with metrics of their own. The others are counted together, which bounds the
 /// number of time series.
 const MAX_LABELED_ACCOUNTS: usize = 50;
+/// Longest `Retry-After`, for quotas with tiny rates.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3_600);
 /// Largest random addition to `Retry-After`, as a fraction, so that clients don't return at once.
 const RETRY_SPREAD: f64 = 0.5;
 
@@ -230,7 +232,9 @@
 
 /// Returns the refusal for a denial, with a random addition to the time after which to retry.
 fn refusal(denial: QuotaDenial, quota: &Quota) -> QuotaRefusal {
-    let spread = |time: Duration| time.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>());
+    let spread = |time: Duration| {
+        time.min(MAX_RETRY_AFTER).mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>())
+    };
     match denial {
         QuotaDenial::Exceeded { retry_after } => {
             QuotaRefusal::Exceeded { retry_after: spread(retry_after), quota: *quota }
--- a/crates/fireflyhead-policy/src/quota.rs
+++ b/crates/fireflyhead-policy/src/quota.rs
@@ -25,6 +25,7 @@
 
 use crate::Name;
 use crate::accounts::Quota;
+use crate::accounts::QuotaUnit;
 use crate::rendezvous;
 
 /// Number of quota slots. A lost owner takes at most this fraction of an account's quota with it.
@@ -47,7 +48,7 @@
     pub window: Duration,
     /// Permitted excess in a window, as a fraction of the quota.
     pub overage: f64,
-    /// Permitted excess in a window in addition, in tokens.
+    /// Permitted excess in a window in addition, in tokens. Quotas in requests don't have it.
     pub slack: f64,
 }
 
@@ -81,7 +82,12 @@
     }
 
     fn excess(&self, quota: &Quota) -> f64 {
-        self.overage * self.nominal(quota) + self.slack
+        // The slack is in tokens, and says nothing about quotas in requests.
+        let slack = match quota.unit {
+            QuotaUnit::Tokens { .. } => self.slack,
+            QuotaUnit::Requests => 0.0,
+        };
+        self.overage * self.nominal(quota) + slack
     }
 }
 
--- a/crates/fireflyhead-policy/tests/policy/main.rs
+++ b/crates/fireflyhead-policy/tests/policy/main.rs
@@ -1,8 +1,8 @@
 //! Integration tests of the policy crate, run in virtual time.
 //!
 //! A module has the name of the module of the crate that it tests, except `custody`, which tests
-//! `ownership`, `loads` and `replay`, which test `dispatch` under load patterns, and `quota_loads`
-//! and `quota_slots`, which test `quota`. `setup` holds shared fixtures, and `quota_sim` simulates
+//! `ownership`, `loads` and `replay`, which test `dispatch` under load patterns, and `quota_loads`,
+//! `quota_slots` and `quota_terms`, which test `quota`. `setup` holds shared fixtures, and `quota_sim` simulates
 //! nodes with quotas.
 
 mod admission;
@@ -22,6 +22,7 @@
 mod quota_loads;
 mod quota_sim;
 mod quota_slots;
+mod quota_terms;
 mod readers;
 mod replay;
 mod residency;
