Lower quotas in the schedules, and check the lower bound once all nodes know it

Cause: the schedules changed only which accounts exist. Change: in a fifth of them all quotas are lowered to 0.4 within a flood.

--- a/crates/fireflyhead-policy/tests/policy/quota.rs
+++ b/crates/fireflyhead-policy/tests/policy/quota.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
 use fireflyhead_policy::accounts::Quota;
 use fireflyhead_policy::accounts::QuotaUnit;
 use fireflyhead_policy::quota::QuotaSettings;
@@ -18,6 +19,12 @@
 const THREADS: u64 = 3;
 /// Tokens that a flood asks for, as a multiple of what the quota permits.
 const FLOOD: f64 = 1.6;
+/// Time within which all nodes learn of a new configuration.
+const SPREAD: Duration = Duration::from_millis(300);
+/// Longest lifetime of a grant.
+const MAX_LIFETIME: Duration = Duration::from_millis(500);
+/// Simulated time at the begin of a schedule.
+const START: Time = Time::from_millis(1_000);
 /// Time before a flood in which requests that don't run take tokens.
 const HOARD_MS: u64 = 1_000;
 
@@ -26,20 +33,57 @@
     Quota::new(unit, rate, burst).expect("a valid quota").expect("a limit")
 }
 
-/// Largest number of tokens used in a window from `from` on, as a multiple of the bound.
-fn worst_window(sim: &Sim, account: usize, bound: f64) -> f64 {
+/// Lowered quotas of a schedule.
+#[derive(Clone, Copy)]
+struct Lowering {
+    /// Time at which the configuration changes, since the begin of the schedule.
+    at: Duration,
+    /// Rates and bursts as a fraction of the former ones.
+    factor: f64,
+}
+
+impl Lowering {
+    /// Returns the lowered quota.
+    fn apply(self, old: &Quota) -> Quota {
+        quota(old.rate * self.factor, old.burst * self.factor)
+    }
+}
+
+/// Returns the bound for a window from `begin` to `end`, since the begin of the schedule.
+fn bound(
+    settings: &QuotaSettings,
+    quota: &Quota,
+    lowering: Option<Lowering>,
+    (begin, end): (Duration, Duration),
+) -> f64 {
+    let old = settings.bound(quota);
+    let Some(lowering) = lowering else { return old };
+    let new = lowering.apply(quota);
+    if end < lowering.at {
+        old
+    } else if begin >= lowering.at + SPREAD + MAX_LIFETIME {
+        settings.bound(&new)
+    } else {
+        // Until all nodes know it, both rates may be granted at different slots.
+        old + new.rate * SPREAD.as_secs_f64()
+    }
+}
+
+/// Returns the largest use in a window, as a multiple of the bound.
+fn worst_window(sim: &Sim, account: usize, quota: &Quota, lowering: Option<Lowering>) -> f64 {
     let window = sim.settings.window;
     let used: Vec<_> = sim.used.iter().filter(|(_, used, _)| *used == account).collect();
-    let (mut first, mut sum, mut worst) = (0, 0, 0);
+    let (mut first, mut sum, mut worst) = (0, 0, 0.0_f64);
     for (at, _, tokens) in &used {
         sum += tokens;
         while at.since(used[first].0) > window {
             sum -= used[first].2;
             first += 1;
         }
-        worst = worst.max(sum);
+        let span = (used[first].0.since(START), at.since(START));
+        worst = worst.max(sum as f64 / bound(&sim.settings, quota, lowering, span));
     }
-    worst as f64 / bound
+    worst
 }
 
 /// Returns a random fault.
@@ -59,11 +103,22 @@
             // An account leaves the configuration.
             let left = sim.rng.random_range(0..accounts.len());
             let rest = accounts.iter().enumerate().filter(|(at, _)| *at != left);
-            Fault::Accounts(rest.map(|(_, account)| account.clone()).collect(), ms(sim, 300))
+            Fault::Accounts(rest.map(|(_, account)| account.clone()).collect(), SPREAD)
         }
     }
 }
 
+/// Returns a random fault that doesn't keep a node from the configuration.
+fn random_fault_in_contact(sim: &mut Sim, nodes: usize) -> Fault {
+    let node = sim.rng.random_range(0..nodes);
+    let pause = Duration::from_millis(sim.rng.random_range(1..3_000));
+    match sim.rng.random_range(0..3) {
+        0 => Fault::Restart(node, pause),
+        1 => Fault::CutFromStore(node, pause * 8),
+        _ => Fault::CutLink(node, sim.rng.random_range(0..nodes), pause),
+    }
+}
+
 /// Runs a random schedule. Returns the largest use in a window, as a multiple of the bound, and the
 /// number of admitted requests.
 fn run_schedule(seed: u64) -> (f64, u64) {
@@ -87,16 +142,28 @@
     let end = 24_000;
     let copied_at = Duration::from_millis(sim.rng.random_range(1..end));
     sim.fault(copied_at, Fault::Copy);
+    let lowering = seed.is_multiple_of(5).then(|| Lowering {
+        at: Duration::from_millis(sim.rng.random_range(8_000..end)),
+        factor: 0.4,
+    });
+    if let Some(lowering) = lowering {
+        let lowered = accounts.iter().map(|(name, quota)| (name.clone(), lowering.apply(quota)));
+        sim.fault(lowering.at, Fault::Accounts(lowered.collect(), SPREAD));
+        let at = lowering.at.as_millis() as u64 + sim.rng.random_range(0..window);
+        last = last.max(add_flood(&mut sim, at, nodes, &accounts));
+    }
     for _ in 0..sim.rng.random_range(1..4) {
         // The owners have their slots, and the buckets are full.
         let at = sim.rng.random_range(8_000..end);
         for _ in 0..sim.rng.random_range(1..4) {
-            let fault = random_fault(&mut sim, nodes, &accounts);
+            let fault = match lowering {
+                Some(_) => random_fault_in_contact(&mut sim, nodes),
+                None => random_fault(&mut sim, nodes, &accounts),
+            };
             let fault_at = Duration::from_millis(at + sim.rng.random_range(0..500));
             if let Fault::Accounts(..) = fault {
-                let spread = Duration::from_millis(300);
                 let back_at = fault_at + Duration::from_millis(sim.rng.random_range(1..2_000));
-                sim.fault(back_at, Fault::Accounts(accounts.to_vec(), spread));
+                sim.fault(back_at, Fault::Accounts(accounts.to_vec(), SPREAD));
             }
             sim.fault(fault_at, fault);
         }
@@ -108,7 +175,7 @@
     let worst = accounts
         .iter()
         .enumerate()
-        .map(|(at, (_, quota))| worst_window(&sim, at, sim.settings.bound(quota)))
+        .map(|(at, (_, quota))| worst_window(&sim, at, quota, lowering))
         .fold(0.0, f64::max);
     (worst, sim.counts.iter().map(|counts| counts.admitted).sum())
 }
@@ -145,7 +212,7 @@
 
 /// Guards against more tokens in a window than the page permits, while messages are lost, delayed
 /// and duplicated, nodes restart, freeze and are cut off, slots change their owner, the store is
-/// restored and accounts leave and return.
+/// restored, accounts leave and return and quotas are lowered.
 #[test]
 fn no_schedule_exceeds_the_bound() {
     let results: Vec<(u64, f64, u64)> = thread::scope(|scope| {
