Let the last owner claim a slot first whose key was removed early

Cause: if a key is removed before its lease ends, another node could claim the slot while the owner still grants, until its view shows the removal. Change: others wait 3 s longer while the last owner sends heartbeats, and the last owner claims at once.

--- a/crates/fireflyhead-policy/src/quota/slots.rs
+++ b/crates/fireflyhead-policy/src/quota/slots.rs
@@ -30,6 +30,11 @@
 /// knows the nodes before it in rendezvous order.
 const START_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Time by which a node waits longer to claim a slot whose last owner still runs: its key may have been
+/// removed before its lease ended, and it grants until its view shows that. A view is at most a watch
+/// interval and the wait for a feed behind, 2.8 s.
+const LIVE_OWNER_DELAY: Duration = Duration::from_secs(3);
+
 /// Value of the key of a slot.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SlotRecord {
@@ -110,6 +115,8 @@
     /// quota.
     claims_from: Option<Time>,
     slots: [SlotView; SLOT_COUNT],
+    /// Node that owned the slot last, for the slots without a key.
+    last_owners: [Option<Name>; SLOT_COUNT],
     /// Revision at which this process wrote its record, for the slots that it owns.
     owned: [Option<u64>; SLOT_COUNT],
     lease: Option<Lease>,
@@ -123,6 +130,7 @@
             era_since: None,
             claims_from: None,
             slots: [const { SlotView::Absent(Time::from_micros(0)) }; SLOT_COUNT],
+            last_owners: [const { None }; SLOT_COUNT],
             owned: [None; SLOT_COUNT],
             lease: None,
         }
@@ -178,7 +186,8 @@
         let view = &mut self.slots[slot.index()];
         let Some(value) = value else {
             *owned = None;
-            if let SlotView::Present { .. } = view {
+            if let SlotView::Present { record, .. } = view {
+                self.last_owners[slot.index()] = record.take().map(|record| record.node);
                 *view = SlotView::Absent(now);
             }
             return;
@@ -277,7 +286,7 @@
             };
             let from = match self.is_own_earlier_process(slot) {
                 true => since,
-                false => since.max(claims_from) + CLAIM_STEP * self.rank(slot, candidates),
+                false => since.max(claims_from) + self.claim_delay(slot, candidates),
             };
             let is_due = now >= from;
             is_due.then(|| SlotClaim { slot, record: self.own.clone(), expected_revision })
@@ -310,6 +319,18 @@
         self.owner(slot).is_some_and(|record| record.node == self.own.node)
     }
 
+    /// Returns how long this node waits to claim `slot` after nobody owns it.
+    fn claim_delay(&self, slot: Slot, candidates: &[SlotCandidate]) -> Duration {
+        let by_rank = CLAIM_STEP * self.rank(slot, candidates);
+        match &self.last_owners[slot.index()] {
+            Some(last) if *last == self.own.node => Duration::ZERO,
+            Some(last) if candidates.iter().any(|candidate| candidate.node == *last) => {
+                LIVE_OWNER_DELAY + by_rank
+            }
+            Some(_) | None => by_rank,
+        }
+    }
+
     /// Returns the number of nodes that claim `slot` before this one.
     fn rank(&self, slot: Slot, candidates: &[SlotCandidate]) -> u32 {
         let subject = format!("quota/{slot}");
--- a/crates/fireflyhead-policy/tests/policy/quota_sim.rs
+++ b/crates/fireflyhead-policy/tests/policy/quota_sim.rs
@@ -62,6 +62,8 @@
     CutLink(usize, usize, Duration),
     /// The store is restored from the copy of the begin of the schedule or the last copy.
     Restore,
+    /// The keys of the slots are removed, although their leases have not ended.
+    RemoveKeys,
     /// The store is copied.
     Copy,
     /// The accounts change; each node learns of it after at most this time.
@@ -676,6 +678,16 @@
             Fault::Freeze(node, time) => self.nodes[node].frozen_until = self.now + time,
             Fault::CutFromStore(node, time) => self.nodes[node].cut_until = self.now + time,
             Fault::CutLink(a, b, time) => self.cuts.push((a, b, self.now + time)),
+            Fault::RemoveKeys => {
+                let mut changes = Vec::new();
+                for slot in Slot::all() {
+                    if self.store.keys[slot.index()].take().is_some() {
+                        self.store.revision += 1;
+                        changes.push((slot, None, self.store.revision, 0));
+                    }
+                }
+                self.publish(changes);
+            }
             Fault::Copy => self.copy = self.store.clone(),
             Fault::Restore => {
                 let era = self.store.era + 1;
--- a/crates/fireflyhead-policy/tests/policy/quota_slots.rs
+++ b/crates/fireflyhead-policy/tests/policy/quota_slots.rs
@@ -110,6 +110,27 @@
     assert_eq!(first_claim("node-3"), Some(4_000));
 }
 
+/// Guards against a second owner while the first one doesn't know yet that its key was removed before
+/// its lease ended: the first one may claim the slot again before others.
+#[test]
+fn a_removed_key_is_claimed_by_its_last_owner_first() {
+    let nodes = candidates(&[("node-1", true), ("node-2", true)]);
+    let without_owner = candidates(&[("node-2", true)]);
+    let is_claimed = |slots: &QuotaSlots, at: u64, nodes: &[SlotCandidate]| {
+        slots.claims(ms(at), nodes).iter().any(|claim| claim.slot == slot())
+    };
+    let mut owner = owner();
+    owner.apply(ms(5_000), slot(), None, 11, 0);
+    assert!(!owner.may_grant(ms(5_000), slot()));
+    assert!(is_claimed(&owner, 5_000, &nodes));
+    let mut other = slots("node-2");
+    other.apply(ms(2_000), slot(), Some(&record("node-1", 7, Era::FIRST)), 9, 5);
+    other.apply(ms(5_000), slot(), None, 11, 0);
+    assert!(!is_claimed(&other, 7_999, &nodes));
+    assert!(is_claimed(&other, 9_500, &nodes));
+    assert!(is_claimed(&other, 5_000, &without_owner), "the owner was killed");
+}
+
 /// Guards against a restarted node that waits for the end of its own lease, and against one that
 /// takes the slot of another node.
 #[test]
