Take no token for a request of a route without a rate

The bucket fell without bound, so that a route that got a rate later admitted nothing for as long as it had had requests: 0 of the next 1,000 requests in the new test, 200 now.

--- a/crates/fireflyhead-policy/src/limits.rs
+++ b/crates/fireflyhead-policy/src/limits.rs
@@ -62,7 +62,9 @@
         if max_in_flight.is_some_and(|max| usage.in_flight >= max) {
             return Err(Duration::from_millis(500));
         }
-        usage.tokens -= 1.0;
+        if rate.is_some() {
+            usage.tokens -= 1.0;
+        }
         usage.in_flight += 1;
         Ok(())
     }
--- a/crates/fireflyhead-policy/tests/policy/limits.rs
+++ b/crates/fireflyhead-policy/tests/policy/limits.rs
@@ -26,6 +26,22 @@
     }
 }
 
+/// Guards against a route that admits nothing for a long time once it gets a rate, because it took tokens
+/// while it had none.
+#[test]
+fn requests_without_a_rate_take_no_tokens() {
+    let route = Name::from("drafts");
+    let mut limits = RouteLimits::default();
+    for now in 0..60_000 {
+        assert!(limits.try_acquire(ms(now), &route, &RoutePolicy::default(), 1).is_ok());
+    }
+    let policy = RoutePolicy { rate: Some(100.0), ..RoutePolicy::default() };
+    let admitted = (60_000..61_000)
+        .filter(|now| limits.try_acquire(ms(*now), &route, &policy, 1).is_ok())
+        .count();
+    assert!(admitted.abs_diff(200) <= 1, "{admitted} admitted");
+}
+
 /// Guards against an in-flight limit that is exceeded, and against a route that stays blocked
 /// because a finished request still counts.
 #[test]
