Wait like a successor before orders to an engine whose record was removed

A removal that is executed late, when the engine is listed again, let another node claim the engine at once and send orders within 0.9 s of those of the holder: the node had seen the engine without a record long before. The time is reset with each record, and the claim names the former holder, so that the takeover wait applies. The new test failed before.

--- a/crates/fireflyhead-policy/src/ownership.rs
+++ b/crates/fireflyhead-policy/src/ownership.rs
@@ -41,6 +41,9 @@
 /// Time from the start of an era to the first claims of engines that a node didn't own before. The
 /// nodes that own them learn of the era, and write their records again, in that time.
 const RECLAIM_WAIT: Duration = Duration::from_millis(3_000);
+/// Number of remembered former holders of engines whose records were removed. A deployment has some
+/// hundred engines.
+const MAX_FORMER_HOLDERS: usize = 4_096;
 /// Previous holder in an encoded record that has none.
 const NO_HOLDER: &str = "-";
 /// Time before the end of the lease at which the holder stops, because timers can fire late.
@@ -146,6 +149,9 @@
     owned: HashMap<Name, OwnedEngine>,
     /// Time at which an engine without a record was first seen.
     unclaimed_since: HashMap<Name, Time>,
+    /// Other nodes that were the holders of engines whose records were removed. They may send orders
+    /// until they learn of it.
+    former_holders: HashMap<Name, Name>,
     /// Time at which the last successful grant or renewal of the own lease was sent.
     lease_sent: Option<Time>,
     /// Time at which the view of the store, that is `members` and `records`, was last complete.
@@ -165,6 +171,7 @@
             member_changed_at: HashMap::new(),
             owned: HashMap::new(),
             unclaimed_since: HashMap::new(),
+            former_holders: HashMap::new(),
             lease_sent: None,
             view_complete_at: None,
         }
@@ -187,6 +194,7 @@
         self.era_began = Some(now);
         self.records.clear();
         self.unclaimed_since.clear();
+        self.former_holders.clear();
         self.lease_sent = None;
         self.view_complete_at = None;
     }
@@ -203,8 +211,10 @@
         if self.records.get(upstream).is_some_and(|record| record.revision > revision) {
             return;
         }
+        self.unclaimed_since.remove(upstream);
         match record {
             Some(record) => {
+                self.former_holders.remove(upstream);
                 let reclaims = self.owned.get(upstream).is_some_and(|owned| owned.era < self.era);
                 let from_copy = record.era < self.era;
                 if record.holder != self.own_node && !(reclaims && from_copy) {
@@ -213,7 +223,14 @@
                 self.records.insert(upstream.clone(), StoredRecord { value: record, revision });
             }
             None => {
-                self.records.remove(upstream);
+                let removed = self.records.remove(upstream).map(|record| record.value.holder);
+                if let Some(holder) = removed.filter(|holder| *holder != self.own_node) {
+                    if self.former_holders.len() >= MAX_FORMER_HOLDERS {
+                        // Engines that are not listed for long; those that are claimed are removed.
+                        self.former_holders.clear();
+                    }
+                    self.former_holders.insert(upstream.clone(), holder);
+                }
                 self.owned.remove(upstream);
             }
         }
@@ -303,6 +320,7 @@
             (None, None) => self.era_began.map_or(now, |began| now.max(began + wait)),
         };
         self.unclaimed_since.remove(&claim.upstream);
+        self.former_holders.remove(&claim.upstream);
         let record = StoredRecord { value: claim.record.clone(), revision };
         self.records.insert(claim.upstream.clone(), record);
         let fencing_token = self.era.fencing_token(revision);
@@ -369,7 +387,8 @@
             (None, _) => {
                 let rank = self.rendezvous_rank(engine.as_str(), None);
                 let since = *self.unclaimed_since.entry(engine.clone()).or_insert(now);
-                (now.since(since) >= UNCLAIMED_WAIT + RANK_DELAY * rank).then(|| claim(0, None))
+                let former = self.former_holders.get(engine).cloned();
+                (now.since(since) >= UNCLAIMED_WAIT + RANK_DELAY * rank).then(|| claim(0, former))
             }
         }
     }
--- a/crates/fireflyhead-policy/tests/policy/custody.rs
+++ b/crates/fireflyhead-policy/tests/policy/custody.rs
@@ -299,3 +299,37 @@
     ownership.record_complete_view(ms(LEASE_TTL_MS));
     assert_eq!(ownership.order_fencing_token(ms(LEASE_TTL_MS + 1), ENGINE), Some(7));
 }
+
+/// Guards against two nodes that send orders to one engine after the removal of its record is executed
+/// late, when the engine is listed again: its holder goes on until it learns of the removal, and the
+/// others have seen the engine without a record long ago, before it was claimed.
+#[test]
+fn a_removed_record_is_claimed_with_the_takeover_wait() {
+    let mut ownership = SimulatedNode::new("node-0").ownership;
+    let engines = [Name::from(ENGINE)];
+    let holder = Name::from("node-1");
+    let refresh = |ownership: &mut Ownership, at: u64| {
+        ownership.record_lease_renewal(ms(at));
+        ownership.record_complete_view(ms(at));
+    };
+    refresh(&mut ownership, 0);
+    ownership.set_member(ms(0), &holder, true);
+    assert!(ownership.due_claims(ms(0), &engines, |_| true).is_empty());
+    let record = OwnershipRecord { holder: holder.clone(), previous: None, era: Era::FIRST };
+    ownership.apply_record(&engines[0], Some(record), 5);
+    refresh(&mut ownership, 60_000);
+    assert!(ownership.due_claims(ms(60_000), &engines, |_| true).is_empty());
+    ownership.apply_record(&engines[0], None, 9);
+    assert!(ownership.due_claims(ms(60_000), &engines, |_| true).is_empty(), "seen before");
+    refresh(&mut ownership, 64_000);
+    let claims = ownership.due_claims(ms(64_000), &engines, |_| true);
+    assert_eq!(claims[0].record.previous, Some(holder));
+    ownership.record_claim(ms(64_000), &claims[0], 10);
+    for at in [65_000, 64_000 + LEASE_TTL_MS + ORDER_TURN_MS] {
+        refresh(&mut ownership, at);
+        assert_eq!(ownership.order_fencing_token(ms(at), ENGINE), None);
+    }
+    let end = 64_250 + LEASE_TTL_MS + ORDER_TURN_MS;
+    refresh(&mut ownership, end);
+    assert_eq!(ownership.order_fencing_token(ms(end), ENGINE), Some(10));
+}
