Make two replays fail reliably with the decisions under pressure off

Change: queued loads are at least a third fewer duplicates and half the rejections, new versions 5% fewer loads.

--- a/crates/fireflyhead-policy/tests/policy/adapters.rs
+++ b/crates/fireflyhead-policy/tests/policy/adapters.rs
@@ -200,8 +200,9 @@
 fn queued_loads_are_not_duplicated() {
     let (before, after, ..) = compare(SIXTY_ENGINES, 400.0, &[]);
     let replicas = |outcome: &Outcome| outcome.loads.get(&LoadCause::Replica).copied().unwrap_or(0);
-    assert!(replicas(&after) < replicas(&before));
-    assert!(after.rejected() < before.rejected());
+    // Runs without pressure differ by a fifth among themselves.
+    assert!(3 * replicas(&after) < 2 * replicas(&before));
+    assert!(2 * after.rejected() < before.rejected());
 }
 
 /// Guards against a new version that is loaded at each engine with the earlier one, and against
@@ -215,6 +216,7 @@
         let count = |cause| outcome.loads.get(&cause).copied().unwrap_or(0);
         count(LoadCause::Version) + count(LoadCause::Replica)
     };
-    assert!(loads(&after) < loads(&before));
+    // Runs without pressure differ by some percent among themselves.
+    assert!(20 * loads(&after) < 19 * loads(&before));
     assert!(after.rejected() <= before.rejected());
 }
