Give requests up at their objective, and place adapters at more engines

Cause: at 1.4 times the load of the uneven replay, requests wait for up to 3.2 s, and those behind them are late too: a late response has a tenth of the value. The three preferred engines of an adapter are fast ones without free slots.

Change, for services that report speeds or with `pressure` only: a request that could not be sent by its objective is rejected, unless it is a stream to be resumed, with a time of 500 ms to 750 ms; the holder denies one on arrival whose predicted wait exceeds 1.5 times that limit (`give_up_us` in `sized_ask`). For services that report speeds: eight preferred engines, and a further replica from three requests per replica.

--- a/crates/fireflyhead-gateway/src/forward/inbound_request.rs
+++ b/crates/fireflyhead-gateway/src/forward/inbound_request.rs
@@ -328,6 +328,7 @@
             output_tokens: self.head.tokens.output,
             tried: attempts.tried.clone(),
             possibly_executed: attempts.possibly_executed > 0,
+            give_up: (since == self.arrived).then_some(self.objective),
         };
         let pending = self.shared.submit(now, job);
         let decision = self.decision(attempts, pending, &mut verdicts, left).await;
--- a/crates/fireflyhead-gateway/tests/gateway/pending.rs
+++ b/crates/fireflyhead-gateway/tests/gateway/pending.rs
@@ -45,6 +45,7 @@
         output_tokens: 0,
         tried: Vec::new(),
         possibly_executed: false,
+        give_up: None,
     }
 }
 
--- a/crates/fireflyhead-policy/benches/dispatch.rs
+++ b/crates/fireflyhead-policy/benches/dispatch.rs
@@ -94,6 +94,7 @@
         output_tokens: 100,
         tried: Vec::new(),
         possibly_executed: false,
+        give_up: None,
     }
 }
 
--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -42,6 +42,10 @@
 const KV_FILL_SHARE: f64 = 0.95;
 /// Weight of the newest request in the moving average of the tokens that a request takes.
 const KV_ALPHA: f64 = 0.05;
+/// Predicted wait, relative to the time until a request is given up, from which it is denied on
+/// arrival. Above 1, because predictions are rough: with 1, the replay of long prompts beside short
+/// ones serves 1% fewer.
+const GIVE_UP_MARGIN: f64 = 1.5;
 /// Time after which a prompt counts as processed although no output was reported: the report may
 /// have been lost. Slow engines process a full prefill window in half of that.
 const PREFILL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -315,7 +319,10 @@
     /// Queues a request, or denies it if its predicted wait is too long or the queue is full.
     fn enqueue(&mut self, now: Time, origin: Origin, job: Job) -> AdmissionDecision {
         let wait = self.predicted_wait(&job);
-        let left = job.first_output_deadline.since(now);
+        let left = match job.give_up {
+            Some(at) => at.since(now).mul_f64(GIVE_UP_MARGIN),
+            None => job.first_output_deadline.since(now),
+        };
         if wait > left || self.queue.len() >= MAX_WAITING_REQUESTS {
             return AdmissionDecision::Denied { retry_after: wait.saturating_sub(left) };
         }
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -33,6 +33,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -79,6 +80,8 @@
 /// Share of the time up to the deadline during which a request waits for a service without
 /// upstreams.
 const NO_UPSTREAM_WAIT_SHARE: f64 = 0.1;
+/// Largest addition to the time that the rejection of a given up request names, as a share of it.
+const GIVE_UP_SPREAD_SHARE: f64 = 0.5;
 /// Weight of the newest sample in the exponential moving average of the service time.
 const SERVICE_TIME_ALPHA: f64 = 0.05;
 /// Mean service time before the first sample, in seconds.
@@ -125,6 +128,10 @@
     pub tried: Vec<Name>,
     /// Whether an upstream may have executed an earlier attempt.
     pub possibly_executed: bool,
+    /// Time at which the request is given up unless it was sent, because its response would be late;
+    /// `None` for a stream that is resumed, which is late but whose caller has its beginning.
+    /// [`Dispatcher::submit`] clears it for services without such a limit.
+    pub give_up: Option<Time>,
 }
 
 impl Job {
@@ -137,6 +144,7 @@
     pub(crate) fn has_waited_too_long(&self, now: Time) -> bool {
         let total = self.first_output_deadline.since(self.arrived);
         now.since(self.arrived) >= total.mul_f64(MAX_WAIT_SHARE)
+            || self.give_up.is_some_and(|at| now >= at)
     }
 
     /// Returns whether the request has waited for so long that its prompt is no longer paced.
@@ -363,7 +371,11 @@
     /// Adds a request. Returns the decision if it is made at once; otherwise
     /// [`Dispatcher::dispatch_waiting`] or [`Dispatcher::handle_admission_response`] returns it
     /// later.
-    pub fn submit(&mut self, now: Time, job: Job) -> Option<DispatchDecision> {
+    pub fn submit(&mut self, now: Time, mut job: Job) -> Option<DispatchDecision> {
+        let limited = job.model.is_some() && self.limits_engine_memory(&job.service);
+        if !limited || job.possibly_executed {
+            job.give_up = None;
+        }
         if self.stopped && !job.possibly_executed {
             return Some(Dispatcher::stopped_rejection());
         }
@@ -748,6 +760,19 @@
         DispatchDecision::Reject { reason, retry_after: wait.clamp(least, most) }
     }
 
+    /// Returns the rejection of a request that would be late. For a service that gives requests up
+    /// early, the time is lengthened by up to half at random, so that the callers don't return
+    /// together.
+    fn give_up(&mut self, job: &Job, reason: RejectReason, wait: Duration) -> DispatchDecision {
+        match job.give_up {
+            Some(_) => {
+                let spread = self.rng.random_range(0.0..GIVE_UP_SPREAD_SHARE);
+                Dispatcher::reject(reason, wait.max(RETRY_AFTER_RANGE.0).mul_f64(1.0 + spread))
+            }
+            None => Dispatcher::reject(reason, wait),
+        }
+    }
+
     /// Returns a rejection if waiting is pointless for a request that can't be sent now.
     fn reject_if_futile(
         &mut self,
@@ -766,11 +791,11 @@
                 (until > job.objective).then(|| self.away_rejection(now, until))
             }
             choice::WaitReason::AdapterAbsent if job.has_waited_too_long(now) => {
-                Some(Dispatcher::reject(RejectReason::AdapterUnavailable, GIVEN_UP_RETRY_AFTER))
+                Some(self.give_up(job, RejectReason::AdapterUnavailable, GIVEN_UP_RETRY_AFTER))
             }
             choice::WaitReason::AdapterAbsent => None,
             choice::WaitReason::AllFull if job.has_waited_too_long(now) => {
-                Some(Dispatcher::reject(RejectReason::Overload, GIVEN_UP_RETRY_AFTER))
+                Some(self.give_up(job, RejectReason::Overload, GIVEN_UP_RETRY_AFTER))
             }
             choice::WaitReason::AllFull => {
                 let wait = self.predicted_wait(now, job);
--- a/crates/fireflyhead-policy/src/dispatch/choice.rs
+++ b/crates/fireflyhead-policy/src/dispatch/choice.rs
@@ -73,6 +73,12 @@
 /// that older versions are excluded by then ([`OLD_VERSION_SHARE`]).
 const EXPECT_VERSION_SHARE: f64 = 0.3;
 
+/// The same for engines that report their speed. Fast engines have no free adapter slots under load;
+/// with 3 engines, the replay at 1.4 times the usual load has 2% less value.
+const PACED_PREFERRED_ENGINES: usize = 8;
+/// Number of requests per replica from which a further one is loaded if engines report their speed:
+/// the best replica may be at a slow engine. 2 needs 15% more loads than 5, and 3 needs 6%.
+const PACED_REQUESTS_PER_REPLICA: u64 = 3;
 /// Extra cost of each further engine in the adapter's order, in ms, if engines report their speed.
 /// The costs then contain expected times, and half of a load's duration makes up for them.
 const PACED_PREFERENCE_STEP_MS: f64 = 100.0;
@@ -255,7 +261,8 @@
         ignore_ejections: bool,
     ) -> Option<Name> {
         let pace = self.service_pace(&job.service);
-        let by_speed = self.engines_by_speed(now, job, key, ignore_ejections, PREFERRED_ENGINES);
+        let by_speed =
+            self.engines_by_speed(now, job, key, ignore_ejections, PACED_PREFERRED_ENGINES);
         let engines = match by_speed {
             Some(engines) => engines,
             None => self.engines_by_name(now, job, key, ignore_ejections),
@@ -312,7 +319,10 @@
             .filter_map(|id| self.upstreams.get(id))
             .map(|upstream| u64::from(upstream.requests_using(now, &key.1)))
             .sum();
-        requests >= replicas.len() as u64 * REQUESTS_PER_REPLICA
+        let upstream = replicas.first().and_then(|id| self.upstreams.get(id));
+        let paced = upstream.is_some_and(|known| self.service_pace(&known.entry.service).is_some());
+        let per_replica = if paced { PACED_REQUESTS_PER_REPLICA } else { REQUESTS_PER_REPLICA };
+        requests >= replicas.len() as u64 * per_replica
     }
 
     /// Returns whether engine `id` can load the newest version of `key` and does not hold it yet.
--- a/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pending_admissions.rs
@@ -148,7 +148,7 @@
         }
         match decision {
             AdmissionDecision::Denied { retry_after } => {
-                Some((id, Dispatcher::reject(RejectReason::Overload, retry_after)))
+                Some((id, self.give_up(&pending.job, RejectReason::Overload, retry_after)))
             }
             AdmissionDecision::Granted if self.may_still_send(now, &pending.job, &name) => {
                 let version = self.expected_version(now, &pending.job);
@@ -250,10 +250,10 @@
             self.pending_admissions.requeue(&name, &mut self.waiting);
         }
         for id in expired {
-            if let Some(pending) = self.pending_admissions.remove(id) {
-                self.report_progress(&pending.upstream, ProgressEvent::Ended(id));
-            }
-            decisions.push((id, Dispatcher::reject(RejectReason::Overload, GIVEN_UP_RETRY_AFTER)));
+            let Some(pending) = self.pending_admissions.remove(id) else { continue };
+            self.report_progress(&pending.upstream, ProgressEvent::Ended(id));
+            let reason = RejectReason::Overload;
+            decisions.push((id, self.give_up(&pending.job, reason, GIVEN_UP_RETRY_AFTER)));
         }
         decisions
     }
--- a/crates/fireflyhead-policy/src/message.rs
+++ b/crates/fireflyhead-policy/src/message.rs
@@ -218,9 +218,18 @@
     /// Largest number of tokens in the output; 0 if the holder doesn't need it or is of an earlier
     /// build.
     pub output_tokens: u32,
+    /// Time from the arrival at which the node gives the request up; `None` if it waits as long as
+    /// its caller, or if the holder is of an earlier build.
+    pub give_up: Option<Duration>,
 }
 
 impl AdmissionRequest {
+    /// Returns whether the request has limits that only nodes understand which announced
+    /// [`PACE_PROTOCOL`].
+    pub fn is_limited(&self) -> bool {
+        self.output_tokens > 0 || self.give_up.is_some()
+    }
+
     /// Creates the admission request for `job` at `upstream`.
     pub fn new(now: Time, upstream: &Name, job: &Job) -> AdmissionRequest {
         AdmissionRequest {
@@ -238,6 +247,7 @@
             deadline: job.deadline.since(job.arrived),
             prompt_tokens: job.prompt_tokens,
             output_tokens: 0,
+            give_up: job.give_up.map(|at| at.since(job.arrived)),
         }
     }
 
@@ -260,6 +270,7 @@
             output_tokens: self.output_tokens,
             tried: Vec::new(),
             possibly_executed: false,
+            give_up: self.give_up.map(|time| arrived + time),
         }
     }
 }
@@ -355,7 +366,7 @@
     pub fn for_earlier_build(self) -> Option<HolderMessage> {
         match self {
             HolderMessage::AdmissionRequest(request) => {
-                let request = AdmissionRequest { output_tokens: 0, ..request };
+                let request = AdmissionRequest { output_tokens: 0, give_up: None, ..request };
                 Some(HolderMessage::AdmissionRequest(request))
             }
             HolderMessage::ProgressReport(report) => match report.event {
@@ -372,7 +383,7 @@
     /// Returns whether only nodes that announced [`PACE_PROTOCOL`] understand the message.
     pub fn needs_pace_protocol(&self) -> bool {
         match self {
-            HolderMessage::AdmissionRequest(request) => request.output_tokens > 0,
+            HolderMessage::AdmissionRequest(request) => request.is_limited(),
             HolderMessage::ProgressReport(report) => {
                 matches!(report.event, ProgressEvent::Pace { .. })
             }
--- a/crates/fireflyhead-policy/src/message/wire.rs
+++ b/crates/fireflyhead-policy/src/message/wire.rs
@@ -243,10 +243,11 @@
 impl From<&HolderMessage> for wire::HolderMessage {
     fn from(message: &HolderMessage) -> wire::HolderMessage {
         let body = match message {
-            HolderMessage::AdmissionRequest(request) if request.output_tokens > 0 => {
+            HolderMessage::AdmissionRequest(request) if request.is_limited() => {
                 wire::holder_message::Body::SizedAsk(wire::SizedAsk {
                     ask: Some(request.into()),
                     output_tokens: request.output_tokens,
+                    give_up_us: request.give_up.map(micros),
                 })
             }
             HolderMessage::AdmissionRequest(request) => {
@@ -268,9 +269,17 @@
             Some(wire::holder_message::Body::Ask(ask)) => {
                 Ok(HolderMessage::AdmissionRequest(ask.try_into()?))
             }
-            Some(wire::holder_message::Body::SizedAsk(wire::SizedAsk { ask, output_tokens })) => {
+            Some(wire::holder_message::Body::SizedAsk(wire::SizedAsk {
+                ask,
+                output_tokens,
+                give_up_us,
+            })) => {
                 let request = AdmissionRequest::try_from(ask.ok_or(WireError::Empty)?)?;
-                let request = AdmissionRequest { output_tokens, ..request };
+                let request = AdmissionRequest {
+                    output_tokens,
+                    give_up: give_up_us.map(Duration::from_micros),
+                    ..request
+                };
                 Ok(HolderMessage::AdmissionRequest(request))
             }
             Some(wire::holder_message::Body::Progress(progress)) => {
@@ -329,6 +338,7 @@
             deadline: Duration::from_micros(ask.deadline_us),
             prompt_tokens: ask.prompt_tokens,
             output_tokens: 0,
+            give_up: None,
         })
     }
 }
--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -90,7 +90,11 @@
     let id = JobId(u64::MAX - 1);
     let job = adapter_job(4, ms(500), "a1", 900);
     let request = AdmissionRequest::new(ms(700), &Name::from("engine-1"), &job);
-    let sized = AdmissionRequest { output_tokens: 170, ..request.clone() };
+    let sized = AdmissionRequest {
+        output_tokens: 170,
+        give_up: Some(Duration::from_millis(800)),
+        ..request.clone()
+    };
     let messages = vec![
         HolderMessage::AdmissionRequest(request),
         HolderMessage::AdmissionRequest(sized),
--- a/crates/fireflyhead-policy/tests/policy/pace.rs
+++ b/crates/fireflyhead-policy/tests/policy/pace.rs
@@ -235,3 +235,29 @@
     node.submit(ms(1), adapter_job(1, ms(1), "a1", 40_000));
     assert_eq!(node.due_adapter_requests(ms(1), &Name::from("node-1")).len(), 1);
 }
+
+/// Guards against a request that waits beyond its objective although its response would be late, and
+/// against a stream to be resumed, or a request of a service without reported speeds, that is given
+/// up as early. The times that rejections name must be spread.
+#[test]
+fn a_request_that_would_be_late_is_given_up() {
+    let decide = |reports: bool, resumed: bool, id: u64| {
+        let mut node = test_node(1, 0);
+        if reports {
+            report(&mut node, ms(0), "engine-0", 100);
+        }
+        let mut job = adapter_job(id, ms(0), "a1", 500);
+        job.give_up = (!resumed).then_some(job.objective);
+        assert_eq!(node.submit(ms(0), job), None);
+        assert_eq!(node.dispatch_waiting(ms(990)), []);
+        node.dispatch_waiting(ms(1_010)).pop().map(|(_, decision)| decision)
+    };
+    assert_eq!(decide(false, false, 1), None);
+    assert_eq!(decide(true, true, 1), None);
+    let Some(DispatchDecision::Reject { reason, retry_after }) = decide(true, false, 1) else {
+        panic!("the request waits");
+    };
+    assert_eq!(reason.code(), "adapter_unavailable");
+    let range = Duration::from_millis(500)..Duration::from_millis(750);
+    assert!(range.contains(&retry_after), "{retry_after:?}");
+}
--- a/crates/fireflyhead-policy/tests/policy/setup.rs
+++ b/crates/fireflyhead-policy/tests/policy/setup.rs
@@ -206,6 +206,7 @@
         output_tokens: 170,
         tried: Vec::new(),
         possibly_executed: false,
+        give_up: None,
     }
 }
 
@@ -227,5 +228,6 @@
         output_tokens: 0,
         tried: Vec::new(),
         possibly_executed: false,
+        give_up: None,
     }
 }
--- a/crates/fireflyhead-policy/tests/policy/uneven.rs
+++ b/crates/fireflyhead-policy/tests/policy/uneven.rs
@@ -326,6 +326,7 @@
                 let time = Time::from_micros(now);
                 let mut job = adapter_job(id, time, adapter.as_str(), prompt_tokens);
                 job.objective = Time::from_micros(now + objective_us);
+                job.give_up = Some(job.objective);
                 job.output_tokens = events * TOKENS_PER_EVENT;
                 self.undecided.insert(id, request);
                 let decision = self.node.submit(time, job);
@@ -536,3 +537,13 @@
     let share = |kind: usize| with.finished[kind] as f64 / with.total[kind] as f64;
     assert!(share(0) >= 0.5 * share(1), "{}", with.figures());
 }
+
+/// Guards against requests that wait for longer than their objective in an overload, so that those
+/// behind them are late too.
+#[test]
+fn an_overload_is_shed_before_requests_are_late() {
+    let scenario = Scenario { requests_per_s: 84.0, ..UNEVEN };
+    let (with, without, fixed) = compare("1.4 times the load", scenario);
+    assert!(with.value() >= 1.15 * without.value(), "{}", with.figures());
+    assert!(with.value() >= 0.95 * fixed.value(), "{}", with.figures());
+}
