Publish the speed of an engine only after the duration of a slow period

Cause: a holder that took over an engine in a slow period told all nodes its slow value as the base factor.

--- a/crates/fireflyhead-policy/src/admission.rs
+++ b/crates/fireflyhead-policy/src/admission.rs
@@ -296,7 +296,7 @@
         let base_percent = (self.pace.base()? * 100.0).round() as u32;
         let (newest, age) = self.pace.newest(now)?;
         let published = Some((base_percent, self.pace.is_slow()));
-        if self.published_pace == published {
+        if self.published_pace == published || !self.pace.is_settled(now) {
             return None;
         }
         self.published_pace = published;
--- a/crates/fireflyhead-policy/src/dispatch/pace.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pace.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
     base: Option<f64>,
+    /// Time of the first value.
+    first_at: Option<Time>,
     /// Newest value, with its time.
     newest: Option<(Time, f64)>,
     /// Values above the base factor since the last one near it.
@@ -54,6 +56,7 @@
     /// Records a value that the upstream reported. Returns whether the base factor changed.
     pub(crate) fn record(&mut self, now: Time, factor: f64) -> bool {
         self.newest = Some((now, factor));
+        self.first_at.get_or_insert(now);
         let Some(base) = self.base else {
             self.base = Some(factor);
             return true;
@@ -95,6 +98,12 @@
         self.newest.map(|(at, factor)| (factor, now.since(at)))
     }
 
+    /// Returns whether values have been seen for longer than a slow period lasts, so that the base
+    /// factor is not one of a slow period.
+    pub(crate) fn is_settled(&self, now: Time) -> bool {
+        self.first_at.is_some_and(|at| now.since(at) >= RAISE_DURATION)
+    }
+
     /// Returns whether the newest value was above the base factor.
     pub(crate) fn is_slow(&self) -> bool {
         let (Some(base), Some((_, newest))) = (self.base, self.newest) else { return false };
