--- a/crates/fireflyhead-policy/tests/policy/messages.rs
+++ b/crates/fireflyhead-policy/tests/policy/messages.rs
@@ -162,6 +162,22 @@
     }
 }
 
+/// Guards against a holder of an earlier build that can't decode a datagram, with all messages in it,
+/// because of a message that only later builds know.
+#[test]
+fn messages_for_earlier_builds_have_no_later_parts() {
+    let later = |message: &HolderMessage| message.needs_pace_protocol();
+    for datagram in sample_datagrams() {
+        let Datagram::HolderMessages { messages, .. } = datagram else { continue };
+        assert_eq!(messages.iter().filter(|message| later(message)).count(), 2);
+        let count = messages.len();
+        let adapted: Vec<HolderMessage> =
+            messages.into_iter().filter_map(HolderMessage::for_earlier_build).collect();
+        assert_eq!(adapted.len(), count - 1, "only the pace is left out");
+        assert!(!adapted.iter().any(later));
+    }
+}
+
 /// Guards against an admission request whose weight is not finite, which would break the order of
 /// the holder's queue.
 #[test]
