Serve large requests of an account at its quota, and wait for restarted owners

Requests were also refused 150 ms after a restart of all nodes although the owners were back soon after.

--- a/crates/fireflyhead-policy/src/quota/borrower.rs
+++ b/crates/fireflyhead-policy/src/quota/borrower.rs
@@ -26,8 +26,11 @@
 use self::account::Resolution;
 use self::account::Waiter;
 
-/// Longest time for which a request waits for tokens.
+/// Longest time for which a request waits for tokens, and once more at most for its own size.
 pub const MAX_WAIT: Duration = Duration::from_millis(150);
+/// Time for which a request waits in addition if no owner has replied. Its caller would return after
+/// [`UNKNOWN_RETRY_AFTER`] all the same, and owners that were restarted are back in that time.
+pub const EXTRA_UNKNOWN_WAIT: Duration = Duration::from_millis(350);
 /// Shortest interval of datagrams to one owner.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Time without a reply after which another owner is asked: a round trip between zones with a
@@ -186,10 +189,12 @@
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
+        let max_wait = state.max_wait(now, cost);
         state.waiters.push_back(Waiter {
             ticket,
             cost,
-            deadline: now + MAX_WAIT,
+            deadline: now + max_wait,
+            max_wait,
             asked: [false; SLOT_COUNT],
         });
         self.active.insert(account.clone());
--- a/crates/fireflyhead-policy/src/quota/borrower/account.rs
+++ b/crates/fireflyhead-policy/src/quota/borrower/account.rs
@@ -14,6 +14,7 @@
 use crate::quota::SLOT_COUNT;
 use crate::quota::Slot;
 
+use super::EXTRA_UNKNOWN_WAIT;
 use super::MAX_WAIT;
 use super::OwnerView;
 use super::QuotaDenial;
@@ -30,6 +31,10 @@
 const USE_TIME_CONSTANT_S: f64 = 1.0;
 /// Time for which no tokens are asked for ahead after an owner granted none.
 const AHEAD_PAUSE: Duration = Duration::from_millis(200);
+/// Time in which the node uses the tokens of all waiting requests of an account at its quota; further
+/// requests are rejected whatever their size. If the queue were limited by the wait of each request
+/// alone, small requests would fill it, and large ones would time out as the first ones in it.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(75);
 /// Time for which a refusal of an owner tells the level of its bucket.
 const REFUSAL_TTL: Duration = Duration::from_millis(500);
 /// Largest number of waiting requests of an account in one datagram, which bounds its size.
@@ -59,6 +64,8 @@
     pub(super) ticket: Ticket,
     pub(super) cost: u64,
     pub(super) deadline: Time,
+    /// Time from the arrival to the deadline.
+    pub(super) max_wait: Duration,
     /// Slots that were asked and haven't replied yet, by their index.
     pub(super) asked: [bool; SLOT_COUNT],
 }
@@ -203,11 +210,13 @@
     /// Ends the waits that took too long.
     pub(super) fn end_waits(&mut self, now: Time, resolved: &mut Vec<Resolution>) {
         while let Some(waiter) = self.waiters.front().copied() {
-            if now < waiter.deadline {
+            let has_reply =
+                self.replied_at.is_some_and(|at| at + waiter.max_wait >= waiter.deadline);
+            let extra = if has_reply { Duration::ZERO } else { EXTRA_UNKNOWN_WAIT };
+            if now < waiter.deadline + extra {
                 return;
             }
             self.waiters.pop_front();
-            let has_reply = self.replied_at.is_some_and(|at| at + MAX_WAIT >= waiter.deadline);
             let denial = match has_reply {
                 true => QuotaDenial::Exceeded { retry_after: self.retry_after(now, waiter.cost) },
                 false => QuotaDenial::Unknown,
@@ -254,10 +263,19 @@
             fits |= refusal.available_at(cost as f64, rate) <= now + MAX_WAIT;
         }
         let waiting: u64 = self.waiters.iter().map(|waiter| waiter.cost).sum();
-        let has_time = fits && (waiting + cost) as f64 <= gained;
+        let queue_limit = self.current_use_rate(now) * MAX_QUEUE_TIME.as_secs_f64();
+        let has_room = self.waiters.is_empty() || waiting as f64 <= queue_limit;
+        let has_time = fits && has_room && (waiting + cost) as f64 <= gained;
         (is_known && !has_time).then(|| self.retry_after(now, cost))
     }
 
+    /// Returns the longest time for which a request of `cost` waits: a large one may need much of it
+    /// once it is the first of those that wait here.
+    pub(super) fn max_wait(&self, now: Time, cost: u64) -> Duration {
+        let own_time = cost as f64 / self.current_use_rate(now).max(1.0);
+        MAX_WAIT + Duration::try_from_secs_f64(own_time).unwrap_or(MAX_WAIT).min(MAX_WAIT)
+    }
+
     /// Adds what the account needs to the `demands` at each slot.
     pub(super) fn add_demands(
         &mut self,
