--- a/crates/fireflyhead-gateway/src/config_exchange.rs
+++ b/crates/fireflyhead-gateway/src/config_exchange.rs
@@ -75,7 +75,10 @@
             source = source.map(Name::as_str)
         );
         accounts.into_iter().for_each(log_unusable_accounts);
-        shared.config_exchange.policy().set_own(version, era, item);
+        match shared.protocol.shareable_item(item.clone()) {
+            Some(item) => shared.config_exchange.policy().set_own(version, era, &item),
+            None => tracing::warn!(event = "config_not_shared", version),
+        }
         shared.config_exchange.wake.notify_one();
     }
 }
--- a/crates/fireflyhead-gateway/src/config_state.rs
+++ b/crates/fireflyhead-gateway/src/config_state.rs
@@ -18,8 +18,9 @@
 
     /// Records that `version` of the configuration exists, as another node says.
     pub fn note_config_version(&self, version: u64) {
+        let own = self.config().map_or(0, |config| config.version);
         let mut view = self.config_view.lock().unwrap_or_else(PoisonError::into_inner);
-        view.note_version(clock::now(), version);
+        view.note_version(clock::now(), version, own);
     }
 
     /// Returns the newest version of the configuration that this node knows to exist; 0 if it was
--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -407,7 +407,7 @@
         let newest =
             |adapter: Option<&Name>| dispatcher.newest_version(&model, adapter.unwrap_or(&base));
         engine.residency.update_loads_elsewhere(now, |adapter| {
-            dispatcher.is_loading_elsewhere(&entry.id, &model, adapter)
+            dispatcher.is_loading_elsewhere(now, &entry.id, &model, adapter)
         });
         let call = engine.residency.next_call(now, newest, permission);
         drop(dispatcher);
--- a/crates/fireflyhead-gateway/src/heartbeats.rs
+++ b/crates/fireflyhead-gateway/src/heartbeats.rs
@@ -8,7 +8,7 @@
 //!   often to other zones, because traffic between zones is charged; at once when the placement of
 //!   adapters changes,
 //! - from a node that serves to any other one: often enough to notice its loss,
-//! - between other nodes: seldom, and mostly without loads and placements,
+//! - between other nodes: seldom, and mostly without placements,
 //! - to all nodes at once when a node begins or stops to serve or to accept callers.
 //!
 //! The intervals grow with the number of nodes, which bounds the number of datagrams that a node
@@ -62,9 +62,8 @@
 /// Interval per such node, which limits a node to 34 datagrams per second while the interval is
 /// below the longest one.
 const IDLE_INTERVAL_PER_NODE: Duration = Duration::from_millis(30);
-/// Interval, per such node, at which these heartbeats carry loads and placements. The others only tell
-/// that the node lives: with the content of all engines in each, they were half of the bytes between
-/// 63 nodes, and most of them between 300.
+/// Interval, per such node, at which these heartbeats carry placements: with those of all engines in
+/// each, they were half of the bytes between 63 nodes, and most of them between 300.
 const IDLE_CONTENT_INTERVAL_PER_NODE: Duration = Duration::from_millis(200);
 /// Time for which a node that stopped to serve callers still sends heartbeats like one that serves,
 /// in case the one that tells it was lost.
@@ -155,10 +154,7 @@
                 if full {
                     idle_content_due = now + idle_content_interval(idle.len());
                 }
-                match sends_often || full {
-                    true => send_heartbeat(&shared, &heartbeat, full, &idle).await,
-                    false => send_heartbeat_without_content(&shared, heartbeat, &idle).await,
-                }
+                send_heartbeat(&shared, &heartbeat, full, &idle).await;
             }
             force_full = false;
         }
@@ -203,12 +199,6 @@
     IDLE_CONTENT_INTERVAL_PER_NODE.saturating_mul(u32::try_from(nodes).unwrap_or(u32::MAX))
 }
 
-/// Sends a heartbeat without loads and placements.
-async fn send_heartbeat_without_content(shared: &Shared, heartbeat: Heartbeat, targets: &Targets) {
-    let heartbeat = Heartbeat { upstream_loads: Vec::new(), ..heartbeat };
-    send_heartbeat(shared, &heartbeat, false, targets).await;
-}
-
 /// Returns the datagram of a heartbeat. Unless `full`, it omits the placements and the load per
 /// adapter, which seldom change.
 fn heartbeat_datagram(heartbeat: &Heartbeat, full: bool, activity: Option<Activity>) -> Datagram {
--- a/crates/fireflyhead-gateway/src/quota.rs
+++ b/crates/fireflyhead-gateway/src/quota.rs
@@ -255,6 +255,8 @@
 impl Drop for TokenWait<'_> {
     fn drop(&mut self) {
         let Some(mut state) = self.shared.quota.lock() else { return };
+        // Tokens that were granted but not delivered are returned below.
+        state.deliver(clock::now());
         if state.pending.remove(&self.ticket).is_some() {
             state.node.borrower.cancel(self.account.as_str(), self.ticket);
         } else if let Ok(Ok(taken)) = self.rx.try_recv() {
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -183,11 +183,14 @@
         let mut sent = clock::now();
         let mut last_complete = sent;
         let mut last_reply_empty = false;
+        let mut has_failed = false;
         loop {
-            if !progress.is_behind() {
+            // Feeds lead to a complete view, also while the store refuses this node.
+            if !progress.is_behind() || std::mem::take(&mut has_failed) {
                 let known = self.apply_feeds(position).await;
                 if known != position.revision {
                     last_complete = clock::now();
+                    progress = WatchProgress::up_to_date();
                 }
                 position.revision = known;
                 unsent = Unsent::after(position);
@@ -233,6 +236,7 @@
                     return;
                 }
                 Ok(reply) => {
+                    has_failed = true;
                     progress.record_gap();
                     self.handle_store_failure(&format!("{reply:?}")).await;
                 }
@@ -242,6 +246,7 @@
                     return;
                 }
                 Err(e) => {
+                    has_failed = true;
                     progress.record_gap();
                     self.handle_store_failure(&e.to_string()).await;
                 }
@@ -325,10 +330,13 @@
         let bytes: usize = items.iter().map(|item| item.value.as_ref().map_or(0, Bytes::len)).sum();
         let outage_end = self.shared.fleet().outage_end();
         let since_outage = outage_end.map(|at| now.since(at)).filter(|age| *age < LAPSE_GRACE);
-        let feed = match bytes <= MAX_FEED_BYTES {
-            true => Feed { era, from, to, since_outage, items },
+        let protocol = &self.shared.protocol;
+        let items: Option<Vec<Item>> =
+            items.into_iter().map(|item| protocol.shareable_item(item)).collect();
+        let feed = match items {
+            Some(items) if bytes <= MAX_FEED_BYTES => Feed { era, from, to, since_outage, items },
             // The other nodes detect the gap and watch the store themselves.
-            false => Feed { era, from: to, to, since_outage, items: Vec::new() },
+            Some(_) | None => Feed { era, from: to, to, since_outage, items: Vec::new() },
         };
         self.shared.forward_feed(now, feed);
     }
--- a/crates/fireflyhead-policy/src/authentication.rs
+++ b/crates/fireflyhead-policy/src/authentication.rs
@@ -50,10 +50,13 @@
         self.confirmed = self.confirmed.max(Some(now));
     }
 
-    /// Records that `version` of the configuration exists.
-    pub fn note_version(&mut self, now: Time, version: u64) {
-        if self.newest.is_none_or(|(newest, _)| version > newest) {
-            self.newest = Some((version, now));
+    /// Records that `version` of the configuration exists. While this node already lacks a version
+    /// newer than `own`, the time since then goes on.
+    pub fn note_version(&mut self, now: Time, version: u64, own: u64) {
+        match self.newest {
+            Some((newest, _)) if version <= newest => {}
+            Some((newest, noted)) if newest > own => self.newest = Some((version, noted)),
+            Some(_) | None => self.newest = Some((version, now)),
         }
     }
 
--- a/crates/fireflyhead-policy/src/dispatch.rs
+++ b/crates/fireflyhead-policy/src/dispatch.rs
@@ -73,6 +73,9 @@
 /// After that, the holder no longer paces its prompt, and the request may be sent to an engine with
 /// late streams.
 const PACED_WAIT_SHARE: f64 = 0.45;
+/// Time for which a request waits for the load of its adapter before it is given up; loads take about
+/// 290 ms, and one may wait for two others.
+const MIN_ADAPTER_WAIT: Duration = Duration::from_millis(900);
 /// Time during which an upstream that reported being full receives no request.
 pub(crate) const FULL_BACKOFF: Duration = Duration::from_millis(60);
 /// `retry_after` of a request that was rejected because it waited for too long.
@@ -156,6 +159,15 @@
         now.since(self.arrived) >= objective.mul_f64(PACED_WAIT_SHARE)
     }
 
+    /// Records that the request waits. One whose adapter is loaded for it is given time for the load,
+    /// also beyond its objective: rare adapters of a route with a short one would never be served.
+    fn record_wait(&mut self, reason: choice::WaitReason) {
+        if reason == choice::WaitReason::AdapterAbsent {
+            let loaded_at = self.arrived + MIN_ADAPTER_WAIT;
+            self.give_up = self.give_up.map(|at| at.max(loaded_at));
+        }
+    }
+
     /// Returns the key of the adapter that the request needs; `None` for the base model or a plain
     /// service.
     fn adapter_key(&self) -> Option<AdapterKey> {
@@ -393,7 +405,8 @@
                 self.request_admission(now, job, &upstream);
                 None
             }
-            Evaluation::Choice(Choice::Wait(_)) => {
+            Evaluation::Choice(Choice::Wait(reason)) => {
+                job.record_wait(reason);
                 self.waiting.insert(job);
                 None
             }
@@ -435,7 +448,7 @@
         let services = &self.services;
         let shares = |job: &Job| services.get(&job.service).map(|service| &service.route_shares);
         for key in self.waiting.order(now, shares) {
-            let Some(job) = self.waiting.remove(&key) else { continue };
+            let Some(mut job) = self.waiting.remove(&key) else { continue };
             // If one request can't be sent now, no later one with the same needs can be sent
             // either.
             let same_needs_blocked = blocked
@@ -457,6 +470,9 @@
                     if !same_needs_blocked && !is_away && job.tried.is_empty() {
                         blocked.push((job.service.clone(), job.model.clone()));
                     }
+                    if !same_needs_blocked {
+                        job.record_wait(reason);
+                    }
                     let reason = if same_needs_blocked { self.wait_reason(&job) } else { reason };
                     match self.reject_if_futile(now, &job, reason) {
                         Some(decision) => decisions.push((job.id, decision)),
@@ -619,6 +635,7 @@
         {
             return;
         }
+        upstream.placement_at = now;
         if upstream.placement.as_ref().is_some_and(|(from, old)| from == holder && old == placement)
         {
             return;
--- a/crates/fireflyhead-policy/src/dispatch/load_targets.rs
+++ b/crates/fireflyhead-policy/src/dispatch/load_targets.rs
@@ -6,6 +6,8 @@
 //! requested again soon. The preference among three engines alone left popular adapters crowded on
 //! some engines beside cold ones on others.
 
+use std::time::Duration;
+
 use crate::Name;
 use crate::Time;
 use crate::rendezvous;
@@ -28,6 +30,10 @@
 /// Cost reduction for an engine that held the adapter recently, in ms: the time that it saves.
 const WARM_GAIN_MS: f64 = 450.0;
 
+/// Age up to which a placement tells that an engine is loading an adapter; a load takes less. Nodes
+/// that serve no callers hear of placements seldom.
+const LOADING_TTL: Duration = Duration::from_millis(1_000);
+
 /// Where the adapter of a request is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdapterPresence {
@@ -94,15 +100,16 @@
 
     /// Returns whether an engine other than `id` is loading the newest version of `adapter`, and its
     /// holder can see the load to its end.
-    pub fn is_loading_elsewhere(&self, id: &Name, model: &Name, adapter: &Name) -> bool {
+    pub fn is_loading_elsewhere(&self, now: Time, id: &Name, model: &Name, adapter: &Name) -> bool {
         let key = (model.clone(), adapter.clone());
         let replicas = self.replicas.get(&key).into_iter().flatten();
         replicas.filter(|replica| *replica != id).any(|replica| {
             self.is_loading(replica, &key)
-                && self
-                    .upstreams
-                    .get(replica)
-                    .is_some_and(|upstream| upstream.holder_active && upstream.accepts_requests())
+                && self.upstreams.get(replica).is_some_and(|upstream| {
+                    upstream.holder_active
+                        && upstream.accepts_requests()
+                        && now.since(upstream.placement_at) < LOADING_TTL
+                })
         })
     }
 
--- a/crates/fireflyhead-policy/src/dispatch/pace.rs
+++ b/crates/fireflyhead-policy/src/dispatch/pace.rs
@@ -252,6 +252,6 @@
 
     /// Returns whether the memory of the engines of `service` is bounded.
     pub fn limits_engine_memory(&self, service: &Name) -> bool {
-        self.settings.pressure || self.service_pace(service).is_some()
+        self.is_under_pressure(service.as_str())
     }
 }
--- a/crates/fireflyhead-policy/src/dispatch/upstreams.rs
+++ b/crates/fireflyhead-policy/src/dispatch/upstreams.rs
@@ -46,6 +46,8 @@
     pub(super) adapters: HashMap<AdapterKey, Replica>,
     /// Placement that was applied last, with the node that reported it.
     pub(super) placement: Option<(Name, Placement)>,
+    /// Time at which the newest placement was received.
+    pub(super) placement_at: Time,
     /// Fencing token of the newest placement.
     pub(super) fencing_token: u64,
     /// Whether the holder may send orders now.
@@ -85,6 +87,7 @@
             health: UpstreamHealth::default(),
             adapters: HashMap::new(),
             placement: None,
+            placement_at: Time::default(),
             fencing_token: 0,
             holder_active: false,
             misdirected: false,
--- a/crates/fireflyhead-policy/src/protocol.rs
+++ b/crates/fireflyhead-policy/src/protocol.rs
@@ -387,6 +387,9 @@
     fn store_era(&self, headers: &HeaderMap) -> Era;
     /// Parses an item of the store.
     fn parse_store_item(&self, item: &Item) -> StoreRecord;
+    /// Returns the item as it may be sent to other nodes, without secrets of clients; `None` if that
+    /// can't be told.
+    fn shareable_item(&self, item: Item) -> Option<Item>;
     /// Returns the header that names the target upstream of an order or a report call.
     fn target_upstream_header(&self) -> &'static str;
 }
--- a/crates/fireflyhead-policy/src/quota/borrower.rs
+++ b/crates/fireflyhead-policy/src/quota/borrower.rs
@@ -31,6 +31,8 @@
 /// Time for which a request waits in addition if no owner has replied. Its caller would return after
 /// [`UNKNOWN_RETRY_AFTER`] all the same, and owners that were restarted are back in that time.
 pub const EXTRA_UNKNOWN_WAIT: Duration = Duration::from_millis(350);
+/// Largest number of requests of an account that wait: more of them only wait if no owner replies.
+const MAX_WAITERS: usize = 1_000;
 /// Shortest interval of datagrams to one owner.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Time without a reply after which another owner is asked: a round trip between zones with a
@@ -184,6 +186,12 @@
             }
             return TryTake::Granted(taken);
         }
+        if state.waiters.len() >= MAX_WAITERS {
+            return TryTake::Denied(QuotaDenial::Unknown);
+        }
+        if state.exceeds_part(cost) {
+            return TryTake::Denied(QuotaDenial::TooLarge);
+        }
         if let Some(retry_after) = state.hopeless(now, cost, &self.owners) {
             return TryTake::Denied(QuotaDenial::Exceeded { retry_after });
         }
--- a/crates/fireflyhead-policy/src/quota/borrower/account.rs
+++ b/crates/fireflyhead-policy/src/quota/borrower/account.rs
@@ -128,6 +128,13 @@
         self.terms.rate / self.parts.len() as f64
     }
 
+    /// Returns whether a piece of a request of `cost` is larger than the bucket of a part, so that no
+    /// owner could ever grant it.
+    pub(super) fn exceeds_part(&self, cost: u64) -> bool {
+        let parts = self.parts.len();
+        cost.div_ceil(parts as u64) as f64 > self.quota.burst / parts as f64
+    }
+
     /// Adds tokens that expire at `expires`, unless that is over.
     pub(super) fn add_stock(&mut self, now: Time, tokens: u64, expires: Time) {
         if tokens == 0 || now >= expires {
--- a/crates/fireflyhead-policy/src/readers.rs
+++ b/crates/fireflyhead-policy/src/readers.rs
@@ -111,6 +111,11 @@
 }
 
 impl WatchProgress {
+    /// Progress of a node that knows the present state from a feed.
+    pub const fn up_to_date() -> WatchProgress {
+        WatchProgress { is_behind: false, largest_reply: 0 }
+    }
+
     /// Records that a watch failed or that some time has passed without one.
     pub fn record_gap(&mut self) {
         *self = WatchProgress::default();
--- a/crates/fireflyhead-policy/tests/policy/adapter_fleet.rs
+++ b/crates/fireflyhead-policy/tests/policy/adapter_fleet.rs
@@ -590,7 +590,7 @@
             };
             let (node, model) = (&self.nodes[0], Name::from(MODEL));
             engine.residency.update_loads_elsewhere(now, |adapter| {
-                node.is_loading_elsewhere(&engine.name, &model, adapter)
+                node.is_loading_elsewhere(now, &engine.name, &model, adapter)
             });
             let newest = |adapter: Option<&Name>| node.newest_version(&model, adapter?);
             match engine.residency.next_call(now, newest, permission) {
--- a/crates/fireflyhead-policy/tests/policy/authentication.rs
+++ b/crates/fireflyhead-policy/tests/policy/authentication.rs
@@ -129,10 +129,10 @@
     view.confirm(at(4_100));
     // A confirmation that is older, or a version that is not newer, changes nothing.
     view.confirm(at(2_000));
-    view.note_version(at(4_200), 5);
+    view.note_version(at(4_200), 5, 5);
     assert_eq!(view.state(at(4_200), 5, BOUND), ConfigState::Current);
-    view.note_version(at(4_300), 7);
-    view.note_version(at(4_900), 6);
+    view.note_version(at(4_300), 7, 5);
+    view.note_version(at(4_900), 6, 5);
     assert_eq!(view.newest_known_version(), 7);
     assert_eq!(view.state(at(5_299), 5, BOUND), ConfigState::Unconfirmed);
     view.confirm(at(5_300));
@@ -140,4 +140,9 @@
     assert_eq!(view.state(at(5_300), 6, BOUND), ConfigState::Behind);
     assert_eq!(view.state(at(5_300), 7, BOUND), ConfigState::Current);
     assert_eq!(view.state(at(5_300), 8, BOUND), ConfigState::Current);
+    // A further version doesn't give more time to a node that lacks an earlier one.
+    view.note_version(at(5_400), 9, 5);
+    assert_eq!(view.state(at(5_400), 5, BOUND), ConfigState::Behind);
+    view.note_version(at(5_500), 10, 9);
+    assert_eq!(view.state(at(5_500), 9, BOUND), ConfigState::Unconfirmed);
 }
