--- a/src/bin/fireflyhead/commands/accounts.rs
+++ b/src/bin/fireflyhead/commands/accounts.rs
@@ -13,8 +13,8 @@
 use fireflyhead::ops::accounts;
 use fireflyhead::ops::store::Listing;
 use fireflyhead::ops::store::OperatorError;
-use fireflyhead_platform::operator::TenantError;
-use fireflyhead_platform::operator::Tenants;
+use fireflyhead_platform::operator::AccountList;
+use fireflyhead_platform::operator::AccountListError;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::accounts::KeyDigest;
 use fireflyhead_policy::accounts::Quota;
@@ -102,12 +102,12 @@
     if listing.config.is_none() {
         bail!("the store has no configuration that can be read");
     }
-    let mut tenants = Tenants::read(&listing.config_value)?;
-    if let Err(e) = change(name, matches, &mut tenants)? {
+    let mut account_list = AccountList::read(&listing.config_value)?;
+    if let Err(e) = change(name, matches, &mut account_list)? {
         eprintln!("error: {e}");
         return Ok(ExitCode::from(cli::EXIT_USAGE));
     }
-    let version = match operator.write_tenants(&listing, &tenants).await {
+    let version = match operator.write_account_list(&listing, &account_list).await {
         Ok(version) => version,
         Err(e @ OperatorError::Conflict) => {
             eprintln!("error: {e}");
@@ -132,20 +132,20 @@
 fn change(
     name: &str,
     matches: &ArgMatches,
-    tenants: &mut Tenants,
-) -> Result<Result<(), TenantError>> {
+    account_list: &mut AccountList,
+) -> Result<Result<(), AccountListError>> {
     let account = Name::from(cli::text_arg(matches, "account"));
-    let add_keys = |tenants: &mut Tenants| -> Result<Result<(), TenantError>> {
+    let add_keys = |account_list: &mut AccountList| -> Result<Result<(), AccountListError>> {
         let keys = accounts::read_keys(Path::new(cli::text_arg(matches, "key-file")))?;
-        Ok(keys.iter().try_for_each(|key| tenants.add_key(&account, key)))
+        Ok(keys.iter().try_for_each(|key| account_list.add_key(&account, key)))
     };
     match name {
-        "add-key" => add_keys(tenants),
-        "rotate-key" => match tenants.remove_key(&account, cli::text_arg(matches, "key")) {
-            Ok(()) => add_keys(tenants),
+        "add-key" => add_keys(account_list),
+        "rotate-key" => match account_list.remove_key(&account, cli::text_arg(matches, "key")) {
+            Ok(()) => add_keys(account_list),
             Err(e) => Ok(Err(e)),
         },
-        "remove-key" => Ok(tenants.remove_key(&account, cli::text_arg(matches, "key"))),
+        "remove-key" => Ok(account_list.remove_key(&account, cli::text_arg(matches, "key"))),
         "set-quota" => {
             let number = |name: &str| matches.get_one::<f64>(name).copied().unwrap_or(0.0);
             let unit = match cli::text_arg(matches, "unit") {
@@ -156,7 +156,7 @@
                 _ => QuotaUnit::Requests,
             };
             let quota = Quota::new(unit, number("rate"), number("burst"));
-            Ok(tenants.set_quota(&account, quota.context("--rate, --burst")?))
+            Ok(account_list.set_quota(&account, quota.context("--rate, --burst")?))
         }
         name => unreachable!("the parser accepts no subcommand `{name}`"),
     }
--- a/src/bin/fireflyhead/commands/table.rs
+++ b/src/bin/fireflyhead/commands/table.rs
@@ -15,7 +15,7 @@
 use fireflyhead::ops::accounts;
 use fireflyhead::ops::store::Listing;
 use fireflyhead::ops::store::OperatorError;
-use fireflyhead_platform::operator::Tenants;
+use fireflyhead_platform::operator::AccountList;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::config::EngineSpec;
 use fireflyhead_policy::config::ModelSpec;
@@ -122,13 +122,13 @@
         Ok(table) => table,
         Err(errors) => return Ok(print_row_errors(&errors)),
     };
-    let tenants = match &current {
-        Some(_) => Tenants::read(&config_value)?,
-        None => Tenants::default(),
+    let account_list = match &current {
+        Some(_) => AccountList::read(&config_value)?,
+        None => AccountList::default(),
     };
     let directory = Path::new(cli::text_arg(matches, "file")).parent().unwrap_or(Path::new(""));
-    let tenants = match accounts::table_tenants(&table, directory, &tenants) {
-        Ok(tenants) => tenants,
+    let account_list = match accounts::table_account_list(&table, directory, &account_list) {
+        Ok(account_list) => account_list,
         Err(e) => {
             eprintln!("error: {e}");
             return Ok(ExitCode::from(cli::EXIT_USAGE));
@@ -136,7 +136,8 @@
     };
     let config = table.config(services(matches, &table)?);
     let versions = table.adapter_versions();
-    match operator.write_config(&config, &tenants, &versions, Position { era, revision }).await {
+    match operator.write_config(&config, &account_list, &versions, Position { era, revision }).await
+    {
         Ok(()) => {}
         Err(e @ OperatorError::Conflict) => {
             eprintln!("error: {e}");
--- a/src/ops/accounts.rs
+++ b/src/ops/accounts.rs
@@ -5,10 +5,10 @@
 use std::fs;
 use std::path::Path;
 
+use fireflyhead_platform::operator::AccountList;
+use fireflyhead_platform::operator::AccountListError;
 use fireflyhead_platform::operator::ClearAccount;
 use fireflyhead_platform::operator::ClearKey;
-use fireflyhead_platform::operator::TenantError;
-use fireflyhead_platform::operator::Tenants;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::accounts::KeyDigest;
 use fireflyhead_policy::table::KeySource;
@@ -32,7 +32,7 @@
         /// Number of the line, from 1.
         line: usize,
         /// What is wrong with the key.
-        error: TenantError,
+        error: AccountListError,
     },
     /// the key file {0} has no key
     Empty(String),
@@ -69,11 +69,11 @@
 ///
 /// # Errors
 /// A key can't be found, or two accounts have it.
-pub fn table_tenants(
+pub fn table_account_list(
     table: &Table,
     directory: &Path,
-    current: &Tenants,
-) -> Result<Tenants, KeyError> {
+    current: &AccountList,
+) -> Result<AccountList, KeyError> {
     if table.accounts().next().is_none() {
         return Ok(current.clone());
     }
@@ -109,5 +109,5 @@
         let (priority, quota) = (spec.priority, spec.quota);
         accounts.push(ClearAccount { name: name.clone(), keys, priority, quota });
     }
-    Ok(Tenants::new(&accounts))
+    Ok(AccountList::new(&accounts))
 }
--- a/src/ops/demo.rs
+++ b/src/ops/demo.rs
@@ -18,7 +18,7 @@
 use fireflyhead_gateway::settings::GatewaySettings;
 use fireflyhead_platform::Platform;
 use fireflyhead_platform::operator;
-use fireflyhead_platform::operator::Tenants;
+use fireflyhead_platform::operator::AccountList;
 use fireflyhead_platform_standin::store::Store;
 use fireflyhead_platform_standin::upstream::EngineConfig;
 use fireflyhead_platform_standin::upstream::Upstream;
@@ -147,7 +147,7 @@
         let table = Table::from_csv(1, &deployment.table_csv())
             .map_err(|errors| anyhow!("the table of the deployment is invalid: {errors:?}"))?;
         let config = table.config(services(deployment));
-        let (key, value, _) = operator::config_item(&config, &Tenants::default());
+        let (key, value, _) = operator::config_item(&config, &AccountList::default());
         store.put(key.as_str(), &String::from_utf8_lossy(&value));
         let mut engines = Vec::new();
         for n in 0..deployment.engines {
--- a/src/ops/store.rs
+++ b/src/ops/store.rs
@@ -10,9 +10,9 @@
 use fireflyhead_gateway::store::StoreResponse;
 use fireflyhead_platform::Platform;
 use fireflyhead_platform::operator;
+use fireflyhead_platform::operator::AccountList;
+use fireflyhead_platform::operator::AccountListError;
 use fireflyhead_platform::operator::ConfigValue;
-use fireflyhead_platform::operator::TenantError;
-use fireflyhead_platform::operator::Tenants;
 use fireflyhead_policy::Name;
 use fireflyhead_policy::config::Config;
 use fireflyhead_policy::era::Era;
@@ -37,7 +37,7 @@
     /// the configuration in the store changed after it was read
     Conflict,
     /// {0}
-    Tenants(TenantError),
+    AccountList(AccountListError),
 }
 
 impl std::error::Error for OperatorError {}
@@ -108,15 +108,15 @@
     /// # Errors
     /// Returns [`OperatorError::Conflict`] if the configuration has changed since it was read or
     /// there is none, and another error if the store can't be reached or rejects the call.
-    pub async fn write_tenants(
+    pub async fn write_account_list(
         &self,
         listing: &Listing,
-        tenants: &Tenants,
+        account_list: &AccountList,
     ) -> Result<u64, OperatorError> {
         let (config, revision) = listing.config.as_ref().ok_or(OperatorError::Conflict)?;
         let version = (config.version + 1).max(listing.era.min_config_version());
-        let write = operator::tenants_item(&listing.config_value, version, tenants)
-            .map_err(OperatorError::Tenants)?;
+        let write = operator::account_list_item(&listing.config_value, version, account_list)
+            .map_err(OperatorError::AccountList)?;
         let call = StoreCall::Transaction {
             conditions: vec![operator::config_condition(*revision)],
             writes: vec![write],
@@ -141,14 +141,14 @@
     pub async fn write_config(
         &self,
         config: &Config,
-        tenants: &Tenants,
+        account_list: &AccountList,
         versions: &[(Name, u64)],
         position: Position,
     ) -> Result<(), OperatorError> {
         // The store accepts 32 entries in a transaction: condition, configuration and these.
         const VERSIONS_PER_TRANSACTION: usize = 30;
         let mut conditions = vec![operator::config_condition(position.revision)];
-        let mut writes = vec![operator::config_item(config, tenants)];
+        let mut writes = vec![operator::config_item(config, account_list)];
         let mut chunks = versions.chunks(VERSIONS_PER_TRANSACTION);
         let version_items = |chunk: Option<&[(Name, u64)]>| {
             chunk
