--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -65,6 +65,8 @@
     ports: [u16; 4],
     store: SocketAddr,
     folder: PathBuf,
+    /// Whether the host and the bounds are those of the small hosts on the grown sheets.
+    pub is_small: bool,
     child: Option<Child>,
 }
 
@@ -87,6 +89,7 @@
             ports,
             store,
             folder: folder.to_owned(),
+            is_small: false,
             child: None,
         }
     }
@@ -95,17 +98,21 @@
     pub fn start(&mut self) {
         let [front, ready, directory, internal] = self.ports;
         let (name, zone, store) = (&self.name, &self.zone, self.store);
+        let (limits, contact, apply) = match self.is_small {
+            true => (r#""cpuShare":0.12,"cores":1,"memoryMb":160,"maxFds":4100,"linkMbps":10.0"#, 4_000, 3_000),
+            false => (r#""cpuShare":0.25,"cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0"#, 3_000, 2_000),
+        };
         let settings = format!(
             r#"{{"node":"{name}","role":"gateway","machineClass":"edge","serves":["edge","directory"],
 "ip":"127.0.0.1","zone":"{zone}","region":"piedmont","zones":{{"{zone}":"piedmont"}},
 "listen":{{"front":"127.0.0.1:{front}","readyAddr":"127.0.0.1:{ready}","directory":"127.0.0.1:{directory}"}},
 "internalPorts":[{internal},{last}],"seeds":[],"bootstrap":true,"lossCounts":false,
-"limits":{{"cpuShare":0.25,"cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0,"diskMb":0}},
+"limits":{{{limits},"diskMb":0}},
 "dataDir":null,"discovery":"platform","entry":"directory","heartbeatMs":1200,
 "contracts":["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"],
 "faultTolerance":{{"machines":2,"zones":0,"regions":0}},
-"bounds":{{"seedLagS":3,"addrReuseS":2,"contactMs":3000,"ackMs":4000,"catchUpS":4,"drainMs":2000,"graceS":8,
-"lossSlackMs":200,"configApplyMs":2000,"rollbackSlackMs":250,"maxStretchMs":5000,"retryBudgetRatio":0.2,
+"bounds":{{"seedLagS":3,"addrReuseS":2,"contactMs":{contact},"ackMs":4000,"catchUpS":4,"drainMs":{apply},"graceS":8,
+"lossSlackMs":200,"configApplyMs":{apply},"rollbackSlackMs":250,"maxStretchMs":5000,"retryBudgetRatio":0.2,
 "budgetWindowS":10,"budgetSlack":52,"recoveryS":12,"passMs":120,"retryAfterS":0,"fenceChecked":false,
 "leaseMs":3000,"thawSlackMs":300,"ceilingWindowS":5,"ceilingOverage":1.1,"version_ms":5000,"ttl_max_s":5}},
 "platform":{{"address":"{store}","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -2,10 +2,12 @@
 //! root as `harness CASE FOLDER`; `TROUBLE=0` leaves out the disruption. Exit status: 1 if the rule
 //! was broken, 0 if it held, 2 if the case couldn't run.
 
+mod config_storm;
 mod deployment;
 mod http;
 mod json;
 mod large_answer;
+mod link;
 mod store;
 
 use std::path::PathBuf;
@@ -29,6 +31,7 @@
     }
     let record = deployment::Record::create(&folder.join("record.txt"));
     let verdict = match case.as_str() {
+        "config-storm" => config_storm::run(&record, &temporary, trouble),
         "large-answer" => large_answer::run(&record, &temporary, trouble),
         case => Verdict::NotRun(format!("there is no case {case}")),
     };
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -18,6 +18,8 @@
 
 /// Items of one page of a range.
 const PAGE_ITEMS: usize = 500;
+/// Age from which changes are no longer available to watches.
+const HISTORY: Duration = Duration::from_secs(20);
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
@@ -36,10 +38,13 @@
     revision: u64,
     created: u64,
     lease: u64,
+    at: Instant,
 }
 
 struct State {
     revision: u64,
+    /// Newest revision whose change is no longer available.
+    dropped: u64,
     items: BTreeMap<String, Item>,
     changes: Vec<Change>,
     leases: HashMap<u64, (Duration, Instant)>,
@@ -53,13 +58,15 @@
         self.items
             .insert(key.to_owned(), Item { value: value.clone(), revision, created, lease });
         let value = Some(value);
-        self.changes.push(Change { key: key.to_owned(), value, revision, created, lease });
+        let at = Instant::now();
+        self.changes.push(Change { key: key.to_owned(), value, revision, created, lease, at });
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             let (revision, key) = (self.revision, key.to_owned());
-            self.changes.push(Change { key, value: None, revision, created: 0, lease: 0 });
+            let at = Instant::now();
+            self.changes.push(Change { key, value: None, revision, created: 0, lease: 0, at });
         }
     }
 
@@ -93,6 +100,7 @@
     pub fn start() -> (Arc<Store>, SocketAddr) {
         let state = State {
             revision: 1,
+            dropped: 0,
             items: BTreeMap::new(),
             changes: Vec::new(),
             leases: HashMap::new(),
@@ -146,6 +154,10 @@
         let now = Instant::now();
         let ended: Vec<u64> =
             state.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id).collect();
+        let old = state.changes.iter().take_while(|c| now - c.at >= HISTORY).count();
+        if let Some(last) = state.changes.drain(..old).last() {
+            state.dropped = last.revision;
+        }
         for id in ended {
             state.end_lease(id);
             self.changed.notify_all();
@@ -196,6 +208,9 @@
         let end = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
+            if after < state.dropped {
+                return ("410 Gone", "{}".to_owned());
+            }
             let events: Vec<String> = state
                 .changes
                 .iter()
