--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod large_answer;
 mod link;
+mod slow_client;
 mod store;
 
 use std::path::PathBuf;
@@ -33,6 +34,7 @@
     let verdict = match case.as_str() {
         "config-storm" => config_storm::run(&record, &temporary, trouble),
         "large-answer" => large_answer::run(&record, &temporary, trouble),
+        "slow-client" => slow_client::run(&record, &temporary, trouble),
         case => Verdict::NotRun(format!("there is no case {case}")),
     };
     if std::env::var("KEEP").is_err() {
