--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod large_answer;
+mod last_streams;
 mod link;
 mod slow_client;
 mod store;
@@ -35,6 +36,7 @@
         "config-storm" => config_storm::run(&record, &temporary, trouble),
         "large-answer" => large_answer::run(&record, &temporary, trouble),
         "slow-client" => slow_client::run(&record, &temporary, trouble),
+        "last-streams" => last_streams::run(&record, &temporary, trouble),
         case => Verdict::NotRun(format!("there is no case {case}")),
     };
     if std::env::var("KEEP").is_err() {
