--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -99,7 +99,7 @@
         let [front, ready, directory, internal] = self.ports;
         let (name, zone, store) = (&self.name, &self.zone, self.store);
         let (limits, contact, apply) = match self.is_small {
-            true => (r#""cpuShare":0.12,"cores":1,"memoryMb":160,"maxFds":4100,"linkMbps":10.0"#, 4_000, 3_000),
+            true => (r#""cpuShare":0.09,"cores":1,"memoryMb":120,"maxFds":3075,"linkMbps":10.0"#, 4_000, 3_000),
             false => (r#""cpuShare":0.25,"cores":1,"memoryMb":260,"maxFds":4100,"linkMbps":1000.0"#, 3_000, 2_000),
         };
         let settings = format!(
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -2,7 +2,7 @@
 //! root as `harness CASE FOLDER`; `TROUBLE=0` leaves out the disruption. Exit status: 1 if the rule
 //! was broken, 0 if it held, 2 if the case couldn't run.
 
-mod config_storm;
+mod config_cut;
 mod deployment;
 mod http;
 mod json;
@@ -33,7 +33,7 @@
     }
     let record = deployment::Record::create(&folder.join("record.txt"));
     let verdict = match case.as_str() {
-        "config-storm" => config_storm::run(&record, &temporary, trouble),
+        "config-cut" => config_cut::run(&record, &temporary, trouble),
         "large-answer" => large_answer::run(&record, &temporary, trouble),
         "slow-client" => slow_client::run(&record, &temporary, trouble),
         "last-streams" => last_streams::run(&record, &temporary, trouble),
