--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -50,10 +50,20 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
-/// Returns a port that is free now.
+/// Number of ports that were tried.
+static PORTS_TRIED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns a port that nobody uses, the next one being free too. It is below the range from which the
+/// system takes ports of connections, so that none takes it before the process has started.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").port()
+    loop {
+        let tried = PORTS_TRIED.fetch_add(2, Ordering::Relaxed);
+        let port = 16_000 + ((u64::from(std::process::id()) * 62 + tried) % 14_000) as u16;
+        let is_free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if is_free(port) && is_free(port + 1) {
+            return port;
+        }
+    }
 }
 
 /// Node process; it is killed when this is dropped.
@@ -72,13 +82,8 @@
 
 impl Node {
     pub fn new(name: &str, zone: &str, store: SocketAddr, folder: &Path) -> Node {
-        // Two neighbouring internal ports: datagrams and metrics.
-        let internal = loop {
-            let port = free_port();
-            if port < 65_000 && TcpListener::bind(("127.0.0.1", port + 1)).is_ok() {
-                break port;
-            }
-        };
+        // The process uses the port after the last one, too, for its metrics.
+        let internal = free_port();
         let ports = [free_port(), free_port(), free_port(), internal];
         let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
         Node {
