Log what has arrived of a reply when a call to the store fails

The log of a failed call named neither its cause (reqwest's text leaves it out) nor whether the store had begun to reply, so that three reasons for a node that keeps an old configuration after a cut looked alike: the reply is cut off by the timeout of the call, it is refused for its size, or the connections stay dead after the cut.

--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -17,6 +17,7 @@
 use reqwest::Client;
 use tokio::sync::watch;
 
+use crate::clock;
 use crate::metrics::Metrics;
 use crate::response_memory::HeldResponse;
 use crate::response_memory::MemoryError;
@@ -106,8 +107,32 @@
         };
         let encoded = self.protocol.store_call(call);
         let limits = CallLimits { timeout, max_body: self.max_reply };
-        let sent =
-            send_http_call(&self.http, &self.memory, self.address, encoded, None, limits).await;
+        let begin = clock::now();
+        let mut progress = CallProgress::default();
+        let sent = send_http_call(
+            &self.http,
+            &self.memory,
+            self.address,
+            encoded,
+            None,
+            limits,
+            &mut progress,
+        )
+        .await;
+        if let Err(error) = &sent {
+            let ms = clock::now().since(begin).as_millis() as u64;
+            let CallProgress { status, length, received } = progress;
+            tracing::info!(
+                event = "store_call_failed",
+                call = call_name(call),
+                %error,
+                cause = error.root_cause(),
+                ms,
+                status,
+                length,
+                received
+            );
+        }
         let result = match sent {
             Ok(response) => {
                 let reply = self
@@ -196,6 +221,15 @@
 
 impl std::error::Error for CallError {}
 
+impl CallError {
+    /// Returns the text of the innermost error, which the text of a transport error leaves out.
+    fn root_cause(&self) -> Option<String> {
+        let CallError::Transport(error) = self else { return None };
+        let first = std::error::Error::source(error);
+        std::iter::successors(first, |error| error.source()).last().map(ToString::to_string)
+    }
+}
+
 impl From<reqwest::Error> for CallError {
     fn from(error: reqwest::Error) -> CallError {
         CallError::Transport(error)
@@ -211,6 +245,17 @@
     pub(crate) max_body: usize,
 }
 
+/// What has arrived of a response, for the log of a failed call.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CallProgress {
+    /// Status, once the head has arrived.
+    pub(crate) status: Option<u16>,
+    /// Length of the body as announced.
+    pub(crate) length: Option<u64>,
+    /// Bytes of the body that have arrived.
+    pub(crate) received: usize,
+}
+
 /// Makes an HTTP call and reads the whole response, whose body counts as a response that is held
 /// back.
 pub(crate) async fn send_http_call(
@@ -220,6 +265,7 @@
     call: HttpCall,
     header: Option<(&'static str, &str)>,
     limits: CallLimits,
+    progress: &mut CallProgress,
 ) -> Result<HttpResponse, CallError> {
     let url = format!("http://{address}{}", call.target);
     let mut request = http.request(call.method, url).timeout(limits.timeout);
@@ -232,6 +278,8 @@
     let mut response = request.send().await?;
     let status = response.status().as_u16();
     let headers = response.headers().clone();
+    *progress =
+        CallProgress { status: Some(status), length: response.content_length(), received: 0 };
     let mut body = BytesMut::new();
     let mut held = HeldResponse::new(memory);
     loop {
@@ -245,6 +293,7 @@
             return Err(CallError::TooLarge(limits.max_body));
         }
         body.extend_from_slice(&chunk);
+        progress.received = body.len();
         held.set(body.capacity()).map_err(CallError::Memory)?;
     }
     Ok(HttpResponse { status, headers, body: body.freeze() })
