Give up a call to the store when it stands still, not when its bytes take long

Callers saw routes of an old configuration for up to 20 s (404 for a route that was added, requests passed on for one that was dropped) at a host with a link of 10 Mbit/s that had been cut off from the store while a large configuration changed.

Cause: the timeout of a call covered the whole reply, 1 s beside the wait of a watch. The four versions of review/8 are a reply of 2.0 MB, which needs 1.6 s at 10 Mbit/s. The node gave it up after 1.1 MB, asked again from the same revision, and so on until the store had dropped that history. The same limit kept such a host from ever reading a configuration of 1 MB (a page of 1.4 MB needs 1.1 s), and from writing one or being told of a conflict over it.

Change: a call now fails if its head doesn't arrive within the wait and 1 s, or if less than 8 KB of the body arrive in 1 s from then on. The bytes of a call's own body count with 128 KB/s, a tenth of the slowest link. Calls to engines use the same client and get the same rule, with 250 ms. A store that stops in the middle of a reply, or sends some bytes a second, is noticed after 1 s as before.

--- a/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
@@ -24,11 +24,13 @@
 use crate::store::HttpResponse;
 use crate::store::send_http_call;
 
-/// Timeout of a call. Engines reply within milliseconds, and a lost packet is retransmitted after
-/// about 200 ms. An order without a reply is repeated, which its precondition makes safe.
-const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a silent engine is waited for. Engines reply within milliseconds, and a lost packet
+/// is retransmitted after about 200 ms. An order without a reply is repeated, which its precondition
+/// makes safe.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Limits of a call. A report has some ten bytes for each request and adapter of the engine.
-const CALL_LIMITS: CallLimits = CallLimits { timeout: CALL_TIMEOUT, max_body: 256 * 1024 };
+const CALL_LIMITS: CallLimits =
+    CallLimits { wait: Duration::ZERO, silence: SILENCE_TIMEOUT, max_body: 256 * 1024 };
 
 /// Status with which another engine replies at the address.
 const MISDIRECTED: u16 = 421;
--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -1,4 +1,7 @@
 //! Client of the platform's store.
+//!
+//! A call is given up when the store is silent, not when its bytes take long: over a slow link, a
+//! reply with a large configuration needs longer than a dead store may stay unnoticed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +19,8 @@
 use rand::Rng;
 use reqwest::Client;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::clock;
 use crate::metrics::Metrics;
@@ -27,10 +32,15 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// `TCP_USER_TIMEOUT`: a connection closes when sent bytes stay unacknowledged for this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Timeout of all calls except watches. A slow store takes about 200 ms.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time for the round trip of a watch, added to the time for which the store holds the call.
-const WATCH_ROUND_TRIP: Duration = Duration::from_millis(1_000);
+/// Time for which a silent store is waited for, beside the time for which it holds a watch: from the
+/// call to the head of the reply, and then for each part of the body. A slow store takes about 200 ms.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Number of bytes of a body that must arrive within the silence timeout; fewer are no progress. The
+/// slowest links carry some hundred times as many.
+const MIN_PROGRESS_BYTES: usize = 8 * 1024;
+/// Rate in bytes per second that a link is expected to carry at least, for the time that the body of a
+/// call needs; what the socket has accepted of it can't be observed. A tenth of the slowest links.
+const MIN_SEND_RATE: f64 = 128.0 * 1024.0;
 
 /// Part of the memory of the process, as its divisor, that one reply of the store may take.
 const REPLY_MEMORY_DIVISOR: usize = 8;
@@ -101,12 +111,12 @@
     /// # Errors
     /// No reply arrived in time, it is invalid, or it is of an older era than the newest known one.
     pub async fn call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
-        let timeout = match call {
-            StoreCall::Watch { wait, .. } => *wait + WATCH_ROUND_TRIP,
-            _ => CALL_TIMEOUT,
+        let wait = match call {
+            StoreCall::Watch { wait, .. } => *wait,
+            _ => Duration::ZERO,
         };
         let encoded = self.protocol.store_call(call);
-        let limits = CallLimits { timeout, max_body: self.max_reply };
+        let limits = CallLimits { wait, silence: SILENCE_TIMEOUT, max_body: self.max_reply };
         let begin = clock::now();
         let mut progress = CallProgress::default();
         let sent = send_http_call(
@@ -213,6 +223,10 @@
 pub enum CallError {
     /// {0}
     Transport(reqwest::Error),
+    /// no response within {0:?}
+    NoResponse(Duration),
+    /// the response stands still since {0:?}
+    Stalled(Duration),
     /// the body is larger than {0} bytes
     TooLarge(usize),
     /// {0}
@@ -239,8 +253,10 @@
 /// Bounds of an HTTP call.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallLimits {
-    /// Time from the sending of the call to the end of the response.
-    pub(crate) timeout: Duration,
+    /// Time for which the server holds the call before it responds.
+    pub(crate) wait: Duration,
+    /// Time for which a silent server is waited for.
+    pub(crate) silence: Duration,
     /// Largest size of the response's body, in bytes.
     pub(crate) max_body: usize,
 }
@@ -268,27 +284,37 @@
     progress: &mut CallProgress,
 ) -> Result<HttpResponse, CallError> {
     let url = format!("http://{address}{}", call.target);
-    let mut request = http.request(call.method, url).timeout(limits.timeout);
+    let mut request = http.request(call.method, url);
+    let sent_bytes = call.body.as_ref().map_or(0, Bytes::len);
+    let send_time = Duration::from_secs_f64(sent_bytes as f64 / MIN_SEND_RATE);
+    let head_timeout = limits.wait + limits.silence + send_time;
     if let Some((name, value)) = header {
         request = request.header(name, value);
     }
     if let Some(body) = call.body {
         request = request.header("content-type", "application/json").body(body);
     }
-    let mut response = request.send().await?;
+    let head_due = Instant::now() + head_timeout;
+    let response = timeout_at(head_due, request.send()).await;
+    let mut response = response.map_err(|_| CallError::NoResponse(head_timeout))??;
     let status = response.status().as_u16();
     let headers = response.headers().clone();
     *progress =
         CallProgress { status: Some(status), length: response.content_length(), received: 0 };
     let mut body = BytesMut::new();
     let mut held = HeldResponse::new(memory);
+    // A server may send the head before it holds the call.
+    let mut window = ProgressWindow::new(limits.silence);
+    window.end = window.end.max(head_due);
     loop {
         let chunk = tokio::select! {
             biased;
             () = held.given_up() => return Err(CallError::Memory(MemoryError::Exceeded)),
-            chunk = response.chunk() => chunk?,
+            chunk = timeout_at(window.end, response.chunk()) => chunk,
         };
+        let chunk = chunk.map_err(|_| CallError::Stalled(limits.silence))??;
         let Some(chunk) = chunk else { break };
+        window.record(chunk.len());
         if body.len() + chunk.len() > limits.max_body {
             return Err(CallError::TooLarge(limits.max_body));
         }
@@ -299,6 +325,28 @@
     Ok(HttpResponse { status, headers, body: body.freeze() })
 }
 
+/// Time within which the next bytes of a response must arrive.
+struct ProgressWindow {
+    length: Duration,
+    end: Instant,
+    /// Bytes that have arrived in the window.
+    bytes: usize,
+}
+
+impl ProgressWindow {
+    fn new(length: Duration) -> ProgressWindow {
+        ProgressWindow { length, end: Instant::now() + length, bytes: 0 }
+    }
+
+    /// Records received bytes. Enough of them begin the next window.
+    fn record(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        if self.bytes >= MIN_PROGRESS_BYTES {
+            *self = ProgressWindow::new(self.length);
+        }
+    }
+}
+
 /// Exponential backoff between retries of a failed call, with jitter.
 #[derive(Debug)]
 pub struct Backoff {
