Read the whole store when a watch returns more than the store holds

A host with a link of 10 Mbit/s fell further behind with each of several large versions in quick succession: a watch returns every version since the known revision, each reply takes longer than the one before, and the last version comes last.

A reply of a watch that is announced as larger than one and a half times the last full read, and than 512 KB, is no longer read; a full read returns the present state with fewer bytes. Responses of the store now carry their size and the time of their head: the view of the store that a reply gives is as old as its head, however long the body takes.

--- a/crates/fireflyhead-gateway/src/engine_controller/membership.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/membership.rs
@@ -51,7 +51,7 @@
     loop {
         let sent = clock::now();
         let lease = match store.call(&StoreCall::Grant { ttl }).await {
-            Ok(StoreResponse { era, reply: StoreReply::Lease { lease: id, .. } }) => {
+            Ok(StoreResponse { era, reply: StoreReply::Lease { lease: id, .. }, .. }) => {
                 Lease { id, era }
             }
             Ok(StoreResponse { reply, .. }) => {
--- a/crates/fireflyhead-gateway/src/quota/slots.rs
+++ b/crates/fireflyhead-gateway/src/quota/slots.rs
@@ -125,7 +125,7 @@
     async fn obtain_lease(&mut self) -> Result<(), String> {
         let sent = clock::now();
         match self.store.call(&StoreCall::Grant { ttl: QUOTA_LEASE_TTL }).await {
-            Ok(StoreResponse { era, reply: StoreReply::Lease { lease, ttl } }) => {
+            Ok(StoreResponse { era, reply: StoreReply::Lease { lease, ttl }, .. }) => {
                 self.renewed_at = Some(sent);
                 if let Some(mut state) = self.shared.quota.lock()
                     && state.node.slots.enter_era(clock::now(), era)
--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use fireflyhead_policy::Time;
 use fireflyhead_policy::era::Era;
 use fireflyhead_policy::protocol::HttpCall;
 use fireflyhead_policy::protocol::PlatformProtocol;
@@ -70,6 +71,21 @@
     pub era: Era,
     /// Reply.
     pub reply: StoreReply,
+    /// Time at which the head of the reply arrived: the content is no newer than that, however long
+    /// its bytes took.
+    pub answered: Time,
+    /// Size of the reply in bytes.
+    pub bytes: usize,
+}
+
+impl StoreResponse {
+    /// Returns the response if the call was executed in `era`.
+    fn in_era(self, era: Era) -> Result<StoreResponse, StoreError> {
+        match self.era == era {
+            true => Ok(self),
+            false => Err(StoreError::Restored(self.era)),
+        }
+    }
 }
 
 /// Client of the store. A call without a reply may have been executed, or may still be
@@ -111,12 +127,22 @@
     /// # Errors
     /// No reply arrived in time, it is invalid, or it is of an older era than the newest known one.
     pub async fn call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
+        self.call_up_to(call, self.max_reply).await
+    }
+
+    /// Makes a call whose reply may have `max_body` bytes, if the memory for replies allows them.
+    async fn call_up_to(
+        &self,
+        call: &StoreCall,
+        max_body: usize,
+    ) -> Result<StoreResponse, StoreError> {
         let wait = match call {
             StoreCall::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
         let encoded = self.protocol.store_call(call);
-        let limits = CallLimits { wait, silence: SILENCE_TIMEOUT, max_body: self.max_reply };
+        let max_body = max_body.min(self.max_reply);
+        let limits = CallLimits { wait, silence: SILENCE_TIMEOUT, max_body };
         let begin = clock::now();
         let mut progress = CallProgress::default();
         let sent = send_http_call(
@@ -151,7 +177,10 @@
                     .map_err(StoreError::Reply);
                 let era = self.protocol.store_era(&response.headers);
                 match self.observe_era(era) {
-                    true => reply.map(|reply| StoreResponse { era, reply }),
+                    true => {
+                        let (answered, bytes) = (response.answered, response.body.len());
+                        reply.map(|reply| StoreResponse { era, reply, answered, bytes })
+                    }
                     false => Err(StoreError::OldEra(era)),
                 }
             }
@@ -167,10 +196,20 @@
     /// As for [`StoreClient::call`], or the store was restored. The call may have been executed in the
     /// later era, if its revisions or leases were given out again.
     pub async fn call_in(&self, era: Era, call: &StoreCall) -> Result<StoreReply, StoreError> {
-        match self.call(call).await? {
-            StoreResponse { era: current, reply } if current == era => Ok(reply),
-            StoreResponse { era: current, .. } => Err(StoreError::Restored(current)),
-        }
+        Ok(self.call(call).await?.in_era(era)?.reply)
+    }
+
+    /// Makes a call like [`StoreClient::call_in`] whose reply is worth at most `max_body` bytes.
+    ///
+    /// # Errors
+    /// As for [`StoreClient::call_in`]; [`CallError::TooLarge`] for a larger reply, which is not read.
+    pub async fn call_in_up_to(
+        &self,
+        era: Era,
+        call: &StoreCall,
+        max_body: usize,
+    ) -> Result<StoreResponse, StoreError> {
+        self.call_up_to(call, max_body).await?.in_era(era)
     }
 
     /// Returns the newest known era.
@@ -215,6 +254,8 @@
     pub(crate) status: u16,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Time at which the head arrived.
+    pub(crate) answered: Time,
 }
 
 /// Reason why an HTTP call has no response.
@@ -297,10 +338,14 @@
     let head_due = Instant::now() + head_timeout;
     let response = timeout_at(head_due, request.send()).await;
     let mut response = response.map_err(|_| CallError::NoResponse(head_timeout))??;
+    let answered = clock::now();
     let status = response.status().as_u16();
     let headers = response.headers().clone();
-    *progress =
-        CallProgress { status: Some(status), length: response.content_length(), received: 0 };
+    let length = response.content_length();
+    *progress = CallProgress { status: Some(status), length, received: 0 };
+    if length.is_some_and(|length| length > limits.max_body as u64) {
+        return Err(CallError::TooLarge(limits.max_body));
+    }
     let mut body = BytesMut::new();
     let mut held = HeldResponse::new(memory);
     // A server may send the head before it holds the call.
@@ -322,7 +367,7 @@
         progress.received = body.len();
         held.set(body.capacity()).map_err(CallError::Memory)?;
     }
-    Ok(HttpResponse { status, headers, body: body.freeze() })
+    Ok(HttpResponse { status, headers, body: body.freeze(), answered })
 }
 
 /// Time within which the next bytes of a response must arrive.
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -69,6 +69,11 @@
 /// Largest size of the values in a feed, in bytes. Larger changes are read from the store by each
 /// node.
 const MAX_FEED_BYTES: usize = 24 * 1024;
+/// Size of a reply of a watch, as a multiple of all that the store holds, from which on a full read is
+/// cheaper: most of the reply is superseded by the rest of it.
+const MAX_CHANGES_RATIO: f64 = 1.5;
+/// Size in bytes of a reply that is always read. The slowest links carry it in 0.4 s.
+const MIN_CHANGES_LIMIT: usize = 512 * 1024;
 /// Shortest and longest wait after a failed call.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
@@ -86,6 +91,7 @@
         controller,
         connected: false,
         era: Era::FIRST,
+        store_bytes: 0,
         feed_filter: FeedFilter::default(),
     };
     let mut eras = watcher.store.subscribe();
@@ -123,9 +129,20 @@
     connected: bool,
     /// Era of the last full read.
     era: Era,
+    /// Size of the replies of the last full read.
+    store_bytes: usize,
     feed_filter: FeedFilter,
 }
 
+/// Content of the store, read page by page.
+struct FullRead {
+    items: Vec<Item>,
+    /// Position of the first page.
+    position: Position,
+    /// Size of all pages as they were sent.
+    bytes: usize,
+}
+
 impl StoreWatcher {
     /// Reads all items, retrying until that succeeds, and returns the position after which to watch
     /// for changes.
@@ -133,13 +150,16 @@
         loop {
             let sent = clock::now();
             match self.read_pages().await {
-                Ok((items, position)) => {
+                Ok(FullRead { items, position, bytes }) => {
+                    self.store_bytes = bytes;
                     self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
                     self.apply_snapshot(&items, position.era).await;
                     self.shared.confirm_config(sent);
                     let Position { era, revision } = position;
-                    tracing::info!(event = "store_read", items = items.len(), revision, %era);
+                    let ms = clock::now().since(sent).as_millis() as u64;
+                    let items = items.len();
+                    tracing::info!(event = "store_read", items, revision, %era, bytes, ms);
                     return position;
                 }
                 Err(reason) => self.handle_store_failure(&reason).await,
@@ -147,15 +167,17 @@
         }
     }
 
-    /// Reads all pages of items. Returns them with the position of the first page.
-    async fn read_pages(&self) -> Result<(Vec<Item>, Position), String> {
+    /// Reads all pages of items.
+    async fn read_pages(&self) -> Result<FullRead, String> {
         let mut all: Vec<Item> = Vec::new();
         let mut first = None;
+        let mut read_bytes = 0;
         loop {
             let after = all.last().map(|item| item.key.clone());
             let call = StoreCall::Range { prefix: Name::from(ALL_KEYS), after };
-            let StoreResponse { era, reply } =
+            let StoreResponse { era, reply, bytes, .. } =
                 self.store.call(&call).await.map_err(|e| e.to_string())?;
+            read_bytes += bytes;
             match reply {
                 StoreReply::Items { items, more, revision } => {
                     // The pages are not a snapshot. The watch starts at the revision of the first
@@ -167,7 +189,7 @@
                     let empty = items.is_empty();
                     all.extend(items);
                     if !more || empty {
-                        return Ok((all, first));
+                        return Ok(FullRead { items: all, position: first, bytes: read_bytes });
                     }
                 }
                 reply => return Err(format!("{reply:?}")),
@@ -205,8 +227,12 @@
                 false => self.watch_wait(last_reply_empty),
             };
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
-            match self.store.call_in(era, &call).await {
-                Ok(StoreReply::Items { items, revision, .. }) => {
+            match self.store.call_in_up_to(era, &call, self.max_changes_bytes()).await {
+                Ok(StoreResponse {
+                    reply: StoreReply::Items { items, revision, .. },
+                    answered,
+                    ..
+                }) => {
                     self.shared.record_store_reply(clock::now());
                     self.mark_store_reachable();
                     last_reply_empty = items.is_empty();
@@ -218,7 +244,7 @@
                         tracing::debug!(event = "watch_behind", after, changes = items.len());
                         continue;
                     }
-                    last_complete = clock::now();
+                    last_complete = answered;
                     self.shared.confirm_config(last_complete);
                     if self.shared.is_reader(clock::now()) {
                         let Unsent { after, items } =
@@ -231,18 +257,17 @@
                         }
                     }
                 }
-                Ok(StoreReply::Compacted) => {
+                Ok(StoreResponse { reply: StoreReply::Compacted, .. }) => {
                     tracing::info!(event = "store_history_gone", after);
                     return;
                 }
-                Ok(reply) => {
+                Ok(StoreResponse { reply, .. }) => {
                     has_failed = true;
                     progress.record_gap();
                     self.handle_store_failure(&format!("{reply:?}")).await;
                 }
-                // The pages of a full read are smaller.
-                Err(StoreError::Transport(CallError::TooLarge(bytes))) => {
-                    tracing::warn!(event = "watch_too_large", after, bytes);
+                Err(StoreError::Transport(CallError::TooLarge(limit))) => {
+                    tracing::info!(event = "watch_too_large", after, limit);
                     return;
                 }
                 Err(e) => {
@@ -264,6 +289,14 @@
         }
     }
 
+    /// Returns the largest size of a reply with changes. Of a larger one, a full read returns the
+    /// present state sooner: with several versions of a large configuration, a slow link would carry
+    /// each of them before the last.
+    fn max_changes_bytes(&self) -> usize {
+        let bytes = (self.store_bytes as f64 * MAX_CHANGES_RATIO) as usize;
+        bytes.max(MIN_CHANGES_LIMIT)
+    }
+
     /// Returns the age of the view from which on the node may be several replies behind.
     fn max_view_age(&self) -> Duration {
         self.watch_interval() * 2
--- a/src/ops/store.rs
+++ b/src/ops/store.rs
@@ -83,7 +83,7 @@
         let mut after = None;
         loop {
             let call = StoreCall::Range { prefix: Name::from(""), after: after.clone() };
-            let StoreResponse { era, reply } =
+            let StoreResponse { era, reply, .. } =
                 self.store.call(&call).await.map_err(OperatorError::Store)?;
             if after.is_some() && era != listing.era {
                 return Err(OperatorError::Store(StoreError::Restored(era)));
