Date a view of the store by the head of its reply

A reply may now take longer than 1 s. A node that took its end for the time of the view would send orders to engines on a view older than its lease allows, and the nodes of its zone would take a feed for the present state. The engine controller gets the time of the head, and a reply whose head is 1 s old or more is not forwarded: the other nodes then watch the store themselves, as after a change that is too large for a feed.

--- a/crates/fireflyhead-gateway/src/engine_controller.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller.rs
@@ -91,6 +91,8 @@
         era: Era,
         /// What the node knows with these items.
         view: View,
+        /// Time of that view.
+        viewed: Time,
     },
     /// The node's lease was granted or renewed.
     LeaseRenewed {
@@ -221,9 +223,9 @@
 
     /// Applies membership entries and ownership records. With a snapshot, members without an item are
     /// removed.
-    fn apply_store_items(&mut self, now: Time, items: Vec<Item>, view: View) {
+    fn apply_store_items(&mut self, now: Time, items: Vec<Item>, view: View, viewed: Time) {
         if view == View::Complete {
-            self.ownership.record_complete_view(now);
+            self.ownership.record_complete_view(viewed);
         }
         if view == View::Snapshot {
             let listed: HashSet<Name> = items.iter().map(|item| item.key.clone()).collect();
@@ -606,9 +608,9 @@
                 }
                 self.tick(now, &actor_ref);
             }
-            ControllerMsg::StoreItems { items, era, view } => {
+            ControllerMsg::StoreItems { items, era, view, viewed } => {
                 if self.enter_era(now, era) {
-                    self.apply_store_items(now, items, view);
+                    self.apply_store_items(now, items, view, viewed);
                 }
             }
             ControllerMsg::LeaseRenewed { lease, era, sent } => {
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use fireflyhead_policy::Name;
+use fireflyhead_policy::Time;
 use fireflyhead_policy::era::Era;
 use fireflyhead_policy::era::Position;
 use fireflyhead_policy::fleet::FleetChange;
@@ -69,6 +70,8 @@
 /// Largest size of the values in a feed, in bytes. Larger changes are read from the store by each
 /// node.
 const MAX_FEED_BYTES: usize = 24 * 1024;
+/// Age of a reply from which on it is not forwarded: the other nodes take a feed for the present state.
+const MAX_FEED_AGE: Duration = Duration::from_millis(1_000);
 /// Size of a reply of a watch, as a multiple of all that the store holds, from which on a full read is
 /// cheaper: most of the reply is superseded by the rest of it.
 const MAX_CHANGES_RATIO: f64 = 1.5;
@@ -238,7 +241,7 @@
                     last_reply_empty = items.is_empty();
                     let is_complete = progress.record_reply(items.len());
                     let view = if is_complete { View::Complete } else { View::Partial };
-                    unsent.items.extend(self.apply_changes(&items, era, view).await);
+                    unsent.items.extend(self.apply_changes(&items, era, view, answered).await);
                     position.revision = revision.max(after);
                     if !is_complete {
                         tracing::debug!(event = "watch_behind", after, changes = items.len());
@@ -249,7 +252,7 @@
                     if self.shared.is_reader(clock::now()) {
                         let Unsent { after, items } =
                             std::mem::replace(&mut unsent, Unsent::after(position));
-                        self.forward_changes(after, position.revision, items);
+                        self.forward_changes(after, position.revision, items, answered);
                         // Without changes, the wait of the watch limits the rate of calls.
                         if !last_reply_empty {
                             let elapsed = clock::now().since(sent);
@@ -339,7 +342,7 @@
                 FeedOutcome::Apply(items, to) => {
                     last_feed = now;
                     self.mark_store_reachable();
-                    self.apply_changes(&items, era, View::Complete).await;
+                    self.apply_changes(&items, era, View::Complete, now).await;
                     self.shared.confirm_config(now);
                     after = to;
                 }
@@ -356,8 +359,8 @@
         after
     }
 
-    /// Sends changes to the other nodes of the zone.
-    fn forward_changes(&self, after: Position, to: u64, items: Vec<Item>) {
+    /// Sends changes to the other nodes of the zone, as the store answered at `answered`.
+    fn forward_changes(&self, after: Position, to: u64, items: Vec<Item>, answered: Time) {
         let now = clock::now();
         let Position { era, revision: from } = after;
         let bytes: usize = items.iter().map(|item| item.value.as_ref().map_or(0, Bytes::len)).sum();
@@ -367,7 +370,9 @@
         let items: Option<Vec<Item>> =
             items.into_iter().map(|item| protocol.shareable_item(item)).collect();
         let feed = match items {
-            Some(items) if bytes <= MAX_FEED_BYTES => Feed { era, from, to, since_outage, items },
+            Some(items) if bytes <= MAX_FEED_BYTES && now.since(answered) < MAX_FEED_AGE => {
+                Feed { era, from, to, since_outage, items }
+            }
             // The other nodes detect the gap and watch the store themselves.
             Some(_) | None => Feed { era, from: to, to, since_outage, items: Vec::new() },
         };
@@ -412,11 +417,18 @@
         self.feed_filter.replace(&listed);
         let changes = self.shared.fleet().replace(now, &listed);
         apply_fleet_changes(&self.shared, changes);
-        self.send_internal_items(items, era, View::Snapshot).await;
+        self.send_internal_items(items, era, View::Snapshot, now).await;
     }
 
-    /// Applies changed items. Returns those that other nodes need, see [`FeedFilter`].
-    async fn apply_changes(&mut self, items: &[Item], era: Era, view: View) -> Vec<Item> {
+    /// Applies changed items of a view of the store at `viewed`. Returns those that other nodes need,
+    /// see [`FeedFilter`].
+    async fn apply_changes(
+        &mut self,
+        items: &[Item],
+        era: Era,
+        view: View,
+        viewed: Time,
+    ) -> Vec<Item> {
         let now = clock::now();
         let mut changes = Vec::new();
         let mut relevant = Vec::new();
@@ -438,7 +450,7 @@
             }
         }
         apply_fleet_changes(&self.shared, changes);
-        self.send_internal_items(items, era, view).await;
+        self.send_internal_items(items, era, view, viewed).await;
         relevant
     }
 
@@ -464,7 +476,7 @@
 
     /// Sends the membership entries and ownership records among `items` to the engine controller, and
     /// applies those of quota slots and the evidence on crashes.
-    async fn send_internal_items(&self, items: &[Item], era: Era, view: View) {
+    async fn send_internal_items(&self, items: &[Item], era: Era, view: View, viewed: Time) {
         quota::apply_store_items(&self.shared, items, era, view == View::Snapshot);
         quarantine::stored::apply_store_items(&self.shared, items, view == View::Snapshot);
         let internal = items
@@ -474,7 +486,7 @@
             .collect();
         send_to_controller(
             &self.controller,
-            ControllerMsg::StoreItems { items: internal, era, view },
+            ControllerMsg::StoreItems { items: internal, era, view, viewed },
         )
         .await;
     }
--- a/crates/fireflyhead-policy/src/ownership.rs
+++ b/crates/fireflyhead-policy/src/ownership.rs
@@ -261,7 +261,7 @@
     /// Records that this node's view of the store was complete at `now`: it has read the store in
     /// full or received the changes since without a gap.
     pub fn record_complete_view(&mut self, now: Time) {
-        self.view_complete_at = Some(now);
+        self.view_complete_at = self.view_complete_at.max(Some(now));
     }
 
     /// Returns the fencing token for an order to `upstream`, or `None` if this node may not send
