Receive a configuration from other nodes for as long as its parts arrive

A node that only other nodes can help got no large configuration over a slow link. A part counted as lost 200 ms after its request, but eight parts need 314 ms where a link of 10 Mbit/s is shared with a reply of the store, so that each was requested again while it was under way. And each new version made the transfer begin anew, so that large versions in quick succession kept a node from getting any: 3.5 s behind after seven versions of 1 MB, one each 500 ms, and so on until the last.

Parts now count as lost if none arrives for 200 ms, or if three that were requested later have arrived. A transfer that has replaced an unfinished one goes on while parts arrive, and sources retain up to two earlier versions while other nodes request their parts. Sources of earlier builds answer such a request with a notice; no part arrives then, and the newest version is requested.

--- a/crates/fireflyhead-gateway/src/config_exchange.rs
+++ b/crates/fireflyhead-gateway/src/config_exchange.rs
@@ -149,7 +149,7 @@
 
 /// Handles the request of another node.
 pub(crate) fn handle_request(shared: &Shared, request: &ConfigRequest) {
-    let outcome = shared.config_exchange.policy().handle_request(request);
+    let outcome = shared.config_exchange.policy().handle_request(clock::now(), request);
     match outcome {
         RequestOutcome::Parts(parts) => {
             for part in parts {
--- a/crates/fireflyhead-policy/src/config_exchange.rs
+++ b/crates/fireflyhead-policy/src/config_exchange.rs
@@ -4,6 +4,9 @@
 //! turns away for longer than that. Each node announces the version that it has; one that learns of a
 //! higher version requests the item in parts and applies it like an item of the store. A lower version
 //! never replaces a higher one, so that the order, loss and repetition of messages don't matter.
+//!
+//! A transfer is given up when nothing arrives, however long its bytes take: over a slow link, a large
+//! version may be followed by the next before it is whole.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -31,11 +34,14 @@
 pub const MAX_PARTS_IN_FLIGHT: usize = 8;
 /// Largest configuration that is exchanged, in bytes; the page of the parts names 1 MB.
 pub const MAX_CONFIG_BYTES: usize = 1024 * 1024;
-/// Time after which a requested part counts as lost. A part arrives within some 160 ms at a host with
-/// 10 Mbit/s that has requested eight.
+/// Time without any part after which the requested ones count as lost.
 const PART_TIMEOUT: Duration = Duration::from_millis(200);
+/// Number of parts requested later whose arrival shows that a part is lost, as for segments of TCP.
+const MAX_OVERTAKING_PARTS: u32 = 3;
 /// Time without a part after which another node is asked.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest number of earlier versions that a node keeps for the nodes that are receiving them.
+const MAX_RETAINED: usize = 2;
 /// Time after which the offer of a node that has not repeated it is forgotten.
 const OFFER_TTL: Duration = Duration::from_secs(30);
 /// Largest number of nodes whose offers are remembered; a further one replaces the oldest.
@@ -159,11 +165,89 @@
     stamp: ConfigStamp,
     /// Node that is asked now.
     source: Name,
-    /// Time of the last part, or at which the source was asked first.
+    /// Time of the last new part, or at which the source was asked first.
     last_progress: Time,
     parts: BTreeMap<u32, Bytes>,
-    /// Requested parts that have not arrived, with the time of the request.
-    in_flight: HashMap<u32, Time>,
+    /// Requested parts that have not arrived.
+    in_flight: HashMap<u32, PartRequest>,
+    /// Number of parts requested so far.
+    requested: u64,
+    /// Whether an unfinished transfer of a lower version was given up for this one.
+    is_replacement: bool,
+}
+
+/// Request of a part that has not arrived.
+#[derive(Clone, Copy, Debug)]
+struct PartRequest {
+    at: Time,
+    /// Position among all requests of the transfer.
+    number: u64,
+    /// Number of parts requested later that have arrived.
+    overtaken: u32,
+}
+
+impl Transfer {
+    fn new(stamp: ConfigStamp, source: Name, now: Time, is_replacement: bool) -> Transfer {
+        Transfer {
+            stamp,
+            source,
+            last_progress: now,
+            parts: BTreeMap::new(),
+            in_flight: HashMap::new(),
+            requested: 0,
+            is_replacement,
+        }
+    }
+
+    /// Forgets the requests of parts that are lost: no part has arrived for some time, or some that were
+    /// requested later have.
+    fn drop_lost_requests(&mut self, now: Time) {
+        let last_progress = self.last_progress;
+        self.in_flight.retain(|_, request| {
+            now.since(request.at.max(last_progress)) < PART_TIMEOUT
+                && request.overtaken < MAX_OVERTAKING_PARTS
+        });
+    }
+
+    /// Returns the parts to request now.
+    fn request_parts(&mut self, now: Time) -> Vec<u32> {
+        let count = u32::try_from(self.stamp.part_count()).unwrap_or(u32::MAX);
+        let parts: Vec<u32> = (0..count)
+            .filter(|index| !self.parts.contains_key(index))
+            .filter(|index| !self.in_flight.contains_key(index))
+            .take(MAX_PARTS_IN_FLIGHT.saturating_sub(self.in_flight.len()))
+            .collect();
+        for index in &parts {
+            let request = PartRequest { at: now, number: self.requested, overtaken: 0 };
+            self.requested += 1;
+            self.in_flight.insert(*index, request);
+        }
+        parts
+    }
+
+    /// Records a part that has arrived.
+    fn record_part(&mut self, now: Time, index: u32, data: Bytes) {
+        if let Some(PartRequest { number, .. }) = self.in_flight.remove(&index) {
+            let earlier = self.in_flight.values_mut().filter(|request| request.number < number);
+            earlier.for_each(|request| request.overtaken += 1);
+        }
+        if self.parts.insert(index, data).is_none() {
+            self.last_progress = now;
+        }
+    }
+
+    /// Returns whether the source has sent nothing for too long.
+    fn is_silent(&self, now: Time) -> bool {
+        now.since(self.last_progress) >= SOURCE_TIMEOUT
+    }
+
+    /// Returns whether the transfer goes on although a higher version is offered: parts of it arrive, and
+    /// it has itself replaced another one, which would otherwise go on while versions follow each other.
+    fn outlasts_newer(&self, now: Time) -> bool {
+        self.is_replacement
+            && !self.parts.is_empty()
+            && now.since(self.last_progress) < PART_TIMEOUT
+    }
 }
 
 /// Configuration that the node has.
@@ -171,6 +255,33 @@
 struct OwnConfig {
     stamp: ConfigStamp,
     item: Item,
+    /// Time of the last request for it.
+    requested_at: Option<Time>,
+}
+
+impl OwnConfig {
+    /// Returns whether another node is receiving it.
+    fn is_being_sent(&self, now: Time) -> bool {
+        self.requested_at.is_some_and(|at| now.since(at) < SOURCE_TIMEOUT)
+    }
+
+    /// Returns the requested parts.
+    fn parts(&self, node: &Name, wanted: &[u32]) -> Vec<ConfigPart> {
+        let OwnConfig { stamp, item, .. } = self;
+        let value = item.value.clone().unwrap_or_default();
+        let wanted = wanted.iter().take(MAX_PARTS_IN_FLIGHT);
+        let parts = wanted.filter(|index| (**index as usize) < stamp.part_count()).map(|index| {
+            ConfigPart {
+                node: node.clone(),
+                stamp: *stamp,
+                key: item.key.clone(),
+                revision: item.revision,
+                index: *index,
+                data: value.slice(stamp.part_range(*index as usize)),
+            }
+        });
+        parts.collect()
+    }
 }
 
 /// Exchange of the configuration with the other nodes, as one node sees it.
@@ -178,6 +289,8 @@
 pub struct ConfigExchange {
     node: Name,
     own: Option<OwnConfig>,
+    /// Earlier versions that other nodes are receiving.
+    retained: Vec<OwnConfig>,
     /// Higher versions than the own one, by the nodes that announced them last.
     offers: BTreeMap<Name, Offer>,
     transfer: Option<Transfer>,
@@ -193,6 +306,7 @@
         ConfigExchange {
             node,
             own: None,
+            retained: Vec::new(),
             offers: BTreeMap::new(),
             transfer: None,
             unusable: Vec::new(),
@@ -209,7 +323,12 @@
         let value = item.value.as_deref().unwrap_or_default();
         let bytes = u32::try_from(value.len()).unwrap_or(u32::MAX);
         let stamp = ConfigStamp { version, era, digest: digest(value), bytes };
-        self.own = Some(OwnConfig { stamp, item: item.clone() });
+        let own = OwnConfig { stamp, item: item.clone(), requested_at: None };
+        let previous = self.own.replace(own);
+        self.retained.extend(previous.filter(|previous| previous.requested_at.is_some()));
+        if self.retained.len() > MAX_RETAINED {
+            self.retained.remove(0);
+        }
         self.is_unannounced = true;
         self.offers.retain(|_, offer| offer.stamp.version > version);
         if self.transfer.as_ref().is_some_and(|transfer| transfer.stamp.version <= version) {
@@ -259,42 +378,30 @@
     }
 
     /// Handles the request of another node.
-    pub fn handle_request(&self, request: &ConfigRequest) -> RequestOutcome {
-        let Some(OwnConfig { stamp, item }) = &self.own else { return RequestOutcome::Nothing };
-        if !stamp.is_same(&request.stamp) || !is_exchanged(stamp) {
-            return RequestOutcome::Notice(*stamp);
-        }
-        let value = item.value.clone().unwrap_or_default();
-        let wanted = request.parts.iter().take(MAX_PARTS_IN_FLIGHT);
-        let parts = wanted.filter(|index| (**index as usize) < stamp.part_count()).map(|index| {
-            ConfigPart {
-                node: self.node.clone(),
-                stamp: *stamp,
-                key: item.key.clone(),
-                revision: item.revision,
-                index: *index,
-                data: value.slice(stamp.part_range(*index as usize)),
+    pub fn handle_request(&mut self, now: Time, request: &ConfigRequest) -> RequestOutcome {
+        let Some(own) = &mut self.own else { return RequestOutcome::Nothing };
+        let newest = own.stamp;
+        let mut held = std::iter::once(own).chain(&mut self.retained);
+        match held.find(|config| config.stamp.is_same(&request.stamp)) {
+            Some(config) if is_exchanged(&config.stamp) => {
+                config.requested_at = Some(now);
+                RequestOutcome::Parts(config.parts(&self.node, &request.parts))
             }
-        });
-        RequestOutcome::Parts(parts.collect())
+            Some(_) | None => RequestOutcome::Notice(newest),
+        }
     }
 
     /// Returns the request that is due, with the node to ask.
     pub fn due_request(&mut self, now: Time) -> Option<(Name, ConfigRequest)> {
         self.offers.retain(|_, offer| now.since(offer.at) < OFFER_TTL);
+        self.retained.retain(|config| config.is_being_sent(now));
         self.select_source(now);
         let transfer = self.transfer.as_mut()?;
-        transfer.in_flight.retain(|_, sent| now.since(*sent) < PART_TIMEOUT);
-        let count = u32::try_from(transfer.stamp.part_count()).unwrap_or(u32::MAX);
-        let parts: Vec<u32> = (0..count)
-            .filter(|index| !transfer.parts.contains_key(index))
-            .filter(|index| !transfer.in_flight.contains_key(index))
-            .take(MAX_PARTS_IN_FLIGHT.saturating_sub(transfer.in_flight.len()))
-            .collect();
+        transfer.drop_lost_requests(now);
+        let parts = transfer.request_parts(now);
         if parts.is_empty() {
             return None;
         }
-        transfer.in_flight.extend(parts.iter().map(|index| (*index, now)));
         let request = ConfigRequest { node: self.node.clone(), stamp: transfer.stamp, parts };
         Some((transfer.source.clone(), request))
     }
@@ -302,7 +409,9 @@
     /// Returns the time at which the next request may be due without a further message.
     pub fn next_due(&self) -> Option<Time> {
         let transfer = self.transfer.as_ref()?;
-        let lost = transfer.in_flight.values().map(|sent| *sent + PART_TIMEOUT).min();
+        let last_progress = transfer.last_progress;
+        let requested = transfer.in_flight.values().map(|request| request.at);
+        let lost = requested.map(|at| at.max(last_progress) + PART_TIMEOUT).min();
         let silent = transfer.last_progress + SOURCE_TIMEOUT;
         Some(lost.map_or(silent, |lost| lost.min(silent)))
     }
@@ -310,6 +419,9 @@
     /// Begins to receive the highest offered version, and changes to another node that offers it if
     /// the present one has sent nothing or no longer offers it.
     fn select_source(&mut self, now: Time) {
+        if self.transfer.as_ref().is_some_and(|transfer| transfer.outlasts_newer(now)) {
+            return;
+        }
         let usable = |stamp: &ConfigStamp| !self.unusable.iter().any(|bad| bad.is_same(stamp));
         let offered = self.offers.values().map(|offer| offer.stamp).filter(usable);
         let Some(wanted) = offered.max() else {
@@ -322,34 +434,24 @@
             .filter(|(_, offer)| offer.stamp.is_same(&wanted))
             .map(|(node, _)| node)
             .collect();
-        let current = self.transfer.as_ref().filter(|transfer| transfer.stamp.is_same(&wanted));
-        let source = match current {
-            Some(transfer) => {
-                let is_silent = now.since(transfer.last_progress) >= SOURCE_TIMEOUT;
-                if !is_silent && sources.contains(&&transfer.source) {
+        match &mut self.transfer {
+            Some(transfer) if transfer.stamp.is_same(&wanted) => {
+                if !transfer.is_silent(now) && sources.contains(&&transfer.source) {
                     return;
                 }
                 let next = sources.iter().find(|node| ***node > transfer.source);
-                next.or(sources.first())
-            }
-            // Nodes that learn of a version at the same moment ask different ones.
-            None => sources.get(spread(&self.node, sources.len())),
-        };
-        let Some(source) = source.map(|source| Name::clone(source)) else { return };
-        match self.transfer.as_mut().filter(|transfer| transfer.stamp.is_same(&wanted)) {
-            Some(transfer) => {
-                transfer.source = source;
+                let Some(source) = next.or(sources.first()) else { return };
+                transfer.source = Name::clone(source);
                 transfer.last_progress = now;
                 transfer.in_flight.clear();
             }
-            None => {
-                self.transfer = Some(Transfer {
-                    stamp: wanted,
-                    source,
-                    last_progress: now,
-                    parts: BTreeMap::new(),
-                    in_flight: HashMap::new(),
-                });
+            current => {
+                // Nodes that learn of a version at the same moment ask different ones.
+                let Some(source) = sources.get(spread(&self.node, sources.len())) else { return };
+                let is_replacement =
+                    current.as_ref().is_some_and(|transfer| !transfer.parts.is_empty());
+                let source = Name::clone(source);
+                *current = Some(Transfer::new(wanted, source, now, is_replacement));
             }
         }
     }
@@ -366,10 +468,7 @@
         if !is_wanted {
             return PartOutcome::Pending;
         }
-        transfer.in_flight.remove(&part.index);
-        if transfer.parts.insert(part.index, part.data.clone()).is_none() {
-            transfer.last_progress = now;
-        }
+        transfer.record_part(now, part.index, part.data.clone());
         if transfer.parts.len() < stamp.part_count() {
             return PartOutcome::Pending;
         }
