Take a lower configuration from live nodes when those with a higher one are silent

A node kept asking for the highest version that it had been told of for 30 s, although the only node with it had started again and others had a lower version that it lacked as well.

The offer of a node that has sent no part for 1 s is now forgotten until it announces the version again.

--- a/crates/fireflyhead-policy/src/config_exchange.rs
+++ b/crates/fireflyhead-policy/src/config_exchange.rs
@@ -422,6 +422,12 @@
         if self.transfer.as_ref().is_some_and(|transfer| transfer.outlasts_newer(now)) {
             return;
         }
+        let silent = self.transfer.as_ref().filter(|transfer| transfer.is_silent(now));
+        if let Some(Transfer { source, .. }) = silent {
+            // The next announcement of the node makes it a source again. Until then, a lower version that
+            // others have is better than none.
+            self.offers.remove(source);
+        }
         let usable = |stamp: &ConfigStamp| !self.unusable.iter().any(|bad| bad.is_same(stamp));
         let offered = self.offers.values().map(|offer| offer.stamp).filter(usable);
         let Some(wanted) = offered.max() else {
