Let the nodes of a zone read a large version while their reader receives it

The nodes of a zone learned only from the feed after it, or from its absence, that a version is too large to be forwarded. Over links of 10 Mbit/s each of them then began to read the version (1 MB, 1.1 s) after the reader had read it.

A reader that gets a reply of more than 512 KB now sends a feed with a gap as soon as its head has arrived, so that the others watch the store themselves at once; the number of their calls stays the same. Without large changes nothing is sent.

The client of the store waits for the head and reads the body in two steps.

--- a/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
+++ b/crates/fireflyhead-gateway/src/engine_controller/engine_calls.rs
@@ -20,7 +20,6 @@
 use crate::state::Shared;
 use crate::store::CallError;
 use crate::store::CallLimits;
-use crate::store::CallProgress;
 use crate::store::HttpResponse;
 use crate::store::send_http_call;
 
@@ -48,16 +47,7 @@
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.report_call();
     let memory = &shared.response_memory;
-    let result = send_http_call(
-        &http,
-        memory,
-        address,
-        http_call,
-        header,
-        CALL_LIMITS,
-        &mut CallProgress::default(),
-    )
-    .await;
+    let result = send_http_call(&http, memory, address, http_call, header, CALL_LIMITS).await;
     observe_head(&shared, &upstream, incarnation, &result);
     let report = match result {
         Ok(HttpResponse { status: 200, body, .. }) => match shared.protocol.parse_report(&body) {
@@ -103,16 +93,7 @@
     let header = Some((shared.protocol.target_upstream_header(), upstream.as_str()));
     let http_call = shared.protocol.order_call(&order);
     let memory = &shared.response_memory;
-    let result = send_http_call(
-        &http,
-        memory,
-        address,
-        http_call,
-        header,
-        CALL_LIMITS,
-        &mut CallProgress::default(),
-    )
-    .await;
+    let result = send_http_call(&http, memory, address, http_call, header, CALL_LIMITS).await;
     observe_head(&shared, &upstream, incarnation, &result);
     let reply = match result.as_ref().map(|response| response.status) {
         Ok(202) => OrderReply::Accepted,
--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -127,14 +127,16 @@
     /// # Errors
     /// No reply arrived in time, it is invalid, or it is of an older era than the newest known one.
     pub async fn call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
-        self.call_up_to(call, self.max_reply).await
+        self.call_up_to(call, self.max_reply, |_| {}).await
     }
 
     /// Makes a call whose reply may have `max_body` bytes, if the memory for replies allows them.
+    /// `on_head` gets the length that the head of the reply announces.
     async fn call_up_to(
         &self,
         call: &StoreCall,
         max_body: usize,
+        on_head: impl Fn(u64),
     ) -> Result<StoreResponse, StoreError> {
         let wait = match call {
             StoreCall::Watch { wait, .. } => *wait,
@@ -144,29 +146,26 @@
         let max_body = max_body.min(self.max_reply);
         let limits = CallLimits { wait, silence: SILENCE_TIMEOUT, max_body };
         let begin = clock::now();
-        let mut progress = CallProgress::default();
-        let sent = send_http_call(
-            &self.http,
-            &self.memory,
-            self.address,
-            encoded,
-            None,
-            limits,
-            &mut progress,
-        )
+        let mut response = None;
+        let sent = async {
+            let begun = begin_http_call(&self.http, self.address, encoded, None, limits).await?;
+            let response = response.insert(begun);
+            response.length.into_iter().for_each(on_head);
+            response.read(&self.memory).await
+        }
         .await;
         if let Err(error) = &sent {
             let ms = clock::now().since(begin).as_millis() as u64;
-            let CallProgress { status, length, received } = progress;
+            let response = response.as_ref();
             tracing::info!(
                 event = "store_call_failed",
                 call = call_name(call),
                 %error,
                 cause = error.root_cause(),
                 ms,
-                status,
-                length,
-                received
+                status = response.map(|response| response.status),
+                length = response.and_then(|response| response.length),
+                received = response.map(|response| response.received)
             );
         }
         let result = match sent {
@@ -200,6 +199,7 @@
     }
 
     /// Makes a call like [`StoreClient::call_in`] whose reply is worth at most `max_body` bytes.
+    /// `on_head` gets the length that the head of the reply announces.
     ///
     /// # Errors
     /// As for [`StoreClient::call_in`]; [`CallError::TooLarge`] for a larger reply, which is not read.
@@ -208,8 +208,9 @@
         era: Era,
         call: &StoreCall,
         max_body: usize,
+        on_head: impl Fn(u64),
     ) -> Result<StoreResponse, StoreError> {
-        self.call_up_to(call, max_body).await?.in_era(era)
+        self.call_up_to(call, max_body, on_head).await?.in_era(era)
     }
 
     /// Returns the newest known era.
@@ -302,72 +303,93 @@
     pub(crate) max_body: usize,
 }
 
-/// What has arrived of a response, for the log of a failed call.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct CallProgress {
-    /// Status, once the head has arrived.
-    pub(crate) status: Option<u16>,
-    /// Length of the body as announced.
-    pub(crate) length: Option<u64>,
+/// Response to an HTTP call whose head has arrived.
+pub(crate) struct BegunResponse {
+    response: reqwest::Response,
+    limits: CallLimits,
+    /// Time until which the head was waited for.
+    head_due: Instant,
+    /// Time at which the head arrived.
+    answered: Time,
+    status: u16,
+    /// Length of the body, if it is announced.
+    length: Option<u64>,
     /// Bytes of the body that have arrived.
-    pub(crate) received: usize,
+    received: usize,
 }
 
-/// Makes an HTTP call and reads the whole response, whose body counts as a response that is held
-/// back.
-pub(crate) async fn send_http_call(
+/// Makes an HTTP call and waits for the head of the response.
+async fn begin_http_call(
     http: &Client,
-    memory: &Arc<ResponseMemory>,
     address: SocketAddr,
     call: HttpCall,
     header: Option<(&'static str, &str)>,
     limits: CallLimits,
-    progress: &mut CallProgress,
-) -> Result<HttpResponse, CallError> {
+) -> Result<BegunResponse, CallError> {
     let url = format!("http://{address}{}", call.target);
     let mut request = http.request(call.method, url);
     let sent_bytes = call.body.as_ref().map_or(0, Bytes::len);
-    let send_time = Duration::from_secs_f64(sent_bytes as f64 / MIN_SEND_RATE);
-    let head_timeout = limits.wait + limits.silence + send_time;
     if let Some((name, value)) = header {
         request = request.header(name, value);
     }
     if let Some(body) = call.body {
         request = request.header("content-type", "application/json").body(body);
     }
+    let send_time = Duration::from_secs_f64(sent_bytes as f64 / MIN_SEND_RATE);
+    let head_timeout = limits.wait + limits.silence + send_time;
     let head_due = Instant::now() + head_timeout;
     let response = timeout_at(head_due, request.send()).await;
-    let mut response = response.map_err(|_| CallError::NoResponse(head_timeout))??;
+    let response = response.map_err(|_| CallError::NoResponse(head_timeout))??;
+    let (status, length) = (response.status().as_u16(), response.content_length());
     let answered = clock::now();
-    let status = response.status().as_u16();
-    let headers = response.headers().clone();
-    let length = response.content_length();
-    *progress = CallProgress { status: Some(status), length, received: 0 };
-    if length.is_some_and(|length| length > limits.max_body as u64) {
-        return Err(CallError::TooLarge(limits.max_body));
-    }
-    let mut body = BytesMut::new();
-    let mut held = HeldResponse::new(memory);
-    // A server may send the head before it holds the call.
-    let mut window = ProgressWindow::new(limits.silence);
-    window.end = window.end.max(head_due);
-    loop {
-        let chunk = tokio::select! {
-            biased;
-            () = held.given_up() => return Err(CallError::Memory(MemoryError::Exceeded)),
-            chunk = timeout_at(window.end, response.chunk()) => chunk,
-        };
-        let chunk = chunk.map_err(|_| CallError::Stalled(limits.silence))??;
-        let Some(chunk) = chunk else { break };
-        window.record(chunk.len());
-        if body.len() + chunk.len() > limits.max_body {
-            return Err(CallError::TooLarge(limits.max_body));
+    Ok(BegunResponse { response, limits, head_due, answered, status, length, received: 0 })
+}
+
+impl BegunResponse {
+    /// Reads the body, which counts as a response that is held back.
+    async fn read(&mut self, memory: &Arc<ResponseMemory>) -> Result<HttpResponse, CallError> {
+        let CallLimits { silence, max_body, .. } = self.limits;
+        if self.length.is_some_and(|length| length > max_body as u64) {
+            return Err(CallError::TooLarge(max_body));
+        }
+        let mut body = BytesMut::new();
+        let mut held = HeldResponse::new(memory);
+        // A server may send the head before it holds the call.
+        let mut window = ProgressWindow::new(silence);
+        window.end = window.end.max(self.head_due);
+        loop {
+            let chunk = tokio::select! {
+                biased;
+                () = held.given_up() => return Err(CallError::Memory(MemoryError::Exceeded)),
+                chunk = timeout_at(window.end, self.response.chunk()) => chunk,
+            };
+            let chunk = chunk.map_err(|_| CallError::Stalled(silence))??;
+            let Some(chunk) = chunk else { break };
+            window.record(chunk.len());
+            self.received += chunk.len();
+            if self.received > max_body {
+                return Err(CallError::TooLarge(max_body));
+            }
+            body.extend_from_slice(&chunk);
+            held.set(body.capacity()).map_err(CallError::Memory)?;
         }
-        body.extend_from_slice(&chunk);
-        progress.received = body.len();
-        held.set(body.capacity()).map_err(CallError::Memory)?;
+        let headers = self.response.headers().clone();
+        let BegunResponse { status, answered, .. } = *self;
+        Ok(HttpResponse { status, headers, body: body.freeze(), answered })
     }
-    Ok(HttpResponse { status, headers, body: body.freeze(), answered })
+}
+
+/// Makes an HTTP call and reads the whole response, whose body counts as a response that is held
+/// back.
+pub(crate) async fn send_http_call(
+    http: &Client,
+    memory: &Arc<ResponseMemory>,
+    address: SocketAddr,
+    call: HttpCall,
+    header: Option<(&'static str, &str)>,
+    limits: CallLimits,
+) -> Result<HttpResponse, CallError> {
+    begin_http_call(http, address, call, header, limits).await?.read(memory).await
 }
 
 /// Time within which the next bytes of a response must arrive.
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -230,7 +230,9 @@
                 false => self.watch_wait(last_reply_empty),
             };
             let call = StoreCall::Watch { prefix: Name::from(ALL_KEYS), after, wait };
-            match self.store.call_in_up_to(era, &call, self.max_changes_bytes()).await {
+            let max_bytes = self.max_changes_bytes();
+            let on_head = |length| self.announce_large_reply(position, length);
+            match self.store.call_in_up_to(era, &call, max_bytes, on_head).await {
                 Ok(StoreResponse {
                     reply: StoreReply::Items { items, revision, .. },
                     answered,
@@ -359,6 +361,20 @@
         after
     }
 
+    /// Makes the other nodes of the zone watch the store themselves at once if a reply to this reader
+    /// is too large for a feed and takes long over a slow link.
+    fn announce_large_reply(&self, position: Position, length: u64) {
+        let now = clock::now();
+        if length <= MIN_CHANGES_LIMIT as u64 || !self.shared.is_reader(now) {
+            return;
+        }
+        tracing::info!(event = "large_reply", after = position.revision, length);
+        let after = position.revision + 1;
+        let Position { era, .. } = position;
+        let feed = Feed { era, from: after, to: after, since_outage: None, items: Vec::new() };
+        self.shared.forward_feed(now, feed);
+    }
+
     /// Sends changes to the other nodes of the zone, as the store answered at `answered`.
     fn forward_changes(&self, after: Position, to: u64, items: Vec<Item>, answered: Time) {
         let now = clock::now();
