Announce a large reply to each node of the zone, and read one version in any case

A reader announced a large reply after the revision that it knew itself, which other nodes had passed: with one reader's datagram lost, a host with 10 Mbit/s began to read when the reader had finished, and had the version 2.18 s after the first host. And a configuration that grows to more than 512 KB at once was refused as larger than the last full read by each node, for one more call.

The announcement now has a gap for each node, and a reply of up to 1.5 MB, one version of the largest configuration, is always read.

--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -75,8 +75,12 @@
 /// Size of a reply of a watch, as a multiple of all that the store holds, from which on a full read is
 /// cheaper: most of the reply is superseded by the rest of it.
 const MAX_CHANGES_RATIO: f64 = 1.5;
-/// Size in bytes of a reply that is always read. The slowest links carry it in 0.4 s.
-const MIN_CHANGES_LIMIT: usize = 512 * 1024;
+/// Size in bytes of a reply that is always read: one version of the largest configuration, as the store
+/// sends it.
+const MIN_CHANGES_LIMIT: usize = 3 * 512 * 1024;
+/// Size in bytes of a reply from which on the nodes of the zone don't wait for it. The slowest links
+/// carry it in 0.4 s.
+const LARGE_REPLY_BYTES: u64 = 512 * 1024;
 /// Shortest and longest wait after a failed call.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
@@ -365,13 +369,15 @@
     /// is too large for a feed and takes long over a slow link.
     fn announce_large_reply(&self, position: Position, length: u64) {
         let now = clock::now();
-        if length <= MIN_CHANGES_LIMIT as u64 || !self.shared.is_reader(now) {
+        if length <= LARGE_REPLY_BYTES || !self.shared.is_reader(now) {
             return;
         }
         tracing::info!(event = "large_reply", after = position.revision, length);
-        let after = position.revision + 1;
+        // The revision of the change is not known yet. The other nodes may know more than this one, and
+        // one of the two readers' messages may be lost: the feed has a gap for each node.
         let Position { era, .. } = position;
-        let feed = Feed { era, from: after, to: after, since_outage: None, items: Vec::new() };
+        let (from, to) = (u64::MAX, u64::MAX);
+        let feed = Feed { era, from, to, since_outage: None, items: Vec::new() };
         self.shared.forward_feed(now, feed);
     }
 
