--- a/crates/fireflyhead-gateway/src/store.rs
+++ b/crates/fireflyhead-gateway/src/store.rs
@@ -198,11 +198,11 @@
         Ok(self.call(call).await?.in_era(era)?.reply)
     }
 
-    /// Makes a call like [`StoreClient::call_in`] whose reply is worth at most `max_body` bytes.
+    /// Makes a call like [`StoreClient::call_in`], but doesn't read a reply of more than `max_body` bytes.
     /// `on_head` gets the length that the head of the reply announces.
     ///
     /// # Errors
-    /// As for [`StoreClient::call_in`]; [`CallError::TooLarge`] for a larger reply, which is not read.
+    /// As for [`StoreClient::call_in`]; [`CallError::TooLarge`] for a larger reply.
     pub async fn call_in_up_to(
         &self,
         era: Era,
@@ -267,7 +267,7 @@
     Transport(reqwest::Error),
     /// no response within {0:?}
     NoResponse(Duration),
-    /// the response stands still since {0:?}
+    /// the body has made no progress for {0:?}
     Stalled(Duration),
     /// the body is larger than {0} bytes
     TooLarge(usize),
--- a/crates/fireflyhead-gateway/src/store_watch.rs
+++ b/crates/fireflyhead-gateway/src/store_watch.rs
@@ -375,10 +375,7 @@
         tracing::info!(event = "large_reply", after = position.revision, length);
         // The revision of the change is not known yet. The other nodes may know more than this one, and
         // one of the two readers' messages may be lost: the feed has a gap for each node.
-        let Position { era, .. } = position;
-        let (from, to) = (u64::MAX, u64::MAX);
-        let feed = Feed { era, from, to, since_outage: None, items: Vec::new() };
-        self.shared.forward_feed(now, feed);
+        self.shared.forward_feed(now, Feed::gap(position.era, u64::MAX));
     }
 
     /// Sends changes to the other nodes of the zone, as the store answered at `answered`.
@@ -395,8 +392,7 @@
             Some(items) if bytes <= MAX_FEED_BYTES && now.since(answered) < MAX_FEED_AGE => {
                 Feed { era, from, to, since_outage, items }
             }
-            // The other nodes detect the gap and watch the store themselves.
-            Some(_) | None => Feed { era, from: to, to, since_outage, items: Vec::new() },
+            Some(_) | None => Feed { since_outage, ..Feed::gap(era, to) },
         };
         self.shared.forward_feed(now, feed);
     }
--- a/crates/fireflyhead-policy/src/readers.rs
+++ b/crates/fireflyhead-policy/src/readers.rs
@@ -75,6 +75,12 @@
 }
 
 impl Feed {
+    /// Returns a feed without changes, which makes nodes that don't know the store up to `revision`
+    /// watch it themselves.
+    pub fn gap(era: Era, revision: u64) -> Feed {
+        Feed { era, from: revision, to: revision, since_outage: None, items: Vec::new() }
+    }
+
     /// Returns the changes that a node has to apply if it knows the store up to `known`.
     pub fn changes_after(self, known: Position) -> FeedOutcome {
         let after = known.revision;
