--- a/crates/fireflyhead-policy/tests/policy/readers.rs
+++ b/crates/fireflyhead-policy/tests/policy/readers.rs
@@ -79,6 +79,18 @@
     assert_eq!(without_items.changes_after(known(5)), FeedOutcome::Gap);
 }
 
+/// Guards against nodes that wait for the reader's next feed although it has announced a change that is
+/// too large for one: some of them know more than the reader.
+#[test]
+fn an_announced_change_is_a_gap_for_each_node() {
+    for revision in [0, 5, 7_000] {
+        assert_eq!(
+            Feed::gap(Era::FIRST, u64::MAX).changes_after(known(revision)),
+            FeedOutcome::Gap
+        );
+    }
+}
+
 /// Guards against changes that are compared by their revisions although the store was restored
 /// between.
 #[test]
